--- /dev/null
+++ b/crates/bundle/src/lib.rs
@@ -0,0 +1,32 @@
+//! The bundle: everything that operators declare.
+//!
+//! A [`Bundle`] is a YAML document that names data centres, models, adapters,
+//! runners, plain services and client accounts. [`read()`] turns the text into
+//! a bundle or says what is wrong and where. [`Amendments`] are the changes
+//! made between bundles: keys issued or withdrawn, targets drained.
+//!
+//! ```
+//! let text = "
+//! format: 1
+//! deployment: demo
+//! centres: [north]
+//! models:
+//!   - {name: draft, version: v1, memory_mib: 1000, kv_floor_mib: 200}
+//! runners:
+//!   - {name: runner-1, centre: north, address: '127.0.0.1:9000', accelerators: 1, memory_mib: 4000}
+//! accounts:
+//!   - {name: mayors, class: paid, rate: 100, burst: 1000}
+//! weights: {loads_per_second: 1.5, loads_at_once: 10}
+//! ";
+//! let bundle = bundle::read(text).unwrap();
+//! assert_eq!(bundle.accounts[0].rate, 100);
+//! ```
+
+pub mod amend;
+pub mod error;
+pub mod format;
+pub mod key;
+
+pub use amend::Amendments;
+pub use error::{Error, Kind, Result};
+pub use format::{Bundle, read};
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/node/src/operator.rs
@@ -0,0 +1,77 @@
+//! What operators ask for and what they are told.
+
+use std::sync;
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Request {
+    /// Put a signed bundle in force. The shell has checked its signature.
+    Accept {
+        /// The signed document, as it is stored.
+        document: sync::Arc<str>,
+        /// The bundle in it.
+        bundle: Box<bundle::Bundle>,
+        /// The version that it replaces; any, if left out.
+        #[serde(default)]
+        replaces: Option<ids::Version>,
+    },
+    /// Change what was amended.
+    Amend(bundle::amend::Change),
+    /// How the VM and the fleet are.
+    Status,
+    /// The dump of all tables.
+    State,
+}
+
+/// What an operator is told.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Reply {
+    /// In force on every member.
+    InForce {
+        /// The head's version.
+        version: ids::Version,
+        /// Members that were silent and are fenced, and so do not serve.
+        fenced: Vec<ids::Vm>,
+    },
+    /// Not accepted and not in force anywhere.
+    Refused {
+        /// Why.
+        reason: String,
+    },
+    /// Not known yet; ask again.
+    Unknown {
+        /// Why.
+        reason: String,
+    },
+    /// The status.
+    Status(Status),
+    /// The dump, as JSON.
+    State(serde_json::Value),
+}
+
+/// How the VM and the fleet are, as one VM sees it.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Status {
+    /// The VM.
+    pub vm: String,
+    /// Whether it serves.
+    pub ready: bool,
+    /// Why it does not.
+    pub reason: String,
+    /// Version of the head in force here.
+    pub version: ids::Version,
+    /// Digest of the bundle in force here.
+    pub bundle: Option<ids::Digest>,
+    /// Names of the members.
+    pub members: Vec<ids::Vm>,
+    /// Calls open here.
+    pub open_calls: usize,
+    /// Calls waiting here.
+    pub queued_calls: usize,
+    /// Models without a ready copy, as seen here.
+    pub unreachable: Vec<sync::Arc<str>>,
+    /// What is wrong, each with what to do.
+    pub alarms: Vec<String>,
+}
--- /dev/null
+++ b/crates/wire/src/error.rs
@@ -0,0 +1,39 @@
+//! Failures of encoding and decoding.
+
+/// Outcome of encoding or decoding.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Why a frame could not be encoded or decoded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum Kind {
+    /// the frame is larger than the limit
+    Size,
+    /// the value has no CBOR form
+    Encode,
+    /// the bytes are not a frame
+    Decode,
+}
+
+/// frame: {kind}: {reason}
+#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+pub struct Error {
+    kind: Kind,
+    reason: String,
+}
+
+impl std::error::Error for Error {}
+
+impl Error {
+    pub(crate) fn new(kind: Kind, reason: impl Into<String>) -> Self {
+        Self {
+            kind,
+            reason: reason.into(),
+        }
+    }
+
+    /// Why it failed.
+    #[must_use]
+    pub const fn kind(&self) -> Kind {
+        self.kind
+    }
+}
