--- /dev/null
+++ b/crates/standin/src/client.rs
@@ -0,0 +1,125 @@
+//! A small HTTP client for tests, the command line and the runner's loads.
+
+use std::net;
+
+use http_body_util::BodyExt as _;
+
+use crate::{Error, Result};
+
+/// A client that keeps connections open between requests.
+#[derive(Clone, Debug)]
+pub struct Client {
+    pool: hyper_util::client::legacy::Client<
+        hyper_util::client::legacy::connect::HttpConnector,
+        http_body_util::Full<bytes::Bytes>,
+    >,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// An answer with its whole body.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: http::StatusCode,
+    /// The headers.
+    pub headers: http::HeaderMap,
+    /// The whole body.
+    pub body: bytes::Bytes,
+}
+
+impl Answer {
+    /// The body as text; bytes that are none are replaced.
+    #[must_use]
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// The body read as JSON.
+    ///
+    /// # Errors
+    ///
+    /// The body is not JSON of this shape.
+    pub fn json<T: serde::de::DeserializeOwned>(&self) -> Result<T> {
+        serde_json::from_slice(&self.body).map_err(|error| Error::new("read answer", "body", error))
+    }
+}
+
+impl Client {
+    /// A client without open connections.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut connector = hyper_util::client::legacy::connect::HttpConnector::new();
+        connector.set_nodelay(true);
+        let executor = hyper_util::rt::TokioExecutor::new();
+        let pool = hyper_util::client::legacy::Client::builder(executor)
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { pool }
+    }
+
+    /// Sends one request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// The request cannot be made, or the connection failed.
+    pub async fn send(
+        &self,
+        address: net::SocketAddr,
+        method: &str,
+        path: &str,
+        body: impl Into<bytes::Bytes>,
+    ) -> Result<Answer> {
+        let request = http::Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header("content-type", "application/json")
+            .body(body.into())
+            .map_err(|error| Error::new("make request", address, error))?;
+        self.request(address, request).await
+    }
+
+    /// Sends `request` and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// The connection failed before the whole answer was there.
+    pub async fn request(
+        &self,
+        address: net::SocketAddr,
+        request: http::Request<bytes::Bytes>,
+    ) -> Result<Answer> {
+        let response = self.open(address, request).await?;
+        let (parts, body) = response.into_parts();
+        let body = body.collect().await;
+        let body = body.map_err(|error| Error::new("read answer", address, error))?;
+        Ok(Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body: body.to_bytes(),
+        })
+    }
+
+    /// Sends `request` and leaves the body of the answer to be read part by part.
+    ///
+    /// # Errors
+    ///
+    /// The connection failed before the head of the answer was there.
+    pub async fn open(
+        &self,
+        address: net::SocketAddr,
+        request: http::Request<bytes::Bytes>,
+    ) -> Result<http::Response<hyper::body::Incoming>> {
+        let request = request.map(http_body_util::Full::new);
+        let response = self.pool.request(request).await;
+        response.map_err(|error| {
+            let cause = std::error::Error::source(&error);
+            let reason = cause.map_or_else(|| error.to_string(), ToString::to_string);
+            Error::new("send request", address, reason)
+        })
+    }
+}
