--- a/crates/bundle/src/amend.rs
+++ b/crates/bundle/src/amend.rs
@@ -9,7 +9,8 @@
 use crate::key;
 
 /// A key issued to an account between bundles.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Issue {
     /// The account whose calls it admits.
@@ -19,7 +20,8 @@
 }
 
 /// Changes that operators made between bundles.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Amendments {
     /// Keys issued.
@@ -31,7 +33,8 @@
 }
 
 /// One change.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Change {
     /// Admit a key.
--- a/crates/bundle/src/error.rs
+++ b/crates/bundle/src/error.rs
@@ -4,7 +4,8 @@
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
 /// What is wrong with a document.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub enum Kind {
     /// not such a document
     Format,
@@ -13,7 +14,8 @@
 }
 
 /// {kind}: {reason}
-#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub struct Error {
     kind: Kind,
     reason: String,
@@ -23,10 +25,7 @@
 
 impl Error {
     pub(crate) fn new(kind: Kind, reason: impl Into<String>) -> Self {
-        Self {
-            kind,
-            reason: reason.into(),
-        }
+        Self { kind, reason: reason.into() }
     }
 
     /// What is wrong.
--- a/crates/bundle/src/format.rs
+++ b/crates/bundle/src/format.rs
@@ -5,7 +5,8 @@
 use crate::{error, key};
 
 /// Everything that operators declare.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Bundle {
     /// Version of this format: 1.
@@ -36,7 +37,8 @@
 }
 
 /// A model that stays resident.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Model {
     /// Name that callers use.
@@ -53,7 +55,8 @@
 }
 
 /// An adapter that stays resident beside its model.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Adapter {
     /// Name that callers use after the model's name and a colon.
@@ -67,7 +70,8 @@
 }
 
 /// A target with a model engine.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Runner {
     /// Name of the target.
@@ -89,7 +93,8 @@
 }
 
 /// A plain service.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// Name that callers use after `/svc/`.
@@ -101,7 +106,8 @@
 }
 
 /// An instance of a plain service.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Instance {
     /// Name of the target.
@@ -113,7 +119,8 @@
 }
 
 /// A route of a plain service.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Route {
     /// Beginning of the path, with its leading slash.
@@ -129,9 +136,8 @@
 }
 
 /// Which work comes first.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Class {
     /// Served first.
@@ -141,7 +147,8 @@
 }
 
 /// A client account.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Account {
     /// Name of the account.
@@ -158,7 +165,8 @@
 }
 
 /// What the weight store allows.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Weights {
     /// Loads of models that may begin in a second.
@@ -171,7 +179,8 @@
 }
 
 /// Limits on calls.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
     /// Longest wait in the queue, in ms.
@@ -186,12 +195,7 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Self {
-            queue_ms: 10_000,
-            queue_calls: 2_000,
-            max_tokens: 512,
-            calls_per_accelerator: 16,
-        }
+        Self { queue_ms: 10_000, queue_calls: 2_000, max_tokens: 512, calls_per_accelerator: 16 }
     }
 }
 
--- a/crates/bundle/src/key.rs
+++ b/crates/bundle/src/key.rs
@@ -10,7 +10,8 @@
 use crate::error;
 
 /// A key as it is kept.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Entry {
     /// The public part.
@@ -29,7 +30,8 @@
 }
 
 /// A key as a caller presented it, without its secret.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Presented {
     /// The public part.
     pub id: ids::Key,
@@ -53,10 +55,7 @@
         if id.is_empty() || secret.is_empty() {
             return Err(malformed());
         }
-        Ok(Self {
-            id: id.into(),
-            digest: ids::Digest::of(text.as_bytes()),
-        })
+        Ok(Self { id: id.into(), digest: ids::Digest::of(text.as_bytes()) })
     }
 }
 
@@ -79,10 +78,7 @@
     /// What is kept of it.
     #[must_use]
     pub fn entry(&self, id: &ids::Key) -> Entry {
-        Entry {
-            id: id.clone(),
-            digest: ids::Digest::of(self.0.as_bytes()),
-        }
+        Entry { id: id.clone(), digest: ids::Digest::of(self.0.as_bytes()) }
     }
 }
 
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -6,7 +6,8 @@
 ///
 /// `Chunk` and `Done` come from runners, `Answer` from plain services. The
 /// last four end the attempt.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Event {
     /// The target has taken the call on.
--- a/crates/engine/src/order.rs
+++ b/crates/engine/src/order.rs
@@ -7,7 +7,8 @@
 use std::sync;
 
 /// What a runner is to do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Action {
     /// Load a model or an adapter.
@@ -17,7 +18,8 @@
 }
 
 /// An order to a runner.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Order {
     /// The version of the runner's ledger row that reserves the memory.
     pub fence: ids::Fence,
@@ -41,18 +43,13 @@
         version: &str,
         memory_mib: u64,
     ) -> Self {
-        Self {
-            fence,
-            action,
-            item: item.into(),
-            version: version.into(),
-            memory_mib,
-        }
+        Self { fence, action, item: item.into(), version: version.into(), memory_mib }
     }
 }
 
 /// How a runner took an order.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Reply {
     /// Taken on.
--- a/crates/engine/src/report.rs
+++ b/crates/engine/src/report.rs
@@ -5,7 +5,8 @@
 use std::sync;
 
 /// State of a model or adapter on a runner.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum State {
     /// On its way in; its memory is taken.
@@ -17,7 +18,8 @@
 }
 
 /// A model or an adapter on a runner.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Resident {
     /// `MODEL` or `MODEL:ADAPTER`.
     pub item: sync::Arc<str>,
@@ -30,7 +32,8 @@
 }
 
 /// What a runner says of itself.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Report {
     /// Age of the figures when they were sent, in ms.
     pub age_ms: u64,
--- a/crates/ids/src/digest.rs
+++ b/crates/ids/src/digest.rs
@@ -8,15 +8,15 @@
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
 /// a digest is 64 hexadecimal digits, not {0:?}
-#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub struct Error(String);
 
 impl std::error::Error for Error {}
 
 /// The SHA-256 digest of an object's bytes.
-#[derive(
-    Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Digest([u8; 32]);
 
--- a/crates/ids/src/time.rs
+++ b/crates/ids/src/time.rs
@@ -5,19 +5,8 @@
 /// A moment, in milliseconds on a clock that goes on while a process is stopped.
 ///
 /// Moments of different VMs are never compared: only ages travel between VMs.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct Time(u64);
 
--- a/crates/member/src/head.rs
+++ b/crates/member/src/head.rs
@@ -10,9 +10,8 @@
 pub const KEY: &str = "head";
 
 /// A VM that serves.
-#[derive(
-    Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Member {
     /// The VM's name.
     pub vm: ids::Vm,
@@ -25,7 +24,8 @@
 }
 
 /// What is in force, and who serves.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Head {
     /// Version, equal to the version of the row.
     pub version: ids::Version,
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -3,7 +3,8 @@
 use std::{sync, time};
 
 /// What a caller asks for.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Work {
     /// A draft by a model.
@@ -36,7 +37,8 @@
 }
 
 /// A stream to go on with, as named by the caller.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Resume {
     /// The stream's name, as the response header gave it.
     pub stream: sync::Arc<str>,
@@ -48,7 +50,8 @@
 }
 
 /// A call that has just arrived. Its body stays with the shell.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Arrival {
     /// The call's number, given by the shell.
     pub call: ids::Call,
@@ -72,17 +75,8 @@
 }
 
 /// What is certain about a call when its response ends.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-    displaydoc::Display,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize, displaydoc::Display)]
 #[serde(rename_all = "kebab-case")]
 pub enum Outcome {
     /// answered
@@ -94,19 +88,8 @@
 }
 
 /// Stable code of an error.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    serde::Serialize,
-    serde::Deserialize,
-    displaydoc::Display,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize, displaydoc::Display)]
 #[serde(rename_all = "kebab-case")]
 pub enum Code {
     /// missing-key
@@ -177,7 +160,8 @@
 }
 
 /// How a call ends.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Ending {
     /// The draft is complete.
@@ -222,12 +206,7 @@
     /// A refusal before anything was sent to a target.
     #[must_use]
     pub fn refused(code: Code, message: impl Into<String>) -> Self {
-        Self::Failed {
-            outcome: Outcome::NotRun,
-            code,
-            message: message.into(),
-            retry_after: None,
-        }
+        Self::Failed { outcome: Outcome::NotRun, code, message: message.into(), retry_after: None }
     }
 
     /// The same refusal with the time after which another try makes sense.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -3,7 +3,8 @@
 use std::time;
 
 /// A change of state worth a log line.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Event {
     /// Where it happened, in a word or two (`head`, `target`).
     pub step: String,
@@ -17,16 +18,13 @@
     /// A change of state at `step`, about `peer`.
     #[must_use]
     pub fn new(step: &str, peer: &impl ToString, text: impl Into<String>) -> Self {
-        Self {
-            step: step.to_owned(),
-            peer: peer.to_string(),
-            text: text.into(),
-        }
+        Self { step: step.to_owned(), peer: peer.to_string(), text: text.into() }
     }
 }
 
 /// A measured value.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Measure {
     /// Wait of a call in the queue.
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -1,7 +1,8 @@
 //! What the shell tells the decision core.
 
 /// What has happened.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Input {
     /// A call arrived.
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -3,21 +3,22 @@
 use std::sync;
 
 /// What an operator asks for.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Request {
-    /// Put a signed bundle in force. The shell has checked its signature.
+    /// Put a signed bundle in force.
     Accept {
         /// The signed document, as it is stored.
         document: sync::Arc<str>,
-        /// The bundle in it.
-        bundle: Box<bundle::Bundle>,
         /// The version that it replaces; any, if left out.
         #[serde(default)]
         replaces: Option<ids::Version>,
     },
     /// Change what was amended.
     Amend(bundle::amend::Change),
+    /// The signed document in force.
+    Document,
     /// How the VM and the fleet are.
     Status,
     /// The dump of all tables.
@@ -25,7 +26,8 @@
 }
 
 /// What an operator is told.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Reply {
     /// In force on every member.
@@ -45,14 +47,17 @@
         /// Why.
         reason: String,
     },
+    /// The signed document in force.
+    Document(sync::Arc<str>),
     /// The status.
-    Status(Status),
+    Status(Box<Status>),
     /// The dump, as JSON.
     State(serde_json::Value),
 }
 
 /// How the VM and the fleet are, as one VM sees it.
-#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Status {
     /// The VM.
     pub vm: String,
--- a/crates/node/src/output.rs
+++ b/crates/node/src/output.rs
@@ -3,7 +3,8 @@
 use std::sync;
 
 /// What the shell is to do.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Output {
     /// Send a call to a target, or go on with it there.
@@ -105,7 +106,8 @@
 }
 
 /// A call to be sent to a target.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Begin {
     /// The attempt, to be named in its events.
     pub attempt: ids::Attempt,
--- a/crates/platform/src/fault.rs
+++ b/crates/platform/src/fault.rs
@@ -4,17 +4,8 @@
 pub type Result<T, E = Fault> = std::result::Result<T, E>;
 
 /// How an operation failed.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-    displaydoc::Display,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize, displaydoc::Display)]
 #[serde(rename_all = "kebab-case")]
 pub enum Kind {
     /// refused, without effect
@@ -24,9 +15,8 @@
 }
 
 /// {step} at {peer}: {kind}: {reason}
-#[derive(
-    Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize, displaydoc::Display,
-)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize, displaydoc::Display)]
 pub struct Fault {
     /// The operation that failed.
     pub step: String,
@@ -44,11 +34,6 @@
     /// A failure at `step` of the operation on `peer`.
     #[must_use]
     pub fn new(step: &str, peer: &str, kind: Kind, reason: &str) -> Self {
-        Self {
-            step: step.to_owned(),
-            peer: peer.to_owned(),
-            kind,
-            reason: reason.to_owned(),
-        }
+        Self { step: step.to_owned(), peer: peer.to_owned(), kind, reason: reason.to_owned() }
     }
 }
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -6,7 +6,8 @@
 use std::sync;
 
 /// What may be asked of the object store.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Request {
     /// Reads an object.
@@ -22,7 +23,8 @@
 }
 
 /// What the object store answers.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Answer {
     /// The object read, if it is there.
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -8,7 +8,8 @@
 use std::sync;
 
 /// A row as it was read.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Row {
     /// The row's key.
     pub key: sync::Arc<str>,
@@ -19,7 +20,8 @@
 }
 
 /// One change within a transaction.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Write {
     /// The row's key.
     pub key: sync::Arc<str>,
@@ -30,7 +32,8 @@
 }
 
 /// What may be asked of the table service.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Request {
     /// Reads one row.
@@ -55,7 +58,8 @@
 }
 
 /// What the table service answers.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Answer {
     /// The row read, if it is there.
@@ -72,7 +76,8 @@
 }
 
 /// A row that was not as a transaction expected.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Conflict {
     /// The row's key.
     pub key: sync::Arc<str>,
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -4,7 +4,8 @@
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
 /// Why a frame could not be encoded or decoded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub enum Kind {
     /// the frame is larger than the limit
     Size,
@@ -15,7 +16,8 @@
 }
 
 /// frame: {kind}: {reason}
-#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub struct Error {
     kind: Kind,
     reason: String,
@@ -25,10 +27,7 @@
 
 impl Error {
     pub(crate) fn new(kind: Kind, reason: impl Into<String>) -> Self {
-        Self {
-            kind,
-            reason: reason.into(),
-        }
+        Self { kind, reason: reason.into() }
     }
 
     /// Why it failed.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -3,7 +3,8 @@
 use crate::error;
 
 /// A message and the incarnation of the VM that sent it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Frame<T> {
     /// Incarnation of the sender, whose name the connection has shown.
     pub incarnation: u64,
@@ -22,10 +23,7 @@
     ciborium::into_writer(value, &mut buffer)
         .map_err(|cause| error::Error::new(error::Kind::Encode, cause.to_string()))?;
     if buffer.len() > crate::MAX_BYTES {
-        return Err(error::Error::new(
-            error::Kind::Size,
-            buffer.len().to_string(),
-        ));
+        return Err(error::Error::new(error::Kind::Size, buffer.len().to_string()));
     }
     Ok(buffer.into())
 }
@@ -38,10 +36,7 @@
 /// [`error::Kind::Decode`] if they are no such value.
 pub fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> error::Result<T> {
     if bytes.len() > crate::MAX_BYTES {
-        return Err(error::Error::new(
-            error::Kind::Size,
-            bytes.len().to_string(),
-        ));
+        return Err(error::Error::new(error::Kind::Size, bytes.len().to_string()));
     }
     ciborium::from_reader(bytes)
         .map_err(|cause| error::Error::new(error::Kind::Decode, cause.to_string()))
