bundle: signed documents

A bundle is put in force only from a document whose signature, by a signer of the settings, covers text, signer and time under a domain of its own.

--- a/crates/bundle/src/error.rs
+++ b/crates/bundle/src/error.rs
@@ -10,6 +10,8 @@
     Format,
     /// not a client key
     Key,
+    /// not signed by one of the signers
+    Signature,
 }
 
 /// {kind}: {reason}
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -3,7 +3,8 @@
 //! A [`Bundle`] is a YAML document that names data centres, models, adapters,
 //! runners, plain services and client accounts. [`read()`] turns the text into
 //! a bundle or says what is wrong and where. [`Amendments`] are the changes
-//! made between bundles: keys issued or withdrawn, targets drained.
+//! made between bundles: keys issued or withdrawn, targets drained. [`signed`]
+//! has the signed document as it is accepted and stored.
 //!
 //! ```
 //! let text = "
@@ -26,6 +27,7 @@
 pub mod error;
 pub mod format;
 pub mod key;
+pub mod signed;
 
 pub use amend::Amendments;
 pub use error::{Error, Kind, Result};
