--- /dev/null
+++ b/crates/route/tests/queue.rs
@@ -0,0 +1,321 @@
+//! The queue: classes, shares of accounts, deadlines, bounds.
+
+use std::{collections, time};
+
+use bundle::format::Class;
+use route::{policy, queue};
+
+const SECOND: time::Duration = time::Duration::from_secs(1);
+
+fn entry(call: u64, account: &str, class: Class, tokens: u64, item: &str) -> queue::Entry {
+    queue::Entry {
+        call: ids::Call::new(call),
+        account: account.into(),
+        class,
+        tokens,
+        item: item.into(),
+        arrived: ids::Time::default(),
+        deadline: ids::Time::default() + 10 * SECOND,
+        prefix: 0,
+    }
+}
+
+fn fair(config: queue::Config) -> queue::Queue {
+    queue::Queue::new(config)
+}
+
+/// Tokens served to each account in the next `pops`.
+fn served(queue: &mut queue::Queue, pops: usize) -> collections::BTreeMap<String, u64> {
+    let mut sums = collections::BTreeMap::new();
+    for _ in 0..pops {
+        let Some(entry) = queue.pop(ids::Time::default(), |_| true) else {
+            break;
+        };
+        *sums.entry(entry.account.to_string()).or_default() += entry.tokens;
+    }
+    sums
+}
+
+#[test]
+fn accounts_share_by_tokens_whatever_the_size_of_their_calls() {
+    let mut queue = fair(queue::Config::default());
+    let now = ids::Time::default();
+    for call in 0..400 {
+        let small = entry(call, "small", Class::Paid, 100, "draft");
+        let large = entry(1_000 + call, "large", Class::Paid, 900, "draft");
+        queue.push(now, large).unwrap();
+        queue.push(now, small).unwrap();
+    }
+    let sums = served(&mut queue, 300);
+    let ratio = sums["small"] as f64 / sums["large"] as f64;
+    assert!((0.9..=1.1).contains(&ratio), "{sums:?}");
+}
+
+#[test]
+fn accounts_share_in_proportion_to_their_rates() {
+    let mut queue = fair(queue::Config::default());
+    let text = "
+format: 1
+deployment: demo
+centres: [north]
+accounts:
+  - {name: small, class: paid, rate: 100, burst: 100}
+  - {name: large, class: paid, rate: 400, burst: 100}
+weights: {loads_per_second: 1, loads_at_once: 1}
+";
+    queue.adopt(&bundle::read(text).unwrap());
+    for call in 0..500 {
+        let small = entry(call, "small", Class::Paid, 300, "draft");
+        let large = entry(1_000 + call, "large", Class::Paid, 300, "draft");
+        queue.push(ids::Time::default(), small).unwrap();
+        queue.push(ids::Time::default(), large).unwrap();
+    }
+    let sums = served(&mut queue, 400);
+    let ratio = sums["large"] as f64 / sums["small"] as f64;
+    assert!((3.6..=4.4).contains(&ratio), "{sums:?}");
+}
+
+#[test]
+fn an_account_that_floods_does_not_delay_another() {
+    let mut queue = fair(queue::Config::default());
+    for call in 0..1_000 {
+        let flood = entry(call, "flood", Class::Paid, 300, "draft");
+        queue.push(ids::Time::default(), flood).unwrap();
+    }
+    let calm = entry(5_000, "calm", Class::Paid, 300, "draft");
+    queue.push(ids::Time::default(), calm).unwrap();
+    let sums = served(&mut queue, 4);
+    assert_eq!(sums.get("calm"), Some(&300), "{sums:?}");
+}
+
+#[test]
+fn courtesy_work_gets_its_floor_and_no_more() {
+    let mut queue = fair(queue::Config::default());
+    for call in 0..900 {
+        let paid = entry(call, "paid", Class::Paid, 200, "draft");
+        let courtesy = entry(1_000 + call, "courtesy", Class::Courtesy, 200, "draft");
+        queue.push(ids::Time::default(), paid).unwrap();
+        queue.push(ids::Time::default(), courtesy).unwrap();
+    }
+    let sums = served(&mut queue, 800);
+    let share = sums["courtesy"] as f64 / sums["paid"] as f64;
+    assert!((0.04..=0.06).contains(&share), "{sums:?}");
+}
+
+#[test]
+fn an_item_without_room_holds_up_no_other() {
+    let mut queue = fair(queue::Config::default());
+    for call in 0..50 {
+        let blocked = entry(call, "mayors", Class::Paid, 200, "blocked");
+        queue.push(ids::Time::default(), blocked).unwrap();
+    }
+    let free = entry(99, "mayors", Class::Paid, 200, "free");
+    queue.push(ids::Time::default(), free).unwrap();
+    let mut asked = 0;
+    let popped = queue.pop(ids::Time::default(), |entry| {
+        asked += 1;
+        &*entry.item == "free"
+    });
+    assert_eq!(popped.unwrap().call, ids::Call::new(99));
+    assert_eq!(asked, 2, "each item is asked about once");
+}
+
+#[test]
+fn calls_that_can_still_meet_the_target_go_first() {
+    let mut queue = fair(queue::Config::default());
+    let start = ids::Time::default();
+    queue
+        .push(start, entry(1, "mayors", Class::Paid, 9, "draft"))
+        .unwrap();
+    let later = start + 2 * SECOND;
+    let fresh = queue::Entry {
+        arrived: later,
+        ..entry(2, "mayors", Class::Paid, 9, "draft")
+    };
+    queue.push(later, fresh).unwrap();
+    assert_eq!(queue.pop(later, |_| true).unwrap().call, ids::Call::new(2));
+    assert_eq!(queue.pop(later, |_| true).unwrap().call, ids::Call::new(1));
+}
+
+#[test]
+fn a_full_queue_drops_courtesy_work_first() {
+    let mut queue = fair(queue::Config {
+        calls: 2,
+        ..queue::Config::default()
+    });
+    let now = ids::Time::default();
+    queue
+        .push(now, entry(1, "guests", Class::Courtesy, 9, "draft"))
+        .unwrap();
+    queue
+        .push(now, entry(2, "mayors", Class::Paid, 900, "draft"))
+        .unwrap();
+    let evicted = queue.push(now, entry(3, "mayors", Class::Paid, 900, "draft"));
+    assert_eq!(evicted.unwrap().unwrap().call, ids::Call::new(1));
+    let refused = queue.push(now, entry(4, "guests", Class::Courtesy, 9, "draft"));
+    assert_eq!(refused.unwrap_err().0.call, ids::Call::new(4));
+}
+
+#[test]
+fn a_full_queue_has_room_for_an_account_below_its_share() {
+    let mut queue = fair(queue::Config {
+        calls: 100,
+        ..queue::Config::default()
+    });
+    let now = ids::Time::default();
+    for call in 0..100 {
+        queue
+            .push(now, entry(call, "flood", Class::Paid, 10, "draft"))
+            .unwrap();
+    }
+    let more = queue.push(now, entry(200, "flood", Class::Paid, 10, "draft"));
+    assert_eq!(more.unwrap_err().0.call, ids::Call::new(200));
+    let evicted = queue.push(now, entry(300, "calm", Class::Paid, 10, "draft"));
+    assert_eq!(evicted.unwrap().unwrap().call, ids::Call::new(99));
+    assert_eq!(queue.len(), 100);
+}
+
+#[test]
+fn calls_that_miss_their_deadline_are_taken_out() {
+    let mut queue = fair(queue::Config::default());
+    let now = ids::Time::default();
+    queue
+        .push(now, entry(1, "mayors", Class::Paid, 9, "draft"))
+        .unwrap();
+    assert_eq!(queue.next_deadline(), Some(now + 10 * SECOND));
+    assert!(queue.expire(now + 9 * SECOND).is_empty());
+    assert_eq!(queue.expire(now + 10 * SECOND).len(), 1);
+    assert!(queue.is_empty());
+}
+
+#[test]
+fn first_in_first_out_serves_in_order_of_arrival() {
+    let config = queue::Config {
+        discipline: policy::Discipline::Fifo,
+        ..queue::Config::default()
+    };
+    let mut queue = fair(config);
+    let now = ids::Time::default();
+    queue
+        .push(now, entry(1, "guests", Class::Courtesy, 9, "draft"))
+        .unwrap();
+    queue
+        .push(now, entry(2, "mayors", Class::Paid, 9, "draft"))
+        .unwrap();
+    assert_eq!(queue.pop(now, |_| true).unwrap().call, ids::Call::new(1));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Push {
+        account: u8,
+        courtesy: bool,
+        item: u8,
+        tokens: u16,
+    },
+    Pop {
+        blocked: u8,
+    },
+    Remove {
+        call: u64,
+    },
+    Wait {
+        millis: u16,
+    },
+}
+
+impl quickcheck::Arbitrary for Step {
+    fn arbitrary(g: &mut quickcheck::Gen) -> Self {
+        match u8::arbitrary(g) % 8 {
+            0..=3 => Self::Push {
+                account: u8::arbitrary(g) % 4,
+                courtesy: bool::arbitrary(g),
+                item: u8::arbitrary(g) % 3,
+                tokens: u16::arbitrary(g) % 2_000,
+            },
+            4 | 5 => Self::Pop {
+                blocked: u8::arbitrary(g) % 4,
+            },
+            6 => Self::Remove {
+                call: u64::arbitrary(g) % 64,
+            },
+            _ => Self::Wait {
+                millis: u16::arbitrary(g) % 3_000,
+            },
+        }
+    }
+}
+
+/// Every call leaves the queue exactly once, by one of its ways out, and a
+/// pop finds a call whenever one can run.
+fn every_call_leaves_once(steps: Vec<Step>) -> bool {
+    let mut queue = fair(queue::Config {
+        calls: 12,
+        ..queue::Config::default()
+    });
+    let mut now = ids::Time::default();
+    let mut inside = collections::BTreeSet::new();
+    for (number, step) in steps.into_iter().enumerate() {
+        let mut gone = Vec::new();
+        match step {
+            Step::Push {
+                account,
+                courtesy,
+                item,
+                tokens,
+            } => {
+                let class = if courtesy {
+                    Class::Courtesy
+                } else {
+                    Class::Paid
+                };
+                let call = number as u64;
+                let fresh = queue::Entry {
+                    arrived: now,
+                    deadline: now + 5 * SECOND,
+                    ..entry(
+                        call,
+                        &account.to_string(),
+                        class,
+                        tokens.into(),
+                        &item.to_string(),
+                    )
+                };
+                match queue.push(now, fresh) {
+                    Ok(evicted) => {
+                        inside.insert(ids::Call::new(call));
+                        gone.extend(evicted);
+                    }
+                    Err(full) if full.0.call != ids::Call::new(call) => return false,
+                    Err(_) => {}
+                }
+            }
+            Step::Pop { blocked } => {
+                let blocked = blocked.to_string();
+                let runnable = queue.iter().any(|entry| *entry.item != *blocked);
+                let popped = queue.pop(now, |entry| *entry.item != *blocked);
+                if popped.is_some() != runnable {
+                    return false;
+                }
+                gone.extend(popped);
+            }
+            Step::Remove { call } => gone.extend(queue.remove(ids::Call::new(call))),
+            Step::Wait { millis } => {
+                now = now + time::Duration::from_millis(millis.into());
+                gone.extend(queue.expire(now));
+            }
+        }
+        let known = gone.iter().all(|entry| inside.remove(&entry.call));
+        if !known || queue.len() != inside.len() || queue.len() > 12 {
+            return false;
+        }
+    }
+    true
+}
+
+#[test]
+fn every_call_leaves_exactly_once() {
+    quickcheck::QuickCheck::new()
+        .tests(500)
+        .quickcheck(every_call_leaves_once as fn(Vec<Step>) -> bool);
+}
--- /dev/null
+++ b/crates/route/tests/target.rs
@@ -0,0 +1,273 @@
+//! The choice of a target: load, speed, prefixes, ejection.
+
+use std::{collections, time};
+
+use rand::SeedableRng as _;
+use route::target;
+
+const SECOND: time::Duration = time::Duration::from_secs(1);
+
+fn bundle(runners: usize) -> bundle::Bundle {
+    use std::fmt::Write as _;
+
+    let mut text = String::from(
+        "
+format: 1
+deployment: demo
+centres: [north]
+accounts: [{name: mayors, class: paid, rate: 100, burst: 1000}]
+weights: {loads_per_second: 1, loads_at_once: 1}
+services:
+  - name: desk
+    targets: [{name: desk-1, centre: north, address: '127.0.0.1:8000'}]
+    routes: []
+runners:
+",
+    );
+    for number in 1..=runners {
+        writeln!(
+            text,
+            "  - {{name: r{number}, centre: north, address: '127.0.0.1:900{number}', \
+             accelerators: 1, memory_mib: 1}}"
+        )
+        .unwrap();
+    }
+    bundle::read(&text).unwrap()
+}
+
+fn table(runners: usize, config: target::Config) -> target::Table {
+    let mut table = target::Table::new(config);
+    table.adopt(&bundle(runners), &collections::BTreeSet::new());
+    for number in 1..=runners {
+        table.offer(&name(number), [&"draft".into()]);
+    }
+    table
+}
+
+fn name(number: usize) -> ids::Target {
+    format!("r{number}").into()
+}
+
+fn want(prefix: u64) -> target::Want<'static> {
+    target::Want {
+        item: "draft",
+        tokens: 400,
+        prompt_tokens: 0,
+        prefix,
+        excluded: &[],
+    }
+}
+
+fn rng() -> rand::rngs::SmallRng {
+    rand::rngs::SmallRng::seed_from_u64(7)
+}
+
+fn at(millis: u64) -> ids::Time {
+    ids::Time::from_millis(millis)
+}
+
+fn load(backlog_tokens: u64, age_ms: u64) -> engine::Report {
+    engine::Report {
+        age_ms,
+        running: 1,
+        backlog_tokens,
+        ..engine::Report::default()
+    }
+}
+
+/// Begins `calls` calls, each where the table chooses.
+fn spread(table: &mut target::Table, now: ids::Time, calls: u64) -> Vec<usize> {
+    let mut counts = vec![0; table.iter().count()];
+    let mut rng = rng();
+    for call in 0..calls {
+        let chosen = table.choose(now, &want(0), &mut rng).unwrap();
+        table.began(now, ids::Attempt::new(call), &chosen, &want(0));
+        let number: usize = chosen.as_str()[1..].parse().unwrap();
+        counts[number - 1] += 1;
+    }
+    counts
+}
+
+#[test]
+fn own_calls_count_at_once() {
+    let mut table = table(4, target::Config::default());
+    assert_eq!(spread(&mut table, at(0), 8)[..4], [2, 2, 2, 2]);
+}
+
+#[test]
+fn power_counts() {
+    let mut halved = bundle(2);
+    halved.runners[1].power = 0.5;
+    let mut table = table(2, target::Config::default());
+    table.adopt(&halved, &collections::BTreeSet::new());
+    assert_eq!(spread(&mut table, at(0), 12)[..2], [8, 4]);
+}
+
+#[test]
+fn work_of_other_vms_counts_and_own_work_is_not_counted_twice() {
+    let mut table = table(2, target::Config::default());
+    table.began(at(0), ids::Attempt::new(1), &name(1), &want(0));
+    table.report(at(1_000), &name(1), &load(400, 100));
+    table.report(at(1_000), &name(2), &load(500, 100));
+    let chosen = table.choose(at(1_000), &want(0), &mut rng());
+    assert_eq!(chosen, Some(name(1)), "the 400 tokens at r1 are our own");
+    table.began(at(1_000), ids::Attempt::new(2), &name(1), &want(0));
+    let chosen = table.choose(at(1_000), &want(0), &mut rng());
+    assert_eq!(
+        chosen,
+        Some(name(2)),
+        "what was sent since the report counts"
+    );
+}
+
+#[test]
+fn a_report_too_old_counts_no_more() {
+    let mut table = table(2, target::Config::default());
+    table.report(at(0), &name(1), &load(0, 0));
+    table.report(at(6_000), &name(2), &load(1_000, 0));
+    table.began(at(6_000), ids::Attempt::new(1), &name(1), &want(0));
+    let chosen = table.choose(at(6_000), &want(0), &mut rng());
+    assert_eq!(
+        chosen,
+        Some(name(2)),
+        "r1 is taken to be as busy as r2 and has our call"
+    );
+}
+
+#[test]
+fn a_runner_slower_than_declared_gets_less() {
+    let mut table = table(2, target::Config::default());
+    for call in 0..60 {
+        let start = at(call * 10_000);
+        let attempt = ids::Attempt::new(call);
+        let target = name(if call % 2 == 0 { 1 } else { 2 });
+        let gap = if call % 2 == 0 { 20 } else { 60 };
+        table.began(start, attempt, &target, &want(0));
+        for token in 1..=20 {
+            table.progress(start + time::Duration::from_millis(token * gap), attempt, 1);
+        }
+        table.ended(start + 2 * SECOND, attempt, target::Ending::Ok);
+    }
+    let counts = spread(&mut table, at(1_000_000), 12);
+    assert!(counts[0] >= 2 * counts[1], "{counts:?}");
+}
+
+#[test]
+fn calls_with_the_same_prefix_meet_unless_their_target_is_busy() {
+    let mut table = table(4, target::Config::default());
+    let mut rng = rng();
+    let first = table.choose(at(0), &want(77), &mut rng).unwrap();
+    assert_eq!(
+        table.choose(at(0), &want(77), &mut rng),
+        Some(first.clone())
+    );
+    for call in 0..3 {
+        table.began(at(0), ids::Attempt::new(call), &first, &want(77));
+    }
+    assert_ne!(table.choose(at(0), &want(77), &mut rng), Some(first));
+}
+
+#[test]
+fn a_target_takes_no_more_calls_than_it_has_room_for() {
+    let mut table = table(1, target::Config::default());
+    spread(&mut table, at(0), 16);
+    assert!(!table.has_room(at(0), "draft", &[]));
+    assert_eq!(table.choose(at(0), &want(0), &mut rng()), None);
+    table.ended(at(1), ids::Attempt::new(3), target::Ending::Ok);
+    assert!(table.has_room(at(1), "draft", &[]));
+}
+
+#[test]
+fn leaving_and_drained_and_excluded_targets_get_nothing() {
+    let mut table = table(4, target::Config::default());
+    table.adopt(&bundle(4), &collections::BTreeSet::from([name(1)]));
+    table.leave(&name(2), true);
+    let report = engine::Report {
+        leaving: true,
+        ..engine::Report::default()
+    };
+    table.report(at(0), &name(3), &report);
+    assert_eq!(table.choose(at(0), &want(0), &mut rng()), Some(name(4)));
+    assert!(!table.has_room(at(0), "draft", &[name(4)]));
+    table.leave(&name(2), false);
+    assert!(table.has_room(at(0), "draft", &[name(4)]));
+}
+
+/// Fails `count` calls in a row at r1; whether the last one ejected it.
+fn fail(table: &mut target::Table, now: ids::Time, count: u64) -> bool {
+    let mut ejected = false;
+    for _ in 0..count {
+        table.began(now, ids::Attempt::new(9_999), &name(1), &want(0));
+        ejected = table.ended(now, ids::Attempt::new(9_999), target::Ending::Failed);
+    }
+    ejected
+}
+
+#[test]
+fn a_failing_target_is_ejected_and_comes_back_slowly() {
+    let mut table = table(2, target::Config::default());
+    assert!(!fail(&mut table, at(0), 2));
+    assert!(
+        fail(&mut table, at(0), 1),
+        "the third failure in a row ejects"
+    );
+    assert_eq!(spread(&mut table, at(500), 4)[..2], [0, 4]);
+    for call in 0..4 {
+        table.ended(at(600), ids::Attempt::new(call), target::Ending::Ok);
+    }
+    let back = spread(&mut table, at(2_000), 12);
+    assert!(back[0] >= 1 && back[0] <= 4, "{back:?}");
+    for call in 0..12 {
+        table.ended(at(2_100), ids::Attempt::new(call), target::Ending::Ok);
+    }
+    assert_eq!(spread(&mut table, at(60_000), 12)[..2], [6, 6]);
+}
+
+#[test]
+fn each_ejection_is_longer_while_the_target_goes_on_failing() {
+    let mut table = table(2, target::Config::default());
+    assert!(fail(&mut table, at(0), 3));
+    assert!(
+        fail(&mut table, at(1_100), 1),
+        "one failure is enough while it comes back"
+    );
+    assert_eq!(
+        spread(&mut table, at(3_000), 4)[0],
+        0,
+        "two seconds this time"
+    );
+}
+
+#[test]
+fn the_only_copy_is_probed_by_one_call_while_it_is_ejected() {
+    let mut table = table(1, target::Config::default());
+    assert!(fail(&mut table, at(0), 3));
+    let probe = table.choose(at(10), &want(0), &mut rng());
+    assert_eq!(probe, Some(name(1)));
+    table.began(at(10), ids::Attempt::new(1), &name(1), &want(0));
+    assert_eq!(table.choose(at(10), &want(0), &mut rng()), None);
+}
+
+#[test]
+fn a_refusal_is_no_failure() {
+    let mut table = table(1, target::Config::default());
+    for call in 0..10 {
+        table.began(at(0), ids::Attempt::new(call), &name(1), &want(0));
+        assert!(!table.ended(at(0), ids::Attempt::new(call), target::Ending::Refused));
+    }
+    assert_eq!(table.get(&name(1)).unwrap().own, target::Work::default());
+}
+
+#[test]
+fn instances_of_services_are_ready_at_once() {
+    let mut table = table(1, target::Config::default());
+    let item = route::item::service(&"desk".into());
+    let want = target::Want {
+        item: &item,
+        ..want(0)
+    };
+    assert_eq!(
+        table.choose(at(0), &want, &mut rng()),
+        Some("desk-1".into())
+    );
+}
