standin: a command that shows an answer as its caller sees it

The quick start needs a caller without curl and jq. Status and headers come first, then the body as it arrives; the exit code tells success.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 //! - The targets: [`runner`], a model engine, and [`service`], a plain service.
 //! - [`batch`] is the runner's batching model alone, without input or output,
 //!   for experiments in virtual time.
+//! - [`call`] sends one request and shows the answer as its caller sees it.
 //! - [`text`] computes what any runner answers, so that a test can check it.
 //!
 //! ```
@@ -26,6 +27,7 @@
 
 pub mod batch;
 pub mod cache;
+pub mod call;
 pub mod client;
 pub mod count;
 mod error;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -25,6 +25,8 @@
     Service(standin::service::Config),
     /// Sends one request to a control address and prints the answer.
     Control(Control),
+    /// Sends one request and prints the answer as its caller sees it.
+    Call(standin::call::Config),
 }
 
 #[derive(Debug, clap::Args)]
@@ -64,6 +66,7 @@
         Command::Runner(config) => standin::runner::start(&config)?,
         Command::Service(config) => standin::service::start(&config)?,
         Command::Control(control) => return send(&control).await,
+        Command::Call(config) => return call(&config).await,
     };
     serve(process).await?;
     Ok(ExitCode::SUCCESS)
@@ -86,16 +89,17 @@
     tokio::signal::unix::signal(kind)
 }
 
+async fn call(config: &standin::call::Config) -> Result<ExitCode, Box<dyn std::error::Error>> {
+    let mut out = std::io::stdout().lock();
+    let succeeded = standin::call::run(config, &mut out).await?;
+    writeln!(out)?;
+    Ok(if succeeded { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 async fn send(control: &Control) -> Result<ExitCode, Box<dyn std::error::Error>> {
     let client = standin::client::Client::new();
-    let answer = client
-        .send(
-            control.address,
-            &control.method,
-            &control.path,
-            control.body.clone(),
-        )
-        .await?;
+    let answer =
+        client.send(control.address, &control.method, &control.path, control.body.clone()).await?;
     if answer.status.is_success() {
         print(&answer.text())?;
         return Ok(ExitCode::SUCCESS);
