daemon: faces, clients, peer links and graceful stop around the core

The daemon turns sockets into inputs and outputs into sockets. The core is behind driver::Core until the node is there; main has none yet.

--- /dev/null
+++ b/crates/daemon/src/caller/answer.rs
@@ -0,0 +1,50 @@
+//! The caller's end of an open call.
+
+use std::sync;
+
+use tokio::sync::mpsc;
+
+use crate::calls;
+
+/// Receives the parts of an answer. Dropped before the end, it closes the
+/// call and tells the decision core that the caller has gone.
+#[derive(Debug)]
+pub struct Answer {
+    call: ids::Call,
+    parts: mpsc::Receiver<calls::Part>,
+    state: super::Shared,
+    ended: bool,
+}
+
+impl Answer {
+    /// The caller's end of `call`.
+    #[must_use]
+    pub fn new(call: ids::Call, parts: mpsc::Receiver<calls::Part>, state: &super::Shared) -> Self {
+        Self { call, parts, state: sync::Arc::clone(state), ended: false }
+    }
+
+    /// The call's number.
+    #[must_use]
+    pub const fn call(&self) -> ids::Call {
+        self.call
+    }
+
+    /// Waits for the next part; none follows the end, or if the call was
+    /// closed because the caller reads too slowly.
+    pub async fn next(&mut self) -> Option<calls::Part> {
+        let part = self.parts.recv().await;
+        if let Some(calls::Part::Ended(_)) = part {
+            self.ended = true;
+        }
+        part
+    }
+}
+
+impl Drop for Answer {
+    fn drop(&mut self) {
+        let open = self.state.calls.close(self.call);
+        if open && !self.ended {
+            self.state.inbox.gone(self.call);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/error.rs
@@ -0,0 +1,45 @@
+//! Failures of starting and running the daemon.
+
+/// Outcome of starting or running.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// What kind of failure it was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum Kind {
+    /// wrong settings
+    Settings,
+    /// a system call failed
+    System,
+}
+
+/// {kind}: {step} of {peer}: {reason}
+#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+pub struct Error {
+    kind: Kind,
+    step: &'static str,
+    peer: String,
+    reason: String,
+}
+
+impl std::error::Error for Error {}
+
+impl Error {
+    pub(crate) fn new(
+        kind: Kind,
+        step: &'static str,
+        peer: &impl ToString,
+        reason: &impl ToString,
+    ) -> Self {
+        Self { kind, step, peer: peer.to_string(), reason: reason.to_string() }
+    }
+
+    pub(crate) fn system(step: &'static str, peer: &impl ToString, cause: &impl ToString) -> Self {
+        Self::new(Kind::System, step, peer, cause)
+    }
+
+    /// What kind of failure it was.
+    #[must_use]
+    pub const fn kind(&self) -> Kind {
+        self.kind
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,54 @@
-//! Placeholder.
+//! `primroseplankd`: the daemon that runs on every VM.
 
-fn main() {}
+use std::{path, process};
+
+use clap::Parser as _;
+use daemon::{driver, log, settings};
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+/// Serves callers and keeps the fleet together; runs on every VM.
+///
+/// Prints one line of JSON with its addresses when it listens. SIGTERM stops
+/// it gracefully: every open call is finished first.
+#[derive(Debug, clap::Parser)]
+#[command(version)]
+struct Arguments {
+    /// The VM's settings, a YAML file.
+    #[arg(long, value_name = "FILE.yaml")]
+    settings: path::PathBuf,
+    /// Only check the settings; exit code 1 says that they are wrong.
+    #[arg(long)]
+    check_settings: bool,
+}
+
+fn main() -> process::ExitCode {
+    match run(&Arguments::parse()) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("primroseplankd: {error}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(arguments: &Arguments) -> daemon::Result<()> {
+    let settings = settings::load(&arguments.settings)?;
+    if arguments.check_settings {
+        println!("{}: settings are fine", arguments.settings.display());
+        return Ok(());
+    }
+    log::start(&settings.log);
+    let listeners = daemon::process::Listeners::bind(&settings)?;
+    let incarnation = daemon::process::incarnation();
+    daemon::process::run(&settings, listeners, incarnation, Idle)
+}
+
+struct Idle;
+impl driver::Core for Idle {
+    fn step(&mut self, _: ids::Time, _: &mut Vec<node::Input>, _: &mut Vec<node::Output>) {}
+    fn counters(&self) -> Vec<(&'static str, u64)> {
+        Vec::new()
+    }
+}
