--- a/crates/bundle/src/signed.rs
+++ b/crates/bundle/src/signed.rs
@@ -38,7 +38,8 @@
 const KEY_BYTES: usize = 32;
 
 /// A bundle's text with its signature.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Document {
     /// The bundle, as YAML text.
@@ -73,7 +74,8 @@
 }
 
 /// The public half of a signing key: 64 hexadecimal digits.
-#[derive(Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Public(ed25519_dalek::VerifyingKey);
 
@@ -156,7 +158,8 @@
 }
 
 /// Someone who may sign bundles off, as named in the settings.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Signer {
     /// Name, as in the documents.
@@ -169,10 +172,7 @@
     /// The signer `name` with the public key `key`.
     #[must_use]
     pub fn new(name: &str, key: Public) -> Self {
-        Self {
-            name: name.into(),
-            key,
-        }
+        Self { name: name.into(), key }
     }
 }
 
@@ -230,19 +230,12 @@
 pub fn verify(document: &Document, signers: &[Signer]) -> error::Result<()> {
     let refused = |reason: String| error::Error::new(error::Kind::Signature, reason);
     let name = &document.signer;
-    let mut named = signers
-        .iter()
-        .filter(|signer| signer.name == *name)
-        .peekable();
+    let mut named = signers.iter().filter(|signer| signer.name == *name).peekable();
     if named.peek().is_none() {
         return Err(refused(format!("{name:?} is not among the signers")));
     }
     let digest = digest(&document.bundle, name, document.signed_at);
-    let altered = || {
-        refused(format!(
-            "the document was altered or not signed by {name:?}"
-        ))
-    };
+    let altered = || refused(format!("the document was altered or not signed by {name:?}"));
     let signature = signature(&document.signature).ok_or_else(altered)?;
     if named.any(|signer| signer.key.0.verify_strict(&digest, &signature).is_ok()) {
         return Ok(());
--- a/crates/journal/src/output.rs
+++ b/crates/journal/src/output.rs
@@ -1,17 +1,8 @@
 //! What the journal tells its owner to do.
 
 /// Why a call is not sent.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-    displaydoc::Display,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize, displaydoc::Display)]
 #[serde(rename_all = "kebab-case")]
 pub enum Reason {
     /// the idempotency key was used with another request
@@ -25,7 +16,8 @@
 }
 
 /// What is to be done.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Output {
     /// Ask the table service.
--- a/crates/journal/src/row.rs
+++ b/crates/journal/src/row.rs
@@ -17,7 +17,8 @@
 pub const PREFIX: &str = "claim/";
 
 /// A target's answer, kept for callers who ask again.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Answer {
     /// HTTP status.
     pub status: u16,
@@ -29,7 +30,8 @@
 }
 
 /// How far the call of a claim has come.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum State {
     /// The claimer may send the call, or has sent it.
@@ -43,7 +45,8 @@
 }
 
 /// A claim as it is stored.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Row {
     /// The account, for whoever looks at the table.
     pub account: ids::Account,
--- a/crates/journal/tests/world/mod.rs
+++ b/crates/journal/tests/world/mod.rs
@@ -161,9 +161,7 @@
         for output in out {
             let event = match output {
                 Output::Table { op, request } => {
-                    let table::Request::Write { writes } = request else {
-                        panic!("only writes")
-                    };
+                    let table::Request::Write { writes } = request else { panic!("only writes") };
                     Event::Table(op, writes)
                 }
                 Output::Send { call } => Event::Send(call),
@@ -178,11 +176,7 @@
                 }
                 Output::Stored { .. } | Output::Released { .. } => continue,
             };
-            self.pending.push_back(Pending {
-                vm,
-                incarnation,
-                event,
-            });
+            self.pending.push_back(Pending { vm, incarnation, event });
         }
     }
 
@@ -198,11 +192,7 @@
     }
 
     fn handle(&mut self, pending: Pending) {
-        let Pending {
-            vm,
-            incarnation,
-            event,
-        } = pending;
+        let Pending { vm, incarnation, event } = pending;
         if self.vms[vm].1 != incarnation {
             return;
         }
@@ -267,11 +257,7 @@
         match choice {
             0 => {
                 let body = call.to_string().into_bytes().into();
-                let answer = journal::Answer {
-                    status: 200,
-                    media: "text/plain".into(),
-                    body,
-                };
+                let answer = journal::Answer { status: 200, media: "text/plain".into(), body };
                 self.with(vm, |journal, now, out| {
                     journal.answered(now, call, answer, out);
                 });
@@ -339,19 +325,12 @@
     fn write(&mut self, writes: &[table::Write]) -> table::Answer {
         let row = |key: &sync::Arc<str>| {
             let (version, value) = self.rows.get(key)?.clone();
-            Some(table::Row {
-                key: sync::Arc::clone(key),
-                version,
-                value,
-            })
+            Some(table::Row { key: sync::Arc::clone(key), version, value })
         };
         let conflict = |write: &table::Write| {
             let row = row(&write.key);
             let fits = row.as_ref().map(|row| row.version) == write.expect;
-            (!fits).then(|| table::Conflict {
-                key: sync::Arc::clone(&write.key),
-                row,
-            })
+            (!fits).then(|| table::Conflict { key: sync::Arc::clone(&write.key), row })
         };
         let rows: Vec<_> = writes.iter().filter_map(conflict).collect();
         if !rows.is_empty() {
@@ -361,8 +340,7 @@
             let value = write.value.clone().expect("rows are never deleted");
             assert!(row::Row::parse(&value).is_some());
             let version = write.expect.unwrap_or_default().next();
-            self.rows
-                .insert(sync::Arc::clone(&write.key), (version, value));
+            self.rows.insert(sync::Arc::clone(&write.key), (version, value));
         }
         table::Answer::Written
     }
@@ -371,11 +349,7 @@
 /// Checks what must hold of every session, whatever its faults.
 pub fn judge<S: Schedule>(world: &World<S>, last: &Told) {
     let trace = format!("{:?} {:?}", world.schedule, world.told);
-    assert!(
-        world.runs.len() <= 1,
-        "ran twice: {:?}; {trace}",
-        world.runs
-    );
+    assert!(world.runs.len() <= 1, "ran twice: {:?}; {trace}", world.runs);
     for (call, told) in &world.told {
         let ran = world.runs.contains(call);
         match told {
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,261 @@
+//! The node: its tables, and the step that runs the systems over them.
+
+use std::{collections, sync, time};
+
+use bundle::format;
+use rand::SeedableRng as _;
+
+use crate::{
+    Config, Input, Output, calls, count, event, force, operator,
+    system::{self, operate, report, stop},
+};
+
+/// Highest byte of the numbers of the node's own operations.
+const OP_AREA: u64 = 4 << 56;
+
+/// Time between two runs of the systems that look over whole tables.
+const TICK: time::Duration = time::Duration::from_millis(20);
+
+/// The decision core of a VM.
+#[derive(Debug)]
+pub struct Node {
+    pub(crate) config: Config,
+    pub(crate) rng: rand::rngs::SmallRng,
+    pub(crate) calls: calls::Table,
+    pub(crate) counters: count::Table,
+    pub(crate) force: Option<sync::Arc<force::Force>>,
+    pub(crate) head: member::Head,
+    pub(crate) document: Option<sync::Arc<str>>,
+    pub(crate) fetch: system::force::Fetch,
+    pub(crate) pending: collections::BTreeMap<ids::Op, operate::Pending>,
+    pub(crate) schedule: report::Schedule,
+    pub(crate) stage: stop::Stage,
+    pub(crate) view: member::View,
+    pub(crate) quota: quota::Table,
+    pub(crate) journal: journal::Journal,
+    pub(crate) queue: route::queue::Queue,
+    pub(crate) targets: route::target::Table,
+    pub(crate) retries: route::retry::Budget,
+    pub(crate) planner: plan::Planner,
+    ready: Option<bool>,
+    last_op: u64,
+    tick_at: ids::Time,
+}
+
+impl Node {
+    /// A node that has not yet looked at anything.
+    #[must_use]
+    pub fn new(config: Config) -> Self {
+        Self {
+            rng: rand::rngs::SmallRng::seed_from_u64(config.seed),
+            calls: calls::Table::default(),
+            counters: count::Table::default(),
+            force: None,
+            head: member::Head::default(),
+            document: None,
+            fetch: system::force::Fetch::default(),
+            pending: collections::BTreeMap::new(),
+            schedule: report::Schedule::default(),
+            stage: stop::Stage::Running,
+            view: system::member::view(&config),
+            quota: system::quota::table(&config),
+            journal: system::claim::journal(&config),
+            queue: system::dispatch::queue(&config),
+            targets: system::dispatch::targets(&config),
+            retries: system::dispatch::retries(&config),
+            planner: system::plan::planner(&config),
+            ready: None,
+            last_op: OP_AREA,
+            tick_at: ids::Time::default(),
+            config,
+        }
+    }
+
+    /// Takes in what has happened up to `now` and says what to do.
+    ///
+    /// Each of the outputs' operations is answered by one later input, or by
+    /// none if the answer is lost; the systems then try again or give up.
+    pub fn step(
+        &mut self,
+        now: ids::Time,
+        inputs: impl IntoIterator<Item = Input>,
+        out: &mut Vec<Output>,
+    ) {
+        for input in inputs {
+            self.input(now, input, out);
+        }
+        if self.tick_at <= now {
+            self.tick_at = now + TICK;
+            self.tick(now, out);
+        }
+        system::dispatch::dispatch(self, now, out);
+        self.announce(now, out);
+    }
+
+    /// Names and values of the counters.
+    pub fn counters(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        self.counters.iter()
+    }
+
+    fn input(&mut self, now: ids::Time, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Arrival(arrival) => system::arrive::arrive(self, now, arrival, out),
+            Input::Gone { call } => system::arrive::gone(self, now, call, out),
+            Input::Attempt { attempt, event } => {
+                system::attempt::event(self, now, attempt, event, out);
+            }
+            Input::Report { target, report } => {
+                system::report::report(self, now, &target, report.as_ref());
+            }
+            Input::Order { op, reply } => system::plan::order(self, now, op, &reply, out),
+            Input::Table { op, result } => self.table(now, op, result, out),
+            Input::Object { op, result } => {
+                if !system::force::object(self, now, op, &result, out) {
+                    system::operate::object(self, now, op, result, out);
+                }
+            }
+            Input::Vms { op, result } => system::report::vms(self, now, op, result, out),
+            Input::Peer { from, incarnation, message } => {
+                system::member::peer(self, now, &from, incarnation, message, out);
+            }
+            Input::Operator { op, request } => {
+                system::operate::request(self, now, op, request, out);
+            }
+            Input::Stop => system::stop::begin(self, now, out),
+        }
+    }
+
+    fn tick(&mut self, now: ids::Time, out: &mut Vec<Output>) {
+        system::member::tick(self, now, out);
+        system::force::tick(self, now, out);
+        system::quota::tick(self, now, out);
+        system::claim::tick(self, now, out);
+        system::report::tick(self, now, out);
+        system::plan::tick(self, now, out);
+        system::attempt::wake(self, now, out);
+        system::dispatch::expire(self, now, out);
+        system::finish::sweep(self, now, out);
+        system::stop::tick(self, now, out);
+    }
+
+    fn table(
+        &mut self,
+        now: ids::Time,
+        op: ids::Op,
+        result: platform::Result<platform::table::Answer>,
+        out: &mut Vec<Output>,
+    ) {
+        match op.get() >> 56 {
+            1 => system::member::answer(self, now, op, result, out),
+            2 => system::claim::answer(self, now, op, result, out),
+            3 => system::plan::answer(self, now, op, result, out),
+            _ => {}
+        }
+    }
+
+    /// Tells the shell when the VM becomes ready or stops being so.
+    fn announce(&mut self, now: ids::Time, out: &mut Vec<Output>) {
+        let state = self.readiness(now);
+        let ready = state.is_ok();
+        if self.ready == Some(ready) {
+            return;
+        }
+        self.ready = Some(ready);
+        let reason = state.err().unwrap_or_default();
+        let text = if ready { "ready" } else { reason.as_str() };
+        out.push(Output::Log(event::Event::new("ready", &self.config.vm, text)));
+        out.push(Output::Ready { ready, reason });
+    }
+
+    /// Whether the balancer should send calls, or why not.
+    fn readiness(&self, now: ids::Time) -> Result<(), String> {
+        if self.stage != stop::Stage::Running {
+            return Err("stopping".to_owned());
+        }
+        self.serves(now)?;
+        if self.force.is_none() {
+            return Err("no bundle is in force yet".to_owned());
+        }
+        Ok(())
+    }
+
+    /// Whether calls may be served at this moment, or why not.
+    pub(crate) fn serves(&self, now: ids::Time) -> Result<(), String> {
+        self.view.serves(now).map_err(|reason| reason.to_string())
+    }
+
+    /// Whether a planned stop has come so far that no new call is taken.
+    pub(crate) fn is_closed(&self, now: ids::Time) -> bool {
+        match self.stage {
+            stop::Stage::Running => false,
+            stop::Stage::Draining { since } => now.since(since) > self.config.balancer_wait,
+            stop::Stage::Leaving | stop::Stage::Stopped => true,
+        }
+    }
+
+    /// The account whose key was presented, unless it is unknown or withdrawn.
+    pub(crate) fn account_of(&self, key: &bundle::key::Presented) -> Option<&format::Account> {
+        if self.view.withdrawn(&key.id) {
+            return None;
+        }
+        self.force.as_ref()?.admit(key)
+    }
+
+    /// Version in force here; 0 before the first.
+    pub(crate) const fn version(&self) -> ids::Version {
+        self.head.version
+    }
+
+    pub(crate) fn stream_name(&self, call: ids::Call) -> sync::Arc<str> {
+        format!("{}.{}.{call}", self.config.vm, self.config.incarnation).into()
+    }
+
+    pub(crate) const fn next_op(&mut self) -> ids::Op {
+        self.last_op += 1;
+        ids::Op::new(self.last_op)
+    }
+
+    pub(crate) fn status(&self, now: ids::Time) -> operator::Status {
+        let state = self.readiness(now);
+        let unreachable = system::plan::unreachable(self);
+        let mut alarms = Vec::new();
+        if let Err(reason) = &state {
+            alarms.push(format!("this VM does not serve: {reason}"));
+        }
+        for item in &unreachable {
+            alarms.push(format!("no ready copy of {item}: look at the runners' ledger in /state"));
+        }
+        operator::Status {
+            vm: self.config.vm.to_string(),
+            ready: state.is_ok(),
+            reason: state.err().unwrap_or_default(),
+            version: self.version(),
+            bundle: self.head.bundle,
+            members: self.head.members.iter().map(|member| member.vm.clone()).collect(),
+            open_calls: self.calls.open(),
+            queued_calls: self.queue.len(),
+            unreachable,
+            alarms,
+        }
+    }
+
+    /// All tables as JSON, secrets left out.
+    pub(crate) fn dump(&self, now: ids::Time) -> serde_json::Value {
+        serde_json::json!({
+            "vm": self.config.vm,
+            "incarnation": self.config.incarnation,
+            "centre": self.config.centre,
+            "now_ms": now.as_millis(),
+            "stage": self.stage,
+            "version": self.version(),
+            "head": self.view.head(),
+            "member": self.view.dump(now),
+            "calls": self.calls,
+            "queue": self.queue.len(),
+            "targets": system::dispatch::dump(self),
+            "ledger": self.planner.dump(),
+            "quota": self.quota.dump(now),
+            "counters": self.counters,
+        })
+    }
+}
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -3,11 +3,11 @@
 /// A message between VMs. It may be lost, late or doubled.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "kebab-case")]
 pub enum Message {
-    /// A target that says of itself that it is leaving.
-    Leaving {
-        /// The target.
-        target: ids::Target,
-    },
+    /// About the head.
+    #[serde(rename = "m")]
+    Member(member::Message),
+    /// About rates and bursts.
+    #[serde(rename = "q")]
+    Quota(quota::Message),
 }
--- /dev/null
+++ b/crates/node/src/system/arrive.rs
@@ -0,0 +1,311 @@
+//! Arrivals: who calls, for what, and whether that may go on.
+
+use std::{sync, time};
+
+use bundle::format;
+
+use crate::{Node, Output, call, calls, count, force, system};
+
+/// Wait that a caller is told when another VM can take its call.
+const ELSEWHERE_WAIT: time::Duration = time::Duration::from_secs(1);
+
+/// Takes in a call that has just arrived.
+pub fn arrive(node: &mut Node, now: ids::Time, arrival: call::Arrival, out: &mut Vec<Output>) {
+    node.counters.bump(count::ARRIVED);
+    let caller = arrival.call;
+    let account = account_name(node, &arrival);
+    match admit(node, now, arrival) {
+        Ok(Admission::Models(names)) => {
+            let ending = call::Ending::Models { names };
+            system::finish::refuse(node, caller, account, ending, out);
+        }
+        Ok(Admission::Resumed(call, from)) => resume(node, call, caller, from, out),
+        Ok(Admission::New(row)) => {
+            let call = row.call;
+            node.calls.insert(*row);
+            system::quota::request(node, now, call, out);
+        }
+        Err(refusal) => system::finish::refuse(node, caller, account, ending(refusal), out),
+    }
+}
+
+/// Notes that a caller has gone.
+///
+/// A draft goes on for a while, so that the caller can come back for the
+/// rest. A call that waits is dropped, for nobody would use its answer. A
+/// call that may run only once and was sent goes on to its end, so that its
+/// answer is stored for replay.
+pub fn gone(node: &mut Node, now: ids::Time, caller: ids::Call, out: &mut Vec<Output>) {
+    let Some(call) = node.calls.of_caller(caller) else {
+        return;
+    };
+    node.calls.detach(now, call);
+    let Some(row) = node.calls.rows.get(&call) else {
+        return;
+    };
+    match row.stage {
+        calls::Stage::Quota | calls::Stage::Queue if row.claim.is_none() && !row.may_have_run() => {
+            system::attempt::abandon(node, now, call, out);
+        }
+        _ => {}
+    }
+}
+
+enum Admission {
+    New(Box<calls::Row>),
+    Resumed(ids::Call, u64),
+    Models(Vec<sync::Arc<str>>),
+}
+
+/// Why a call is refused.
+struct Refusal {
+    code: call::Code,
+    message: String,
+}
+
+type Result<T, E = Refusal> = std::result::Result<T, E>;
+
+fn refused(code: call::Code, message: impl Into<String>) -> Refusal {
+    Refusal { code, message: message.into() }
+}
+
+/// The refusal as the caller sees it.
+///
+/// A fenced VM and a stopping one tell the caller to come back at once, for
+/// the balancer will send it to another VM.
+fn ending(refusal: Refusal) -> call::Ending {
+    let Refusal { code, message } = refusal;
+    let ending = call::Ending::refused(code, message);
+    match code {
+        call::Code::Fenced | call::Code::Stopping => ending.with_retry_after(ELSEWHERE_WAIT),
+        _ => ending,
+    }
+}
+
+fn account_name(node: &Node, arrival: &call::Arrival) -> Option<ids::Account> {
+    let key = arrival.key.as_ref()?;
+    node.account_of(key).map(|account| account.name.clone())
+}
+
+fn admit(node: &mut Node, now: ids::Time, arrival: call::Arrival) -> Result<Admission> {
+    if let Err(reason) = node.serves(now) {
+        node.counters.bump(count::FENCED);
+        return Err(refused(call::Code::Fenced, reason));
+    }
+    if node.is_closed(now) {
+        let message = "this VM is stopping; another one takes the call";
+        return Err(refused(call::Code::Stopping, message));
+    }
+    let Some(force) = node.force.clone() else {
+        return Err(refused(call::Code::Fenced, "no bundle is in force yet"));
+    };
+    let account = match authorise(node, &force, &arrival) {
+        Ok(account) => account,
+        Err(refusal) => {
+            node.counters.bump(count::INVALID_KEY);
+            return Err(refusal);
+        }
+    };
+    if arrival.work == call::Work::Models {
+        return Ok(Admission::Models(force.items().cloned().collect()));
+    }
+    if let Some(found) = find_stream(node, &arrival, account.as_ref()) {
+        return Ok(found);
+    }
+    let row = row(node, now, &force, arrival, account)?;
+    Ok(Admission::New(Box::new(row)))
+}
+
+/// The account of the call; none on routes open to all.
+fn authorise(
+    node: &Node,
+    force: &force::Force,
+    arrival: &call::Arrival,
+) -> Result<Option<format::Account>> {
+    if is_open(force, &arrival.work) {
+        return Ok(None);
+    }
+    let Some(key) = &arrival.key else {
+        let message = "send the header Authorization: Bearer KEY";
+        return Err(refused(call::Code::MissingKey, message));
+    };
+    let Some(account) = node.account_of(key) else {
+        return Err(refused(call::Code::InvalidKey, "the key is unknown or was withdrawn"));
+    };
+    Ok(Some(account.clone()))
+}
+
+fn is_open(force: &force::Force, work: &call::Work) -> bool {
+    let call::Work::Service { service, path, .. } = work else {
+        return false;
+    };
+    force.route(service, path).is_some_and(|found| found.route.open)
+}
+
+/// A stream of the same account that this VM holds.
+fn find_stream(
+    node: &Node,
+    arrival: &call::Arrival,
+    account: Option<&format::Account>,
+) -> Option<Admission> {
+    let resume = arrival.resume.as_ref()?;
+    let account = account.map(|account| &account.name);
+    let call = node.calls.of_stream(account, &resume.stream)?;
+    let row = node.calls.rows.get(&call)?;
+    let is_held = (row.first..=row.next_chunk()).contains(&resume.from);
+    is_held.then_some(Admission::Resumed(call, resume.from))
+}
+
+/// Sends a held stream to the caller that came back for it.
+fn resume(node: &mut Node, call: ids::Call, caller: ids::Call, from: u64, out: &mut Vec<Output>) {
+    node.counters.bump(count::RESUMED);
+    if let Some(before) = node.calls.attach(call, caller) {
+        let message = "the stream was resumed on another connection";
+        let ending = call::Ending::Failed {
+            outcome: call::Outcome::Unknown,
+            code: call::Code::UnknownStream,
+            message: message.to_owned(),
+            retry_after: None,
+        };
+        out.push(Output::Finish { call: before, ending });
+    }
+    let Some(row) = node.calls.rows.get(&call) else {
+        return;
+    };
+    out.push(Output::Accepted { call: caller, stream: sync::Arc::clone(&row.stream) });
+    for (seq, text) in (row.first..).zip(&row.chunks).skip_while(|(seq, _)| *seq < from) {
+        out.push(Output::Chunk { call: caller, seq, text: sync::Arc::clone(text) });
+    }
+    let Some(ending) = row.ending.clone() else {
+        return;
+    };
+    node.calls.remove(call);
+    out.push(Output::Finish { call: caller, ending });
+}
+
+fn row(
+    node: &Node,
+    now: ids::Time,
+    force: &force::Force,
+    arrival: call::Arrival,
+    account: Option<format::Account>,
+) -> Result<calls::Row> {
+    let need = need(force, &arrival.work)?;
+    let claim = claim(force, &arrival, &need)?;
+    let limit = time::Duration::from_millis(force.bundle.limits.queue_ms);
+    let patience = arrival.patience.map_or(limit, |patience| patience.min(limit));
+    let (stream, first, before) = match arrival.resume {
+        Some(resume) => (resume.stream, resume.from, resume.text),
+        None => (node.stream_name(arrival.call), 0, "".into()),
+    };
+    let account_name = account.as_ref().map(|account| &account.name);
+    let target_stream = calls::stream_at_target(account_name, &stream);
+    Ok(calls::Row {
+        call: arrival.call,
+        caller: Some(arrival.call),
+        away_since: None,
+        stream,
+        target_stream,
+        class: account.as_ref().map_or(format::Class::Courtesy, |account| account.class),
+        account: account.map(|account| account.name),
+        key: arrival.key,
+        claim,
+        need,
+        stage: calls::Stage::Quota,
+        arrived: now,
+        deadline: now + patience,
+        resume_at: now,
+        reserved: 0,
+        attempts: 0,
+        failed: Vec::new(),
+        sent: false,
+        broken: false,
+        first,
+        before,
+        chunks: Vec::new(),
+        accepted: false,
+        ending: None,
+    })
+}
+
+fn need(force: &force::Force, work: &call::Work) -> Result<calls::Need> {
+    match work {
+        call::Work::Chat { model, adapter, prompt_tokens, max_tokens, prefix } => {
+            let item = item(force, model, adapter.as_ref())?;
+            let max_tokens = max_tokens.unwrap_or(force.bundle.limits.max_tokens);
+            Ok(calls::Need {
+                item,
+                repeatable: true,
+                max_tokens,
+                prompt_tokens: *prompt_tokens,
+                prefix: *prefix,
+            })
+        }
+        call::Work::Service { service, path, .. } => service_need(force, service, path),
+        call::Work::Models => Err(refused(call::Code::UnknownModel, "not a model")),
+    }
+}
+
+fn item(
+    force: &force::Force,
+    model: &ids::Model,
+    adapter: Option<&ids::Adapter>,
+) -> Result<sync::Arc<str>> {
+    if !force.has(model.as_str()) {
+        let message = format!("no model {model:?} is in force; GET /v1/models lists them");
+        return Err(refused(call::Code::UnknownModel, message));
+    }
+    let Some(adapter) = adapter else {
+        return Ok(route::item::model(model, None));
+    };
+    let item = route::item::model(model, Some(adapter));
+    if !force.has(&item) {
+        let message = format!("model {model:?} has no adapter {adapter:?} in force");
+        return Err(refused(call::Code::UnknownAdapter, message));
+    }
+    Ok(item)
+}
+
+fn service_need(force: &force::Force, service: &ids::Service, path: &str) -> Result<calls::Need> {
+    if force.service(service).is_none() {
+        let message = format!("no service {service:?} is in force");
+        return Err(refused(call::Code::UnknownService, message));
+    }
+    let Some(found) = force.route(service, path) else {
+        let message = format!("service {service:?} has no route for {path:?}");
+        return Err(refused(call::Code::UnknownRoute, message));
+    };
+    Ok(calls::Need {
+        item: route::item::service(service),
+        repeatable: found.route.repeatable,
+        max_tokens: 0,
+        prompt_tokens: found.route.cost,
+        prefix: 0,
+    })
+}
+
+/// What a call that runs at most once is known by; none for repeatable calls.
+fn claim(
+    force: &force::Force,
+    arrival: &call::Arrival,
+    need: &calls::Need,
+) -> Result<Option<calls::Claim>> {
+    let call::Work::Service { service, path, .. } = &arrival.work else {
+        return Ok(None);
+    };
+    if need.repeatable {
+        return Ok(None);
+    }
+    let Some(key) = &arrival.idempotency else {
+        let message = "this route runs a call at most once: send the header Idempotency-Key";
+        return Err(refused(call::Code::MissingIdempotencyKey, message));
+    };
+    let Some(found) = force.route(service, path) else {
+        return Ok(None);
+    };
+    Ok(Some(calls::Claim {
+        route: format!("{service}{}", found.route.path).into(),
+        key: sync::Arc::clone(key),
+        digest: arrival.digest,
+    }))
+}
--- /dev/null
+++ b/crates/node/src/system/attempt.rs
@@ -0,0 +1,220 @@
+//! Events of attempts: chunks in order, whole answers, and what breaks.
+
+use std::sync;
+
+use crate::{Node, Output, call, calls, count, event, system};
+
+/// Takes in what was seen of an attempt.
+///
+/// An event of an attempt that is not open any more is dropped: a late or
+/// doubled answer reaches nobody.
+pub fn event(
+    node: &mut Node,
+    now: ids::Time,
+    attempt: ids::Attempt,
+    event: engine::Event,
+    out: &mut Vec<Output>,
+) {
+    let Some(call) = node.calls.attempts.get(&attempt).map(|attempt| attempt.call) else {
+        node.counters.bump(count::STRAYS);
+        return;
+    };
+    match event {
+        engine::Event::Accepted => accepted(node, call, out),
+        engine::Event::Chunk { seq, text } => chunk(node, now, call, attempt, seq, text, out),
+        engine::Event::Done { chunks, reason, prompt_tokens } => {
+            done(node, now, call, attempt, Done { chunks, reason, prompt_tokens }, out);
+        }
+        engine::Event::Answer { status, media, body } => {
+            close(node, now, attempt, system::dispatch::End::Ok);
+            let answer = journal::Answer { status, media, body };
+            system::claim::answered(node, now, call, answer, out);
+        }
+        engine::Event::Refused { reason } => {
+            close(node, now, attempt, system::dispatch::End::Refused);
+            unsent(node, now, call, &reason, out);
+        }
+        engine::Event::Unsent { reason } => {
+            close(node, now, attempt, system::dispatch::End::Failed);
+            unsent(node, now, call, &reason, out);
+        }
+        engine::Event::Broken { reason } => {
+            close(node, now, attempt, system::dispatch::End::Failed);
+            broken(node, now, call, &reason, out);
+        }
+    }
+}
+
+/// Drops a call that nobody waits for any more.
+pub fn abandon(node: &mut Node, now: ids::Time, call: ids::Call, out: &mut Vec<Output>) {
+    let Some(row) = node.calls.rows.get(&call) else {
+        return;
+    };
+    if row.claim.is_some() && row.may_have_run() {
+        return;
+    }
+    node.counters.bump(count::GONE);
+    abort(node, now, call, out);
+    node.queue.remove(call);
+    system::claim::release(node, now, call, out);
+    let message = "the caller has gone";
+    system::finish::fail(node, now, call, call::Code::Deadline, message, out);
+}
+
+struct Done {
+    chunks: u64,
+    reason: sync::Arc<str>,
+    prompt_tokens: u64,
+}
+
+fn accepted(node: &mut Node, call: ids::Call, out: &mut Vec<Output>) {
+    let Some(row) = node.calls.rows.get_mut(&call) else {
+        return;
+    };
+    if row.accepted || row.need.max_tokens == 0 {
+        return;
+    }
+    row.accepted = true;
+    if let Some(caller) = row.caller {
+        out.push(Output::Accepted { call: caller, stream: sync::Arc::clone(&row.stream) });
+    }
+}
+
+fn chunk(
+    node: &mut Node,
+    now: ids::Time,
+    call: ids::Call,
+    attempt: ids::Attempt,
+    seq: u64,
+    text: sync::Arc<str>,
+    out: &mut Vec<Output>,
+) {
+    let Some(row) = node.calls.rows.get_mut(&call) else {
+        return;
+    };
+    let next = row.next_chunk();
+    if seq < next {
+        node.counters.bump(count::DOUBLED);
+        return;
+    }
+    if seq > next || seq >= row.need.max_tokens {
+        return gap(node, now, call, attempt, out);
+    }
+    if seq == 0
+        && let Some(account) = &row.account
+    {
+        let wait = now.since(row.arrived);
+        let account = account.clone();
+        out.push(Output::Measure(event::Measure::FirstToken { account, wait }));
+    }
+    row.chunks.push(sync::Arc::clone(&text));
+    if let Some(caller) = row.caller {
+        out.push(Output::Chunk { call: caller, seq, text });
+    }
+    system::dispatch::progress(node, now, attempt, 1);
+}
+
+/// A chunk is missing: the stream is asked for again from the last good one.
+fn gap(
+    node: &mut Node,
+    now: ids::Time,
+    call: ids::Call,
+    attempt: ids::Attempt,
+    out: &mut Vec<Output>,
+) {
+    node.counters.bump(count::GAPS);
+    close(node, now, attempt, system::dispatch::End::Failed);
+    out.push(Output::Abort { attempt });
+    broken(node, now, call, "a chunk of the stream is missing", out);
+}
+
+fn done(
+    node: &mut Node,
+    now: ids::Time,
+    call: ids::Call,
+    attempt: ids::Attempt,
+    done: Done,
+    out: &mut Vec<Output>,
+) {
+    let Some(row) = node.calls.rows.get(&call) else {
+        return;
+    };
+    if done.chunks != row.next_chunk() {
+        return gap(node, now, call, attempt, out);
+    }
+    close(node, now, attempt, system::dispatch::End::Ok);
+    let Done { chunks, reason, prompt_tokens } = done;
+    let ending = call::Ending::Done { chunks, reason, prompt_tokens };
+    system::finish::finish(node, now, call, ending, out);
+}
+
+/// The attempt did not run, so any call may be tried again.
+fn unsent(node: &mut Node, now: ids::Time, call: ids::Call, reason: &str, out: &mut Vec<Output>) {
+    let Some(row) = node.calls.rows.get_mut(&call) else {
+        return;
+    };
+    row.sent = false;
+    retry(node, now, call, reason, out);
+}
+
+/// The attempt may have run: only a repeatable call is tried again.
+fn broken(node: &mut Node, now: ids::Time, call: ids::Call, reason: &str, out: &mut Vec<Output>) {
+    let Some(row) = node.calls.rows.get_mut(&call) else {
+        return;
+    };
+    row.sent = false;
+    row.broken = true;
+    if row.need.repeatable {
+        return retry(node, now, call, reason, out);
+    }
+    system::claim::lost(node, now, call, out);
+    let message = format!("the target's answer was lost: {reason}");
+    system::finish::fail(node, now, call, call::Code::TargetFailed, message, out);
+}
+
+fn retry(node: &mut Node, now: ids::Time, call: ids::Call, reason: &str, out: &mut Vec<Output>) {
+    if let Some(wait) = system::dispatch::backoff(node, now, call) {
+        let Some(row) = node.calls.rows.get_mut(&call) else {
+            return;
+        };
+        row.stage = calls::Stage::Backoff;
+        row.resume_at = now + wait;
+        return;
+    }
+    system::claim::release(node, now, call, out);
+    let message = format!("no target could take the call: {reason}");
+    system::finish::fail(node, now, call, call::Code::TargetFailed, message, out);
+}
+
+/// Ends an attempt and tells the target's row how.
+fn close(node: &mut Node, now: ids::Time, attempt: ids::Attempt, end: system::dispatch::End) {
+    let Some(row) = node.calls.attempts.remove(&attempt) else {
+        return;
+    };
+    system::dispatch::ended(node, now, attempt, end);
+    if let Some(call) = node.calls.rows.get_mut(&row.call) {
+        call.stage = calls::Stage::Backoff;
+        if !matches!(end, system::dispatch::End::Ok) {
+            call.failed.push(row.target);
+        }
+    }
+}
+
+fn abort(node: &mut Node, now: ids::Time, call: ids::Call, out: &mut Vec<Output>) {
+    let Some(row) = node.calls.rows.get(&call) else {
+        return;
+    };
+    if let calls::Stage::Sent { attempt } = row.stage {
+        close(node, now, attempt, system::dispatch::End::Ok);
+        out.push(Output::Abort { attempt });
+    }
+}
+
+/// Calls whose backoff is over go back to the queue.
+pub fn wake(node: &mut Node, now: ids::Time, out: &mut Vec<Output>) {
+    let is_due = |row: &&calls::Row| row.stage == calls::Stage::Backoff && row.resume_at <= now;
+    let due: Vec<_> = node.calls.rows.values().filter(is_due).map(|row| row.call).collect();
+    for call in due {
+        system::dispatch::enqueue(node, now, call, out);
+    }
+}
--- /dev/null
+++ b/crates/node/src/system/claim.rs
@@ -0,0 +1,183 @@
+//! Calls that run at most once: their claims and stored answers.
+
+use std::time;
+
+use platform::table;
+
+use crate::{Config, Node, Output, call, calls, count, system};
+
+/// How long a caller waits before it asks again for a call that is running.
+const IN_PROGRESS_WAIT: time::Duration = time::Duration::from_secs(1);
+
+/// Claims a call that runs at most once; queues any other at once.
+pub fn begin(node: &mut Node, now: ids::Time, call: ids::Call, out: &mut Vec<Output>) {
+    let Some(row) = node.calls.rows.get_mut(&call) else {
+        return;
+    };
+    let Some(claim) = row.claim.clone() else {
+        return system::dispatch::enqueue(node, now, call, out);
+    };
+    row.stage = calls::Stage::Claim;
+    let account = row.account.clone().unwrap_or_else(|| "".into());
+    let claim =
+        journal::Call { call, account, route: claim.route, key: claim.key, digest: claim.digest };
+    with(node, now, out, |journal, outputs| journal.begin(now, claim, outputs));
+}
+
+/// The answer is known: it is stored before the caller gets it.
+pub fn answered(
+    node: &mut Node,
+    now: ids::Time,
+    call: ids::Call,
+    answer: journal::Answer,
+    out: &mut Vec<Output>,
+) {
+    let Some(row) = node.calls.rows.get_mut(&call) else {
+        return;
+    };
+    let is_claimed = row.claim.is_some();
+    let ending = ending(answer.clone(), false);
+    if !is_claimed {
+        return system::finish::finish(node, now, call, ending, out);
+    }
+    row.stage = calls::Stage::Store;
+    row.ending = Some(ending);
+    with(node, now, out, |journal, outputs| journal.answered(now, call, answer, outputs));
+}
+
+/// The call may have run and its answer will never be known.
+pub fn lost(node: &mut Node, now: ids::Time, call: ids::Call, out: &mut Vec<Output>) {
+    with(node, now, out, |journal, outputs| journal.lost(now, call, outputs));
+}
+
+/// The call has not run and will not: another one with its key may.
+pub fn release(node: &mut Node, now: ids::Time, call: ids::Call, out: &mut Vec<Output>) {
+    let Some(row) = node.calls.rows.get(&call) else {
+        return;
+    };
+    if row.claim.is_none() || row.may_have_run() {
+        return;
+    }
+    with(node, now, out, |journal, outputs| journal.unsent(now, call, outputs));
+}
+
+/// Runs the journal and carries out what it asks for.
+fn with(
+    node: &mut Node,
+    now: ids::Time,
+    out: &mut Vec<Output>,
+    run: impl FnOnce(&mut journal::Journal, &mut Vec<journal::Output>),
+) {
+    let mut outputs = Vec::new();
+    run(&mut node.journal, &mut outputs);
+    for output in outputs {
+        match output {
+            journal::Output::Table { op, request } => out.push(Output::Table { op, request }),
+            journal::Output::Send { call } => send(node, now, call, out),
+            journal::Output::Replay { call, answer } => {
+                node.counters.bump(count::REPLAYED);
+                let ending = ending(answer, true);
+                system::finish::finish(node, now, call, ending, out);
+            }
+            journal::Output::Refuse { call, reason } => refuse(node, now, call, reason, out),
+            journal::Output::Stored { call, .. } => stored(node, now, call, out),
+            journal::Output::Released { .. } => {}
+        }
+    }
+}
+
+/// The claim is written: the call may be sent.
+fn send(node: &mut Node, now: ids::Time, call: ids::Call, out: &mut Vec<Output>) {
+    if node.calls.rows.contains_key(&call) {
+        return system::dispatch::enqueue(node, now, call, out);
+    }
+    with(node, now, out, |journal, outputs| journal.unsent(now, call, outputs));
+}
+
+fn stored(node: &mut Node, now: ids::Time, call: ids::Call, out: &mut Vec<Output>) {
+    let Some(row) = node.calls.rows.get_mut(&call) else {
+        return;
+    };
+    if let Some(ending) = row.ending.take() {
+        system::finish::finish(node, now, call, ending, out);
+    }
+}
+
+fn refuse(
+    node: &mut Node,
+    now: ids::Time,
+    call: ids::Call,
+    reason: journal::Reason,
+    out: &mut Vec<Output>,
+) {
+    let ending = match reason {
+        journal::Reason::Conflict => call::Ending::refused(
+            call::Code::IdempotencyConflict,
+            "the idempotency key belongs to another request",
+        ),
+        journal::Reason::InProgress => in_doubt(
+            call::Code::InProgress,
+            "a call with this idempotency key is running; ask again",
+        )
+        .with_retry_after(IN_PROGRESS_WAIT),
+        journal::Reason::Unknown => in_doubt(
+            call::Code::TargetFailed,
+            "a call with this idempotency key may have run; its answer is lost",
+        ),
+        journal::Reason::Unavailable => call::Ending::refused(
+            call::Code::StoreUnavailable,
+            "the call could not be recorded and was not sent",
+        )
+        .with_retry_after(IN_PROGRESS_WAIT),
+    };
+    system::finish::finish(node, now, call, ending, out);
+}
+
+fn in_doubt(code: call::Code, message: &str) -> call::Ending {
+    call::Ending::Failed {
+        outcome: call::Outcome::Unknown,
+        code,
+        message: message.to_owned(),
+        retry_after: None,
+    }
+}
+
+fn ending(answer: journal::Answer, replayed: bool) -> call::Ending {
+    let journal::Answer { status, media, body } = answer;
+    call::Ending::Answer { status, media, body, replayed }
+}
+
+/// A journal without claims.
+pub fn journal(config: &Config) -> journal::Journal {
+    let journal = journal::Config::new(config.vm.clone(), config.incarnation, config.seed);
+    journal::Journal::new(journal)
+}
+
+/// Takes the members, whose claims may still be running.
+pub fn adopt(node: &mut Node, head: &member::Head) {
+    let members: Vec<_> =
+        head.members.iter().map(|member| (member.vm.clone(), member.incarnation)).collect();
+    node.journal.members(&members);
+}
+
+/// Takes in an answer of the table service.
+pub fn answer(
+    node: &mut Node,
+    now: ids::Time,
+    op: ids::Op,
+    result: platform::Result<table::Answer>,
+    out: &mut Vec<Output>,
+) {
+    with(node, now, out, |journal, outputs| journal.table(now, op, result, outputs));
+}
+
+/// Lets time pass.
+pub fn tick(node: &mut Node, now: ids::Time, out: &mut Vec<Output>) {
+    with(node, now, out, |journal, outputs| journal.tick(now, outputs));
+}
+
+/// Whether nothing is left to be written.
+pub fn is_idle(node: &Node) -> bool {
+    let summary = node.journal.summary();
+    summary.claiming + summary.running + summary.settling + summary.transactions == 0
+}
--- /dev/null
+++ b/crates/node/src/system/dispatch.rs
@@ -0,0 +1,250 @@
+//! From the queue to a target: choice, sending, retries.
+
+use std::{sync, time};
+
+use platform::vm;
+use rand::Rng as _;
+use route::{queue, retry, target};
+
+use crate::{Begin, Config, Node, Output, call, calls, count, system};
+
+/// Longest wait that a caller is told when the VM is overloaded.
+const OVERLOAD_WAIT: time::Duration = time::Duration::from_secs(2);
+
+/// How an attempt ended, as far as its target is concerned.
+pub use route::target::Ending as End;
+
+/// An empty queue.
+pub fn queue(config: &Config) -> queue::Queue {
+    queue::Queue::new(config.queue)
+}
+
+/// A table without targets.
+pub fn targets(config: &Config) -> target::Table {
+    target::Table::new(config.targets)
+}
+
+/// The budget for retries.
+pub fn retries(config: &Config) -> retry::Budget {
+    retry::Budget::new(ids::Time::default(), config.retries)
+}
+
+/// Takes targets, weights and limits from what is in force.
+pub fn adopt(node: &mut Node) {
+    let Some(force) = &node.force else {
+        return;
+    };
+    node.queue.adopt(&force.bundle);
+    node.targets.adopt(&force.bundle, &force.amendments.drained);
+}
+
+/// Puts a call in the queue, or back in it.
+pub fn enqueue(node: &mut Node, now: ids::Time, call: ids::Call, out: &mut Vec<Output>) {
+    let Some(row) = node.calls.rows.get_mut(&call) else {
+        return;
+    };
+    row.stage = calls::Stage::Queue;
+    let entry = queue::Entry {
+        call,
+        account: row.account.clone().unwrap_or_else(|| "".into()),
+        class: row.class,
+        tokens: row.need.tokens(),
+        item: sync::Arc::clone(&row.need.item),
+        arrived: row.arrived,
+        deadline: row.deadline,
+        prefix: row.need.prefix,
+    };
+    match node.queue.push(now, entry) {
+        Ok(None) => {}
+        Ok(Some(displaced)) => overloaded(node, now, displaced.call, out),
+        Err(queue::Full(entry)) => overloaded(node, now, entry.call, out),
+    }
+}
+
+/// Sends what can be sent.
+pub fn dispatch(node: &mut Node, now: ids::Time, out: &mut Vec<Output>) {
+    while let Some(call) = next(node, now) {
+        match may_go_on(node, now, call) {
+            Ok(()) => send(node, now, call, out),
+            Err((code, message)) => {
+                system::claim::release(node, now, call, out);
+                system::finish::fail(node, now, call, code, message, out);
+            }
+        }
+    }
+}
+
+/// Refuses the calls that cannot reach a target in time any more.
+pub fn expire(node: &mut Node, now: ids::Time, out: &mut Vec<Output>) {
+    for entry in node.queue.expire(now) {
+        node.counters.bump(count::LATE);
+        let item = &entry.item;
+        let is_offered = node.targets.iter().any(|(_, row)| row.ready.contains(item));
+        let (code, message) = if is_offered {
+            (call::Code::Deadline, "no target had room for the call in time")
+        } else {
+            (call::Code::NoTarget, "no target was ready for the call in time")
+        };
+        system::claim::release(node, now, entry.call, out);
+        system::finish::fail(node, now, entry.call, code, message, out);
+    }
+}
+
+/// Notes that a stream has gone on.
+pub fn progress(node: &mut Node, now: ids::Time, attempt: ids::Attempt, tokens: u64) {
+    node.targets.progress(now, attempt, tokens);
+}
+
+/// Notes how an attempt ended.
+pub fn ended(node: &mut Node, now: ids::Time, attempt: ids::Attempt, end: End) {
+    node.targets.ended(now, attempt, end);
+}
+
+/// The wait before another attempt, if one is allowed.
+pub fn backoff(node: &mut Node, now: ids::Time, call: ids::Call) -> Option<time::Duration> {
+    let row = node.calls.rows.get(&call)?;
+    let is_spent = row.attempts >= node.config.attempts;
+    if is_spent || !node.retries.take(now) {
+        return None;
+    }
+    node.counters.bump(count::RETRIES);
+    let retry = row.attempts.saturating_sub(1);
+    Some(node.config.backoff.wait(retry, &mut node.rng))
+}
+
+/// Takes in a runner's report, or that it gave none.
+pub fn report(
+    node: &mut Node,
+    now: ids::Time,
+    target: &ids::Target,
+    report: Option<&engine::Report>,
+) {
+    if let Some(report) = report {
+        node.targets.report(now, target, report);
+    }
+}
+
+/// Takes in the platform's list of machines.
+pub fn listed(node: &mut Node, entries: &[vm::Entry]) {
+    for entry in entries {
+        let target = entry.name.as_str().into();
+        node.targets.leave(&target, entry.state == vm::State::Leaving);
+    }
+}
+
+/// Takes out of the queue the call that is to be served next, if it can be.
+fn next(node: &mut Node, now: ids::Time) -> Option<ids::Call> {
+    let Node { queue, targets, .. } = node;
+    let entry = queue.pop(now, |entry| targets.has_room(now, &entry.item, &[]))?;
+    Some(entry.call)
+}
+
+/// Checks again, just before a call is sent, what was checked when it arrived.
+///
+/// The process may have been stopped in between, and the key withdrawn.
+fn may_go_on(node: &Node, now: ids::Time, call: ids::Call) -> Result<(), (call::Code, String)> {
+    node.serves(now).map_err(|reason| (call::Code::Fenced, reason))?;
+    let Some(row) = node.calls.rows.get(&call) else {
+        return Ok(());
+    };
+    if row.account.is_none() {
+        return Ok(());
+    }
+    let is_admitted = row.key.as_ref().and_then(|key| node.account_of(key)).is_some();
+    if is_admitted {
+        return Ok(());
+    }
+    Err((call::Code::InvalidKey, "the key was withdrawn".to_owned()))
+}
+
+fn send(node: &mut Node, now: ids::Time, call: ids::Call, out: &mut Vec<Output>) {
+    let Some(row) = node.calls.rows.get(&call) else {
+        return;
+    };
+    let need = row.need.clone();
+    let Some(target) = choose(node, now, &need, &row.failed.clone()) else {
+        return enqueue(node, now, call, out);
+    };
+    begin(node, now, call, target, out);
+}
+
+/// Chooses a target, if need be one that failed the call before.
+fn choose(
+    node: &mut Node,
+    now: ids::Time,
+    need: &calls::Need,
+    failed: &[ids::Target],
+) -> Option<ids::Target> {
+    let Node { targets, rng, .. } = node;
+    let fresh = targets.choose(now, &want(need, failed), rng);
+    fresh.or_else(|| targets.choose(now, &want(need, &[]), rng))
+}
+
+fn want<'a>(need: &'a calls::Need, excluded: &'a [ids::Target]) -> target::Want<'a> {
+    target::Want {
+        item: &need.item,
+        tokens: need.max_tokens,
+        prompt_tokens: need.prompt_tokens,
+        prefix: need.prefix,
+        excluded,
+    }
+}
+
+fn begin(
+    node: &mut Node,
+    now: ids::Time,
+    call: ids::Call,
+    target: ids::Target,
+    out: &mut Vec<Output>,
+) {
+    let Some(address) = node.targets.get(&target).map(|row| sync::Arc::clone(&row.address)) else {
+        return;
+    };
+    let attempt = calls::Attempt { call, target: target.clone(), begun: now };
+    let attempt = node.calls.begin(attempt);
+    let Some(row) = node.calls.rows.get_mut(&call) else {
+        return;
+    };
+    row.stage = calls::Stage::Sent { attempt };
+    row.attempts += 1;
+    row.sent = true;
+    let is_first = row.attempts == 1;
+    node.targets.began(now, attempt, &target, &want(&row.need, &[]));
+    node.counters.bump(count::ATTEMPTS);
+    if is_first {
+        node.retries.earn();
+    }
+    out.push(Output::Begin(Begin {
+        attempt,
+        call: row.call,
+        stream: sync::Arc::clone(&row.target_stream),
+        target,
+        address,
+        priority: u8::from(row.class != bundle::format::Class::Paid),
+        max_tokens: row.need.max_tokens,
+        resume_from: row.next_chunk(),
+        text: row.text(),
+    }));
+}
+
+fn overloaded(node: &mut Node, now: ids::Time, call: ids::Call, out: &mut Vec<Output>) {
+    node.counters.bump(count::QUEUE_FULL);
+    system::claim::release(node, now, call, out);
+    let Some(row) = node.calls.rows.get(&call) else {
+        return;
+    };
+    if row.may_have_run() {
+        let message = "the queue is full";
+        return system::finish::fail(node, now, call, call::Code::Overloaded, message, out);
+    }
+    // Callers that were refused together shall not come back together.
+    let wait = OVERLOAD_WAIT.mul_f64(node.rng.random_range(0.5..1.0));
+    let ending = call::Ending::refused(call::Code::Overloaded, "the queue is full");
+    system::finish::finish(node, now, call, ending.with_retry_after(wait), out);
+}
+
+/// The targets as JSON.
+pub fn dump(node: &Node) -> serde_json::Value {
+    let rows = node.targets.iter();
+    rows.map(|(target, row)| (target.to_string(), serde_json::json!(row))).collect()
+}
--- /dev/null
+++ b/crates/node/src/system/finish.rs
@@ -0,0 +1,121 @@
+//! Ends of calls.
+
+use std::time;
+
+use crate::{Node, Output, call, calls, count, event, system};
+
+/// How long a complete stream is kept for a caller that is away.
+const KEEP_FOR: time::Duration = time::Duration::from_secs(30);
+
+/// Ends a call: settles its tokens and its target, and tells the caller.
+pub fn finish(
+    node: &mut Node,
+    now: ids::Time,
+    call: ids::Call,
+    ending: call::Ending,
+    out: &mut Vec<Output>,
+) {
+    let Some(row) = node.calls.rows.get(&call) else {
+        return;
+    };
+    let is_kept = row.caller.is_none() && matches!(ending, call::Ending::Done { .. });
+    system::quota::settle(node, now, call, out);
+    note(node, call, &ending, out);
+    if is_kept {
+        keep(node, now, call, ending);
+        return;
+    }
+    let Some(row) = node.calls.remove(call) else {
+        return;
+    };
+    if let Some(caller) = row.caller {
+        out.push(Output::Finish { call: caller, ending });
+    }
+}
+
+/// Refuses a call that never entered the table.
+pub fn refuse(
+    node: &mut Node,
+    caller: ids::Call,
+    account: Option<ids::Account>,
+    ending: call::Ending,
+    out: &mut Vec<Output>,
+) {
+    measure(node, account, &ending, 0, out);
+    out.push(Output::Finish { call: caller, ending });
+}
+
+/// Ends the call with an error whose outcome is what is certain about it.
+///
+/// A call of which no byte was sent has not run. One that was sent may have,
+/// even if its target seems dead, so its outcome is unknown.
+pub fn fail(
+    node: &mut Node,
+    now: ids::Time,
+    call: ids::Call,
+    code: call::Code,
+    message: impl Into<String>,
+    out: &mut Vec<Output>,
+) {
+    let Some(row) = node.calls.rows.get(&call) else {
+        return;
+    };
+    let outcome = if row.may_have_run() { call::Outcome::Unknown } else { call::Outcome::NotRun };
+    let ending = call::Ending::Failed { outcome, code, message: message.into(), retry_after: None };
+    finish(node, now, call, ending, out);
+}
+
+/// Drops streams that were kept long enough.
+pub fn sweep(node: &mut Node, now: ids::Time, out: &mut Vec<Output>) {
+    for call in node.calls.abandoned(now, KEEP_FOR) {
+        node.calls.remove(call);
+    }
+    for call in node.calls.abandoned(now, node.config.detach_for) {
+        let is_open = node.calls.rows.get(&call).is_some_and(|row| row.stage != calls::Stage::Kept);
+        if is_open {
+            system::attempt::abandon(node, now, call, out);
+        }
+    }
+}
+
+fn keep(node: &mut Node, now: ids::Time, call: ids::Call, ending: call::Ending) {
+    let Some(row) = node.calls.rows.get_mut(&call) else {
+        return;
+    };
+    if let calls::Stage::Sent { attempt } = row.stage {
+        node.calls.attempts.remove(&attempt);
+    }
+    row.stage = calls::Stage::Kept;
+    row.ending = Some(ending);
+    row.away_since = Some(now);
+}
+
+fn note(node: &mut Node, call: ids::Call, ending: &call::Ending, out: &mut Vec<Output>) {
+    let Some(row) = node.calls.rows.get(&call) else {
+        return;
+    };
+    let account = row.account.clone();
+    let tokens = row.used();
+    measure(node, account, ending, tokens, out);
+}
+
+fn measure(
+    node: &mut Node,
+    account: Option<ids::Account>,
+    ending: &call::Ending,
+    tokens: u64,
+    out: &mut Vec<Output>,
+) {
+    let outcome = ending.outcome();
+    let code = match ending {
+        call::Ending::Failed { code, .. } => Some(*code),
+        _ => None,
+    };
+    node.counters.bump(match outcome {
+        call::Outcome::Answered => count::ANSWERED,
+        call::Outcome::NotRun => count::NOT_RUN,
+        call::Outcome::Unknown => count::UNKNOWN,
+    });
+    node.counters.add(count::TOKENS, tokens);
+    out.push(Output::Measure(event::Measure::Ended { account, outcome, code, tokens }));
+}
--- /dev/null
+++ b/crates/node/src/system/force.rs
@@ -0,0 +1,142 @@
+//! Putting what the head names in force.
+
+use std::{collections, sync};
+
+use platform::object;
+
+use crate::{Node, Output, count, event, force, system};
+
+/// A head whose objects are being fetched.
+#[derive(Clone, Debug, Default)]
+pub struct Fetch {
+    head: Option<member::Head>,
+    texts: collections::BTreeMap<ids::Digest, sync::Arc<str>>,
+    asked: collections::BTreeMap<ids::Op, ids::Digest>,
+    retry_at: Option<ids::Time>,
+}
+
+/// How long a failed fetch waits before it is tried again.
+const RETRY_AFTER: std::time::Duration = std::time::Duration::from_millis(200);
+
+/// Begins to put `head` in force.
+pub fn adopt(node: &mut Node, now: ids::Time, head: member::Head, out: &mut Vec<Output>) {
+    let is_old = node.fetch.head.as_ref().is_some_and(|known| known.version >= head.version);
+    if is_old {
+        return;
+    }
+    node.fetch.head = Some(head);
+    node.fetch.retry_at = None;
+    pursue(node, now, out);
+}
+
+/// Keeps a text that will soon be fetched, as its digest is known already.
+pub fn remember(node: &mut Node, text: sync::Arc<str>) -> ids::Digest {
+    let digest = ids::Digest::of(text.as_bytes());
+    node.fetch.texts.insert(digest, text);
+    digest
+}
+
+/// Takes in the object store's answer; whether it was for a fetch.
+pub fn object(
+    node: &mut Node,
+    now: ids::Time,
+    op: ids::Op,
+    result: &platform::Result<object::Answer>,
+    out: &mut Vec<Output>,
+) -> bool {
+    let Some(digest) = node.fetch.asked.remove(&op) else {
+        return false;
+    };
+    match result {
+        Ok(object::Answer::Object(Some(text))) if ids::Digest::of(text.as_bytes()) == digest => {
+            node.fetch.texts.insert(digest, sync::Arc::clone(text));
+            pursue(node, now, out);
+        }
+        _ => node.fetch.retry_at = Some(now + RETRY_AFTER),
+    }
+    true
+}
+
+/// Tries a failed fetch again.
+pub fn tick(node: &mut Node, now: ids::Time, out: &mut Vec<Output>) {
+    if node.fetch.retry_at.is_some_and(|at| at <= now) {
+        node.fetch.retry_at = None;
+        pursue(node, now, out);
+    }
+}
+
+/// Fetches what is missing of the head to be adopted, or puts it in force.
+fn pursue(node: &mut Node, now: ids::Time, out: &mut Vec<Output>) {
+    let Some(head) = node.fetch.head.clone() else {
+        return;
+    };
+    let wanted = [head.bundle, head.amendments];
+    let missing: Vec<_> = wanted
+        .into_iter()
+        .flatten()
+        .filter(|digest| !node.fetch.texts.contains_key(digest))
+        .collect();
+    for digest in &missing {
+        ask(node, *digest, out);
+    }
+    if missing.is_empty() {
+        put(node, now, &head, out);
+    }
+}
+
+fn ask(node: &mut Node, digest: ids::Digest, out: &mut Vec<Output>) {
+    if node.fetch.asked.values().any(|asked| *asked == digest) {
+        return;
+    }
+    let op = node.next_op();
+    node.fetch.asked.insert(op, digest);
+    out.push(Output::Object { op, request: object::Request::Get { digest } });
+}
+
+fn put(node: &mut Node, now: ids::Time, head: &member::Head, out: &mut Vec<Output>) {
+    match read(node, head) {
+        Ok(force) => {
+            node.counters.bump(count::CHANGES);
+            node.force = force.map(sync::Arc::new);
+            keep(node, head);
+            system::quota::adopt(node, now, head);
+            system::dispatch::adopt(node);
+            system::plan::adopt(node, now, head);
+            system::claim::adopt(node, head);
+            system::member::adopted(node, now, head.version, out);
+        }
+        Err(reason) => {
+            node.counters.bump(count::BAD_OBJECTS);
+            out.push(Output::Log(event::Event::new("adopt", &head.version, reason)));
+        }
+    }
+}
+
+/// The indexed form of what `head` names; none before the first bundle.
+fn read(node: &Node, head: &member::Head) -> Result<Option<force::Force>, String> {
+    let Some(digest) = head.bundle else {
+        return Ok(None);
+    };
+    let bundle = match &node.force {
+        Some(force) if node.head.bundle == Some(digest) => sync::Arc::clone(&force.bundle),
+        _ => {
+            let text = node.fetch.texts.get(&digest).ok_or("the bundle is missing")?;
+            let opened = bundle::signed::open(text, &node.config.signers);
+            sync::Arc::new(opened.map_err(|cause| cause.to_string())?.bundle)
+        }
+    };
+    let amendments = match head.amendments.and_then(|digest| node.fetch.texts.get(&digest)) {
+        Some(text) => serde_json::from_str(text).map_err(|cause| cause.to_string())?,
+        None => bundle::Amendments::default(),
+    };
+    Ok(Some(force::Force::new(head.version, bundle, sync::Arc::new(amendments))))
+}
+
+/// Keeps the texts that the head names and forgets those of earlier ones.
+fn keep(node: &mut Node, head: &member::Head) {
+    let texts = &mut node.fetch.texts;
+    node.document = head.bundle.and_then(|digest| texts.get(&digest).cloned());
+    let wanted = [head.bundle, head.amendments];
+    texts.retain(|digest, _| wanted.contains(&Some(*digest)));
+    node.head = head.clone();
+}
--- /dev/null
+++ b/crates/node/src/system/member.rs
@@ -0,0 +1,120 @@
+//! The head: membership, changes, freshness.
+
+use platform::{table, vm};
+
+use crate::{Config, Node, Output, event, operator, peer, system};
+
+/// A view that has not yet read the head.
+pub fn view(config: &Config) -> member::View {
+    member::View::new(member::Config::new(config.member(), config.seed))
+}
+
+/// Lets time pass.
+pub fn tick(node: &mut Node, now: ids::Time, out: &mut Vec<Output>) {
+    with(node, now, out, |view, outputs| view.tick(now, outputs));
+}
+
+/// Takes in an answer of the table service.
+pub fn answer(
+    node: &mut Node,
+    now: ids::Time,
+    op: ids::Op,
+    result: platform::Result<table::Answer>,
+    out: &mut Vec<Output>,
+) {
+    with(node, now, out, |view, outputs| view.table(now, op, result, outputs));
+}
+
+/// Takes in a message of another VM.
+pub fn peer(
+    node: &mut Node,
+    now: ids::Time,
+    from: &ids::Vm,
+    incarnation: ids::Incarnation,
+    message: peer::Message,
+    out: &mut Vec<Output>,
+) {
+    match message {
+        peer::Message::Member(message) => {
+            with(node, now, out, |view, outputs| {
+                view.peer(now, from, incarnation, message, outputs);
+            });
+        }
+        peer::Message::Quota(message) => system::quota::peer(node, now, from, message, out),
+    }
+}
+
+/// Takes in the platform's list of machines.
+pub fn vms(node: &mut Node, now: ids::Time, entries: &[vm::Entry], out: &mut Vec<Output>) {
+    with(node, now, out, |view, outputs| view.vms(now, entries, outputs));
+}
+
+/// Makes a change whose objects are stored.
+pub fn change(
+    node: &mut Node,
+    now: ids::Time,
+    op: ids::Op,
+    change: member::Change,
+    out: &mut Vec<Output>,
+) {
+    with(node, now, out, |view, outputs| view.change(now, op, change, outputs));
+}
+
+/// Notes that a version is in force here.
+pub fn adopted(node: &mut Node, now: ids::Time, version: ids::Version, out: &mut Vec<Output>) {
+    with(node, now, out, |view, outputs| view.adopted(now, version, outputs));
+}
+
+/// Leaves the head.
+pub fn stop(node: &mut Node, now: ids::Time, out: &mut Vec<Output>) {
+    with(node, now, out, |view, outputs| view.stop(now, outputs));
+}
+
+/// Runs the view and carries out what it asks for.
+fn with(
+    node: &mut Node,
+    now: ids::Time,
+    out: &mut Vec<Output>,
+    run: impl FnOnce(&mut member::View, &mut Vec<member::Output>),
+) {
+    let mut outputs = Vec::new();
+    run(&mut node.view, &mut outputs);
+    for output in outputs {
+        apply(node, now, output, out);
+    }
+}
+
+fn apply(node: &mut Node, now: ids::Time, output: member::Output, out: &mut Vec<Output>) {
+    match output {
+        member::Output::Table { op, request } => out.push(Output::Table { op, request }),
+        member::Output::Peer { to, message } => {
+            let message = peer::Message::Member(message);
+            out.push(Output::Peer { to, message });
+        }
+        member::Output::Adopt(head) => system::force::adopt(node, now, *head, out),
+        member::Output::Members(members) => out.push(Output::Members(members)),
+        member::Output::Settled(version) => system::quota::settled(node, now, version),
+        member::Output::Changed { op, outcome } => {
+            out.push(Output::Operator { op, reply: reply(outcome) });
+        }
+        member::Output::Serving { serving, reason } => {
+            let reason = reason.map(|reason| reason.to_string()).unwrap_or_default();
+            let text = if serving { "serving".to_owned() } else { format!("fenced: {reason}") };
+            out.push(Output::Log(event::Event::new("head", &node.config.vm, text)));
+        }
+        member::Output::Left => system::stop::left(node, out),
+        member::Output::Log(text) => {
+            out.push(Output::Log(event::Event::new("head", &node.config.vm, text)));
+        }
+    }
+}
+
+fn reply(outcome: member::Outcome) -> operator::Reply {
+    match outcome {
+        member::Outcome::InForce { version, fenced } => {
+            operator::Reply::InForce { version, fenced }
+        }
+        member::Outcome::Refused { reason } => operator::Reply::Refused { reason },
+        member::Outcome::Unknown { reason } => operator::Reply::Unknown { reason },
+    }
+}
--- /dev/null
+++ b/crates/node/src/system/operate.rs
@@ -0,0 +1,152 @@
+//! What operators ask for.
+
+use std::sync;
+
+use bundle::amend;
+use platform::object;
+
+use crate::{Node, Output, operator, system};
+
+/// A change whose object is being stored.
+#[derive(Clone, Debug)]
+pub struct Pending {
+    op: ids::Op,
+    change: member::Change,
+}
+
+/// Takes in what an operator asks for.
+pub fn request(
+    node: &mut Node,
+    now: ids::Time,
+    op: ids::Op,
+    request: operator::Request,
+    out: &mut Vec<Output>,
+) {
+    match request {
+        operator::Request::Accept { document, replaces } => {
+            accept(node, op, document, replaces, out);
+        }
+        operator::Request::Amend(change) => amend(node, op, &change, out),
+        operator::Request::Document => document(node, op, out),
+        operator::Request::Status => {
+            let reply = operator::Reply::Status(Box::new(node.status(now)));
+            out.push(Output::Operator { op, reply });
+        }
+        operator::Request::State => {
+            let reply = operator::Reply::State(node.dump(now));
+            out.push(Output::Operator { op, reply });
+        }
+    }
+}
+
+/// Takes in the object store's answer to the storing of a change's object.
+pub fn object(
+    node: &mut Node,
+    now: ids::Time,
+    op: ids::Op,
+    result: platform::Result<object::Answer>,
+    out: &mut Vec<Output>,
+) {
+    let Some(pending) = node.pending.remove(&op) else {
+        return;
+    };
+    match result {
+        Ok(object::Answer::Stored) => {
+            system::member::change(node, now, pending.op, pending.change, out);
+        }
+        Ok(object::Answer::Object(_)) => refuse(pending.op, "store object: odd answer", out),
+        Err(fault) => refuse(pending.op, fault.to_string(), out),
+    }
+}
+
+fn accept(
+    node: &mut Node,
+    op: ids::Op,
+    document: sync::Arc<str>,
+    replaces: Option<ids::Version>,
+    out: &mut Vec<Output>,
+) {
+    let opened = match bundle::signed::open(&document, &node.config.signers) {
+        Ok(opened) => opened,
+        Err(cause) => return refuse(op, cause.to_string(), out),
+    };
+    drop(opened);
+    let known = node.version();
+    if replaces.is_some_and(|replaces| replaces != known) {
+        return refuse(op, format!("version {known} is in force, not the one replaced"), out);
+    }
+    let bundle = ids::Digest::of(document.as_bytes());
+    let replaces = node.head.bundle;
+    store(node, op, document, member::Change::Bundle { bundle, replaces }, out);
+}
+
+fn amend(node: &mut Node, op: ids::Op, change: &amend::Change, out: &mut Vec<Output>) {
+    let Some(force) = node.force.clone() else {
+        return refuse(op, "no bundle is in force yet", out);
+    };
+    if let Err(reason) = check(&force, change) {
+        return refuse(op, reason, out);
+    }
+    let mut amendments = (*force.amendments).clone();
+    let is_new = amendments.apply(change);
+    if !is_new {
+        let version = node.version();
+        let reply = operator::Reply::InForce { version, fenced: Vec::new() };
+        out.push(Output::Operator { op, reply });
+        return;
+    }
+    let text = match serde_json::to_string(&amendments) {
+        Ok(text) => text,
+        Err(cause) => return refuse(op, cause.to_string(), out),
+    };
+    let withdrawn = match change {
+        amend::Change::Withdraw(key) => Some(key.clone()),
+        _ => None,
+    };
+    let amendments = ids::Digest::of(text.as_bytes());
+    let replaces = node.head.amendments;
+    let change = member::Change::Amend { amendments, replaces, withdrawn };
+    store(node, op, text.into(), change, out);
+}
+
+fn check(force: &crate::force::Force, change: &amend::Change) -> Result<(), String> {
+    match change {
+        amend::Change::Issue(issue) if force.account(&issue.account).is_none() => {
+            Err(format!("no account {} is in force", issue.account))
+        }
+        amend::Change::Withdraw(key) if !force.knows_key(key) => {
+            Err(format!("no key {key} was issued"))
+        }
+        amend::Change::Drain(target) if !force.has_target(target) => {
+            Err(format!("no target {target} is in force"))
+        }
+        _ => Ok(()),
+    }
+}
+
+fn document(node: &mut Node, op: ids::Op, out: &mut Vec<Output>) {
+    let reply = match &node.document {
+        Some(text) => operator::Reply::Document(sync::Arc::clone(text)),
+        None => operator::Reply::Refused { reason: "no bundle is in force yet".to_owned() },
+    };
+    out.push(Output::Operator { op, reply });
+}
+
+/// Stores the change's object before the head names it.
+fn store(
+    node: &mut Node,
+    op: ids::Op,
+    text: sync::Arc<str>,
+    change: member::Change,
+    out: &mut Vec<Output>,
+) {
+    system::force::remember(node, sync::Arc::clone(&text));
+    let store = node.next_op();
+    node.pending.insert(store, Pending { op, change });
+    out.push(Output::Object { op: store, request: object::Request::Put { text } });
+}
+
+fn refuse(op: ids::Op, reason: impl Into<String>, out: &mut Vec<Output>) {
+    let reply = operator::Reply::Refused { reason: reason.into() };
+    out.push(Output::Operator { op, reply });
+}
--- /dev/null
+++ b/crates/node/src/system/quota.rs
@@ -0,0 +1,127 @@
+//! Rates and bursts of the accounts.
+
+use std::time;
+
+use crate::{Config, Node, Output, call, calls, count, peer, system};
+
+/// A table in which no account has a share.
+pub fn table(config: &Config) -> quota::Table {
+    quota::Table::new(quota::Config::new(config.vm.clone(), config.seed))
+}
+
+/// Asks for the tokens that a call may use at most.
+///
+/// Calls on routes open to all count for no account.
+pub fn request(node: &mut Node, now: ids::Time, call: ids::Call, out: &mut Vec<Output>) {
+    let Some(row) = node.calls.rows.get_mut(&call) else {
+        return;
+    };
+    let Some(account) = row.account.clone() else {
+        return system::claim::begin(node, now, call, out);
+    };
+    row.stage = calls::Stage::Quota;
+    let tokens = row.need.tokens();
+    with(node, now, out, |quota, outputs| quota.request(now, call, &account, tokens, outputs));
+}
+
+/// Gives back what a call has not used.
+pub fn settle(node: &mut Node, now: ids::Time, call: ids::Call, out: &mut Vec<Output>) {
+    let Some(row) = node.calls.rows.get_mut(&call) else {
+        return;
+    };
+    let reserved = std::mem::take(&mut row.reserved);
+    let used = row.used().min(reserved);
+    let Some(account) = row.account.clone() else {
+        return;
+    };
+    if reserved == 0 {
+        node.quota.cancel(call);
+        return;
+    }
+    with(node, now, out, |quota, _| quota.settle(now, &account, reserved, used));
+}
+
+/// Takes accounts and members from what is in force.
+pub fn adopt(node: &mut Node, now: ids::Time, head: &member::Head) {
+    let Some(force) = &node.force else {
+        return;
+    };
+    let members: Vec<_> = head.members.iter().map(|member| member.vm.clone()).collect();
+    node.quota.adopt(now, head.version, &members, &force.bundle.accounts);
+}
+
+/// Notes that no VM spends by shares of an earlier version any more.
+pub fn settled(node: &mut Node, now: ids::Time, version: ids::Version) {
+    node.quota.settled(now, version);
+}
+
+/// Takes in a message of another VM.
+pub fn peer(
+    node: &mut Node,
+    now: ids::Time,
+    from: &ids::Vm,
+    message: quota::Message,
+    out: &mut Vec<Output>,
+) {
+    if node.serves(now).is_err() {
+        return;
+    }
+    with(node, now, out, |quota, outputs| quota.peer(now, from, message, outputs));
+}
+
+/// Lets time pass.
+pub fn tick(node: &mut Node, now: ids::Time, out: &mut Vec<Output>) {
+    with(node, now, out, |quota, outputs| quota.tick(now, outputs));
+}
+
+fn with(
+    node: &mut Node,
+    now: ids::Time,
+    out: &mut Vec<Output>,
+    run: impl FnOnce(&mut quota::Table, &mut Vec<quota::Output>),
+) {
+    let mut outputs = Vec::new();
+    run(&mut node.quota, &mut outputs);
+    for output in outputs {
+        match output {
+            quota::Output::Peer { to, message } => {
+                let message = peer::Message::Quota(message);
+                out.push(Output::Peer { to, message });
+            }
+            quota::Output::Granted { call } => granted(node, now, call, out),
+            quota::Output::Short { call, reason, retry_after } => {
+                short(node, now, call, reason, retry_after, out);
+            }
+        }
+    }
+}
+
+fn granted(node: &mut Node, now: ids::Time, call: ids::Call, out: &mut Vec<Output>) {
+    let Some(row) = node.calls.rows.get_mut(&call) else {
+        return;
+    };
+    row.reserved = row.need.tokens();
+    system::claim::begin(node, now, call, out);
+}
+
+fn short(
+    node: &mut Node,
+    now: ids::Time,
+    call: ids::Call,
+    reason: quota::Reason,
+    retry_after: time::Duration,
+    out: &mut Vec<Output>,
+) {
+    node.counters.bump(count::OVER_RATE);
+    let ending = match reason {
+        quota::Reason::TooLarge => call::Ending::refused(
+            call::Code::TooLarge,
+            "the call may use more tokens than the account's whole burst; lower max_tokens",
+        ),
+        quota::Reason::OverRate => {
+            call::Ending::refused(call::Code::OverRate, "the account's rate is used up")
+                .with_retry_after(retry_after)
+        }
+    };
+    system::finish::finish(node, now, call, ending, out);
+}
--- /dev/null
+++ b/crates/node/tests/world/mod.rs
@@ -0,0 +1,324 @@
+//! One node before an in-memory platform, recorded as a session.
+//!
+//! Targets answer only when a test says so. The table service and the object
+//! store answer after `LATENCY_MS`, unless the test has put them out.
+
+use std::{collections, fmt::Write as _, sync};
+
+use bundle::signed;
+use node::{Begin, Input, Output, call, operator};
+use platform::{object, table};
+
+const LATENCY_MS: u64 = 2;
+const SECRET: [u8; 24] = [7; 24];
+
+pub const BUNDLE: &str = "
+format: 1
+deployment: test
+centres: [north]
+models:
+  - {name: draft, version: v1, memory_mib: 1000, kv_floor_mib: 200}
+adapters:
+  - {name: formal, model: draft, version: v1, memory_mib: 10}
+runners:
+  - {name: runner-1, centre: north, address: '127.0.0.1:1', accelerators: 1, memory_mib: 4000}
+  - {name: runner-2, centre: north, address: '127.0.0.1:2', accelerators: 1, memory_mib: 4000}
+services:
+  - name: desk
+    targets:
+      - {name: desk-1, centre: north, address: '127.0.0.1:3'}
+    routes:
+      - {path: /lookup, repeatable: true}
+      - {path: /booking, repeatable: false}
+      - {path: /hours, repeatable: true, open: true}
+accounts:
+  - {name: mayors, class: paid, rate: 1000, burst: 5000}
+  - {name: hosts, class: courtesy, rate: 1000, burst: 5000}
+weights: {loads_per_second: 1.5, loads_at_once: 10}
+";
+
+pub struct World {
+    pub node: node::Node,
+    pub now: u64,
+    pub text: String,
+    pub outputs: Vec<Output>,
+    pub is_store_out: bool,
+    rows: collections::BTreeMap<sync::Arc<str>, table::Row>,
+    objects: collections::BTreeMap<ids::Digest, sync::Arc<str>>,
+    due: Vec<(u64, Input)>,
+    next_call: u64,
+}
+
+/// The key of an account.
+pub fn key(account: &str) -> bundle::key::Presented {
+    let secret = bundle::key::Secret::new(&account.into(), &SECRET);
+    bundle::key::Presented::parse(secret.reveal()).unwrap()
+}
+
+fn document() -> (String, signed::Signer) {
+    let secret = signed::Secret::new([3; 32]);
+    let mut text = BUNDLE.to_owned();
+    for account in ["mayors", "hosts"] {
+        let digest = key(account).digest;
+        let named = format!("name: {account},");
+        let keyed = format!("{named} keys: [{{id: {account}, digest: '{digest}'}}],");
+        text = text.replace(&named, &keyed);
+    }
+    let signer = signed::Signer::new("alice", secret.public());
+    (signed::sign(&text, &secret, "alice", 1).to_json(), signer)
+}
+
+impl World {
+    /// A node with an accepted bundle, both runners ready for all models.
+    pub fn ready() -> Self {
+        let (document, signer) = document();
+        let config = node::Config::new("vm-1", "north", 1)
+            .with_signers(vec![signer])
+            .with_peer("127.0.0.1:9");
+        let mut text = String::new();
+        writeln!(text, "config {}", serde_json::to_string(&config).unwrap()).unwrap();
+        let mut world = Self {
+            node: node::Node::new(config),
+            now: 0,
+            text,
+            outputs: Vec::new(),
+            is_store_out: false,
+            rows: collections::BTreeMap::new(),
+            objects: collections::BTreeMap::new(),
+            due: Vec::new(),
+            next_call: 0,
+        };
+        world.run(1_000);
+        let request = operator::Request::Accept { document: document.into(), replaces: None };
+        world.input(Input::Operator { op: ids::Op::new(1), request });
+        world.run(5_000);
+        world.report_all();
+        world.run(6_000);
+        world.outputs.clear();
+        world
+    }
+
+    /// Steps with one input.
+    pub fn input(&mut self, input: Input) {
+        let json = serde_json::to_string(&input).unwrap();
+        writeln!(self.text, "@{} {json}", self.now).unwrap();
+        self.step([input]);
+    }
+
+    /// Lets time pass until `until`, in ms; the platform answers meanwhile.
+    pub fn run(&mut self, until: u64) {
+        while self.now < until {
+            self.now += LATENCY_MS;
+            let (due, later) = self.due.drain(..).partition(|(at, _)| *at <= self.now);
+            self.due = later;
+            for (_, input) in due {
+                self.input(input);
+            }
+            if self.now.is_multiple_of(20) {
+                writeln!(self.text, "@{}", self.now).unwrap();
+                self.step([]);
+            }
+        }
+    }
+
+    /// A call by an account.
+    pub fn arrive(&mut self, account: &str, work: call::Work) -> ids::Call {
+        self.arrive_as(account, work, |_| {})
+    }
+
+    /// A call with more than the usual.
+    pub fn arrive_as(
+        &mut self,
+        account: &str,
+        work: call::Work,
+        change: impl FnOnce(&mut call::Arrival),
+    ) -> ids::Call {
+        self.next_call += 1;
+        let call = ids::Call::new(self.next_call);
+        let mut arrival = call::Arrival {
+            call,
+            key: (!account.is_empty()).then(|| key(account)),
+            work,
+            idempotency: None,
+            digest: ids::Digest::of(b"request"),
+            resume: None,
+            patience: None,
+        };
+        change(&mut arrival);
+        self.input(Input::Arrival(arrival));
+        call
+    }
+
+    /// Something seen of an attempt.
+    pub fn event(&mut self, attempt: ids::Attempt, event: engine::Event) {
+        self.input(Input::Attempt { attempt, event });
+    }
+
+    pub fn chunk(&mut self, attempt: ids::Attempt, seq: u64) {
+        let text = format!("t{seq} ").into();
+        self.event(attempt, engine::Event::Chunk { seq, text });
+    }
+
+    pub fn done(&mut self, attempt: ids::Attempt, chunks: u64) {
+        let reason = "length".into();
+        self.event(attempt, engine::Event::Done { chunks, reason, prompt_tokens: 10 });
+    }
+
+    /// All calls that went to targets, in order.
+    pub fn begun(&self) -> Vec<Begin> {
+        let begun = self.outputs.iter().filter_map(|output| match output {
+            Output::Begin(begin) => Some(begin.clone()),
+            _ => None,
+        });
+        begun.collect()
+    }
+
+    /// Chunks sent to a caller.
+    pub fn chunks(&self, caller: ids::Call) -> Vec<u64> {
+        let chunks = self.outputs.iter().filter_map(|output| match output {
+            Output::Chunk { call, seq, .. } if *call == caller => Some(*seq),
+            _ => None,
+        });
+        chunks.collect()
+    }
+
+    /// How a call ended, if it has; it must not have ended twice.
+    pub fn ending(&self, caller: ids::Call) -> Option<call::Ending> {
+        let mut endings = self.outputs.iter().filter_map(|output| match output {
+            Output::Finish { call, ending } if *call == caller => Some(ending.clone()),
+            _ => None,
+        });
+        let ending = endings.next();
+        assert!(endings.next().is_none(), "call {caller} ended twice");
+        ending
+    }
+
+    /// The error's code and outcome of a call that failed.
+    pub fn failure(&self, caller: ids::Call) -> Option<(call::Code, call::Outcome)> {
+        match self.ending(caller)? {
+            call::Ending::Failed { code, outcome, .. } => Some((code, outcome)),
+            _ => None,
+        }
+    }
+
+    pub fn report_all(&mut self) {
+        for target in ["runner-1", "runner-2"] {
+            let resident = |item: &str| engine::report::Resident {
+                item: item.into(),
+                version: "v1".into(),
+                state: engine::report::State::Ready,
+                memory_mib: 1_200,
+            };
+            let residents = vec![resident("draft"), resident("draft:formal")];
+            let report = engine::Report { residents, ..engine::Report::default() };
+            self.input(Input::Report { target: target.into(), report: Some(report) });
+        }
+    }
+
+    fn step(&mut self, inputs: impl IntoIterator<Item = Input>) {
+        let mut outputs = Vec::new();
+        self.node.step(ids::Time::from_millis(self.now), inputs, &mut outputs);
+        for output in &outputs {
+            writeln!(self.text, "> {}", serde_json::to_string(output).unwrap()).unwrap();
+            self.serve(output);
+        }
+        self.outputs.append(&mut outputs);
+    }
+
+    fn serve(&mut self, output: &Output) {
+        if self.is_store_out {
+            return;
+        }
+        let input = match output {
+            Output::Table { op, request } => {
+                Input::Table { op: *op, result: Ok(self.table(request)) }
+            }
+            Output::Object { op, request } => {
+                Input::Object { op: *op, result: Ok(self.object(request)) }
+            }
+            Output::Vms { op } => Input::Vms { op: *op, result: Ok(Vec::new()) },
+            _ => return,
+        };
+        self.due.push((self.now + LATENCY_MS, input));
+    }
+
+    fn object(&mut self, request: &object::Request) -> object::Answer {
+        match request {
+            object::Request::Get { digest } => {
+                object::Answer::Object(self.objects.get(digest).cloned())
+            }
+            object::Request::Put { text } => {
+                let digest = ids::Digest::of(text.as_bytes());
+                self.objects.insert(digest, sync::Arc::clone(text));
+                object::Answer::Stored
+            }
+        }
+    }
+
+    fn table(&mut self, request: &table::Request) -> table::Answer {
+        match request {
+            table::Request::Get { key } => table::Answer::Row(self.rows.get(key).cloned()),
+            table::Request::Scan { prefix, .. } => {
+                let rows = self.rows.values().filter(|row| row.key.starts_with(&**prefix));
+                table::Answer::Rows(rows.cloned().collect())
+            }
+            table::Request::Write { writes } => self.write(writes),
+        }
+    }
+
+    fn write(&mut self, writes: &[table::Write]) -> table::Answer {
+        let version = |row: &table::Row| row.version;
+        let conflicts: Vec<_> = writes
+            .iter()
+            .filter(|write| self.rows.get(&write.key).map(version) != write.expect)
+            .map(|write| table::Conflict {
+                key: sync::Arc::clone(&write.key),
+                row: self.rows.get(&write.key).cloned(),
+            })
+            .collect();
+        if !conflicts.is_empty() {
+            return table::Answer::Conflict { rows: conflicts };
+        }
+        for write in writes {
+            let key = sync::Arc::clone(&write.key);
+            let Some(value) = write.value.clone() else {
+                self.rows.remove(&key);
+                continue;
+            };
+            let version = write.expect.unwrap_or_default().next();
+            self.rows.insert(sync::Arc::clone(&key), table::Row { key, version, value });
+        }
+        table::Answer::Written
+    }
+}
+
+/// A draft of `max_tokens` chunks.
+pub fn chat(max_tokens: u64) -> call::Work {
+    call::Work::Chat {
+        model: "draft".into(),
+        adapter: None,
+        prompt_tokens: 10,
+        max_tokens: Some(max_tokens),
+        prefix: 1,
+    }
+}
+
+/// A call of the desk.
+pub fn desk(method: &str, path: &str) -> call::Work {
+    call::Work::Service { service: "desk".into(), method: method.into(), path: path.into() }
+}
+
+/// Compares a recorded session with the golden file `name`.
+///
+/// With `UPDATE_SESSIONS=1` in the environment the file is written anew.
+pub fn golden(name: &str, world: &World) {
+    let path = format!("{}/tests/sessions/{name}.session", env!("CARGO_MANIFEST_DIR"));
+    if std::env::var_os("UPDATE_SESSIONS").is_some() {
+        std::fs::write(&path, &world.text).unwrap();
+    }
+    let golden = std::fs::read_to_string(&path).unwrap();
+    let differs = golden.lines().zip(world.text.lines()).position(|(old, new)| old != new);
+    assert_eq!(differs, None, "{path} differs from the session from this line on");
+    assert_eq!(golden.lines().count(), world.text.lines().count(), "{path} has another length");
+    assert_eq!(node::session::replay(&golden).unwrap(), golden);
+}
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -103,12 +103,7 @@
             let capacity = capacity(config, row, now);
             let backlog = backlog(config, row, now, usual);
             let cost = want.tokens as f64 + config.prompt_cost(want.prompt_tokens);
-            Candidate {
-                target,
-                row,
-                capacity,
-                time: (backlog + cost) / capacity,
-            }
+            Candidate { target, row, capacity, time: (backlog + cost) / capacity }
         })
         .collect()
 }
@@ -163,9 +158,8 @@
     if config.sample == 0 || config.sample >= candidates.len() {
         return quickest(candidates.iter());
     }
-    let drawn = candidates
-        .choose_multiple_weighted(rng, config.sample, |each| each.capacity)
-        .ok()?;
+    let drawn =
+        candidates.choose_multiple_weighted(rng, config.sample, |each| each.capacity).ok()?;
     quickest(drawn)
 }
 
@@ -186,11 +180,7 @@
 ) -> Option<&'b Candidate<'a>> {
     let mean = candidates.iter().map(|each| each.time).sum::<f64>() / candidates.len() as f64;
     let bound = mean * config.affinity_permille as f64 / 1_000.0;
-    let bound = if config.affinity_permille == 0 {
-        0.0
-    } else {
-        bound.max(AFFINITY_FREE)
-    };
+    let bound = if config.affinity_permille == 0 { 0.0 } else { bound.max(AFFINITY_FREE) };
     let score = |each: &Candidate<'_>| {
         hash::weighted(
             prefix,
@@ -198,9 +188,7 @@
             each.row.power * f64::from(each.row.accelerators),
         )
     };
-    let first = candidates
-        .iter()
-        .max_by(|one, other| score(one).total_cmp(&score(other)))?;
+    let first = candidates.iter().max_by(|one, other| score(one).total_cmp(&score(other)))?;
     (first.time <= bound).then_some(first)
 }
 
@@ -208,14 +196,7 @@
     candidates: &'b [Candidate<'a>],
     rng: &mut R,
 ) -> Option<&'b Candidate<'a>> {
-    let load = |each: &Candidate<'_>| {
-        each.row
-            .reported
-            .map_or(0.0, |reported| reported.all.tokens)
-    };
+    let load = |each: &Candidate<'_>| each.row.reported.map_or(0.0, |reported| reported.all.tokens);
     let least = candidates.iter().map(load).min_by(f64::total_cmp)?;
-    candidates
-        .iter()
-        .filter(|each| load(each) <= least)
-        .choose(rng)
+    candidates.iter().filter(|each| load(each) <= least).choose(rng)
 }
--- a/crates/route/src/fair.rs
+++ b/crates/route/src/fair.rs
@@ -34,11 +34,7 @@
     }
 
     const fn lanes_mut(&mut self, late: bool) -> &mut collections::BTreeMap<sync::Arc<str>, Lane> {
-        if late {
-            &mut self.late
-        } else {
-            &mut self.fresh
-        }
+        if late { &mut self.late } else { &mut self.fresh }
     }
 
     fn is_empty(&self) -> bool {
@@ -123,9 +119,7 @@
         }
         let flow = self.flows.entry(place.account.clone()).or_default();
         flow.tokens += place.tokens;
-        let lane = flow
-            .lanes_mut(place.late)
-            .entry(sync::Arc::clone(&place.item));
+        let lane = flow.lanes_mut(place.late).entry(sync::Arc::clone(&place.item));
         lane.or_default().insert(place.seq, place.tokens);
     }
 
@@ -174,9 +168,7 @@
             candidates = self.candidates(true, &quantum, &mut can_run);
         }
         self.end_turn(&mut candidates);
-        let chosen = candidates
-            .iter()
-            .min_by(|one, other| one.rounds.total_cmp(&other.rounds))?;
+        let chosen = candidates.iter().min_by(|one, other| one.rounds.total_cmp(&other.rounds))?;
         for candidate in &candidates {
             let visits = if candidate.position > chosen.position {
                 (chosen.rounds - 1.0).max(0.0)
--- a/crates/route/src/policy.rs
+++ b/crates/route/src/policy.rs
@@ -1,19 +1,8 @@
 //! Ways to choose, to be set by configuration and measured against one another.
 
 /// How a target is chosen among those that are ready and have room.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Policy {
     /// The target with the lowest expected time.
@@ -28,19 +17,8 @@
 }
 
 /// The order in which waiting calls are served.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Discipline {
     /// Classes first, then accounts by their weights.
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -21,7 +21,8 @@
 pub type Result<T, E = Full> = std::result::Result<T, E>;
 
 /// the queue is full
-#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub struct Full(
     /// The call that was not taken.
     pub Entry,
@@ -30,7 +31,8 @@
 impl std::error::Error for Full {}
 
 /// Knobs of the queue.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Config {
     /// Most calls that wait.
@@ -58,7 +60,8 @@
 }
 
 /// A call that waits.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Entry {
     /// The call.
     pub call: ids::Call,
@@ -152,12 +155,7 @@
         self.weights = bundle
             .accounts
             .iter()
-            .map(|each| {
-                (
-                    each.name.clone(),
-                    (each.rate as f64 / mean).max(LEAST_WEIGHT),
-                )
-            })
+            .map(|each| (each.name.clone(), (each.rate as f64 / mean).max(LEAST_WEIGHT)))
             .collect();
     }
 
@@ -244,10 +242,7 @@
             .filter(|(_, waiting)| !keep(&waiting.entry))
             .map(|(seq, _)| *seq)
             .collect();
-        dropped
-            .into_iter()
-            .filter_map(|seq| self.take(seq))
-            .collect()
+        dropped.into_iter().filter_map(|seq| self.take(seq)).collect()
     }
 
     fn add(&mut self, now: ids::Time, entry: Entry) {
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -7,7 +7,8 @@
 use std::time;
 
 /// How many retries are allowed.
-#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Config {
     /// Retries for each call that begins.
@@ -20,11 +21,7 @@
 
 impl Default for Config {
     fn default() -> Self {
-        Self {
-            share: 0.1,
-            per_second: 1.0,
-            saved: 50.0,
-        }
+        Self { share: 0.1, per_second: 1.0, saved: 50.0 }
     }
 }
 
@@ -51,11 +48,7 @@
     /// An empty budget.
     #[must_use]
     pub const fn new(now: ids::Time, config: Config) -> Self {
-        Self {
-            config,
-            saved: 0.0,
-            refilled: now,
-        }
+        Self { config, saved: 0.0, refilled: now }
     }
 
     /// Counts a call that begins; retries do not count.
@@ -81,7 +74,8 @@
 }
 
 /// Waits before retries: exponential, with full jitter.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Backoff {
     /// Upper bound of the first wait, in ms.
@@ -92,10 +86,7 @@
 
 impl Default for Backoff {
     fn default() -> Self {
-        Self {
-            first_ms: 20,
-            longest_ms: 1_000,
-        }
+        Self { first_ms: 20, longest_ms: 1_000 }
     }
 }
 
--- a/crates/route/src/row.rs
+++ b/crates/route/src/row.rs
@@ -8,7 +8,8 @@
 const RECORD_ENTRIES: usize = 256;
 
 /// Work that is on its way at a target.
-#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Work {
     /// Calls begun and not ended.
     pub calls: f64,
@@ -17,7 +18,8 @@
 }
 
 /// A report as it was received.
-#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(serde::Serialize)]
 pub(crate) struct Reported {
     /// When its figures were taken.
     pub(crate) taken: ids::Time,
@@ -28,7 +30,8 @@
 }
 
 /// Failures in a row and what follows from them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub(crate) struct Health {
     /// Failures since the last success.
     pub(crate) failures: u32,
@@ -39,7 +42,8 @@
 }
 
 /// A target as this VM knows it.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 pub struct Row {
     /// Where it listens: IP number and port.
     pub address: sync::Arc<str>,
--- a/crates/route/src/subset.rs
+++ b/crates/route/src/subset.rs
@@ -25,14 +25,9 @@
     size: usize,
 ) -> Vec<ids::Target> {
     let seed = hash::seed(me.as_str());
-    let mut ranked: Vec<_> = candidates
-        .into_iter()
-        .map(|target| (hash::score(seed, target.as_str()), target))
-        .collect();
+    let mut ranked: Vec<_> =
+        candidates.into_iter().map(|target| (hash::score(seed, target.as_str()), target)).collect();
     ranked.sort_unstable_by(|one, other| other.cmp(one));
     ranked.truncate(size);
-    ranked
-        .into_iter()
-        .map(|(_, target)| target.clone())
-        .collect()
+    ranked.into_iter().map(|(_, target)| target.clone()).collect()
 }
--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -17,7 +17,8 @@
 const RATE_TOKENS: u64 = 8;
 
 /// Knobs of the choice of target.
-#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Config {
     /// How a target is chosen.
@@ -223,14 +224,8 @@
         if let Some(row) = self.rows.get_mut(target) {
             row.change(now, 1.0, tokens);
         }
-        let flight = Flight {
-            target: target.clone(),
-            tokens,
-            prompt,
-            first: None,
-            last: now,
-            generated: 0,
-        };
+        let flight =
+            Flight { target: target.clone(), tokens, prompt, first: None, last: now, generated: 0 };
         self.flights.insert(attempt, flight);
     }
 
--- a/crates/route/tests/queue.rs
+++ b/crates/route/tests/queue.rs
@@ -124,14 +124,9 @@
 fn calls_that_can_still_meet_the_target_go_first() {
     let mut queue = fair(queue::Config::default());
     let start = ids::Time::default();
-    queue
-        .push(start, entry(1, "mayors", Class::Paid, 9, "draft"))
-        .unwrap();
+    queue.push(start, entry(1, "mayors", Class::Paid, 9, "draft")).unwrap();
     let later = start + 2 * SECOND;
-    let fresh = queue::Entry {
-        arrived: later,
-        ..entry(2, "mayors", Class::Paid, 9, "draft")
-    };
+    let fresh = queue::Entry { arrived: later, ..entry(2, "mayors", Class::Paid, 9, "draft") };
     queue.push(later, fresh).unwrap();
     assert_eq!(queue.pop(later, |_| true).unwrap().call, ids::Call::new(2));
     assert_eq!(queue.pop(later, |_| true).unwrap().call, ids::Call::new(1));
@@ -139,17 +134,10 @@
 
 #[test]
 fn a_full_queue_drops_courtesy_work_first() {
-    let mut queue = fair(queue::Config {
-        calls: 2,
-        ..queue::Config::default()
-    });
+    let mut queue = fair(queue::Config { calls: 2, ..queue::Config::default() });
     let now = ids::Time::default();
-    queue
-        .push(now, entry(1, "guests", Class::Courtesy, 9, "draft"))
-        .unwrap();
-    queue
-        .push(now, entry(2, "mayors", Class::Paid, 900, "draft"))
-        .unwrap();
+    queue.push(now, entry(1, "guests", Class::Courtesy, 9, "draft")).unwrap();
+    queue.push(now, entry(2, "mayors", Class::Paid, 900, "draft")).unwrap();
     let evicted = queue.push(now, entry(3, "mayors", Class::Paid, 900, "draft"));
     assert_eq!(evicted.unwrap().unwrap().call, ids::Call::new(1));
     let refused = queue.push(now, entry(4, "guests", Class::Courtesy, 9, "draft"));
@@ -158,15 +146,10 @@
 
 #[test]
 fn a_full_queue_has_room_for_an_account_below_its_share() {
-    let mut queue = fair(queue::Config {
-        calls: 100,
-        ..queue::Config::default()
-    });
+    let mut queue = fair(queue::Config { calls: 100, ..queue::Config::default() });
     let now = ids::Time::default();
     for call in 0..100 {
-        queue
-            .push(now, entry(call, "flood", Class::Paid, 10, "draft"))
-            .unwrap();
+        queue.push(now, entry(call, "flood", Class::Paid, 10, "draft")).unwrap();
     }
     let more = queue.push(now, entry(200, "flood", Class::Paid, 10, "draft"));
     assert_eq!(more.unwrap_err().0.call, ids::Call::new(200));
@@ -179,9 +162,7 @@
 fn calls_that_miss_their_deadline_are_taken_out() {
     let mut queue = fair(queue::Config::default());
     let now = ids::Time::default();
-    queue
-        .push(now, entry(1, "mayors", Class::Paid, 9, "draft"))
-        .unwrap();
+    queue.push(now, entry(1, "mayors", Class::Paid, 9, "draft")).unwrap();
     assert_eq!(queue.next_deadline(), Some(now + 10 * SECOND));
     assert!(queue.expire(now + 9 * SECOND).is_empty());
     assert_eq!(queue.expire(now + 10 * SECOND).len(), 1);
@@ -190,38 +171,20 @@
 
 #[test]
 fn first_in_first_out_serves_in_order_of_arrival() {
-    let config = queue::Config {
-        discipline: policy::Discipline::Fifo,
-        ..queue::Config::default()
-    };
+    let config = queue::Config { discipline: policy::Discipline::Fifo, ..queue::Config::default() };
     let mut queue = fair(config);
     let now = ids::Time::default();
-    queue
-        .push(now, entry(1, "guests", Class::Courtesy, 9, "draft"))
-        .unwrap();
-    queue
-        .push(now, entry(2, "mayors", Class::Paid, 9, "draft"))
-        .unwrap();
+    queue.push(now, entry(1, "guests", Class::Courtesy, 9, "draft")).unwrap();
+    queue.push(now, entry(2, "mayors", Class::Paid, 9, "draft")).unwrap();
     assert_eq!(queue.pop(now, |_| true).unwrap().call, ids::Call::new(1));
 }
 
 #[derive(Clone, Debug)]
 enum Step {
-    Push {
-        account: u8,
-        courtesy: bool,
-        item: u8,
-        tokens: u16,
-    },
-    Pop {
-        blocked: u8,
-    },
-    Remove {
-        call: u64,
-    },
-    Wait {
-        millis: u16,
-    },
+    Push { account: u8, courtesy: bool, item: u8, tokens: u16 },
+    Pop { blocked: u8 },
+    Remove { call: u64 },
+    Wait { millis: u16 },
 }
 
 impl quickcheck::Arbitrary for Step {
@@ -233,15 +196,9 @@
                 item: u8::arbitrary(g) % 3,
                 tokens: u16::arbitrary(g) % 2_000,
             },
-            4 | 5 => Self::Pop {
-                blocked: u8::arbitrary(g) % 4,
-            },
-            6 => Self::Remove {
-                call: u64::arbitrary(g) % 64,
-            },
-            _ => Self::Wait {
-                millis: u16::arbitrary(g) % 3_000,
-            },
+            4 | 5 => Self::Pop { blocked: u8::arbitrary(g) % 4 },
+            6 => Self::Remove { call: u64::arbitrary(g) % 64 },
+            _ => Self::Wait { millis: u16::arbitrary(g) % 3_000 },
         }
     }
 }
@@ -249,37 +206,19 @@
 /// Every call leaves the queue exactly once, by one of its ways out, and a
 /// pop finds a call whenever one can run.
 fn every_call_leaves_once(steps: Vec<Step>) -> bool {
-    let mut queue = fair(queue::Config {
-        calls: 12,
-        ..queue::Config::default()
-    });
+    let mut queue = fair(queue::Config { calls: 12, ..queue::Config::default() });
     let mut now = ids::Time::default();
     let mut inside = collections::BTreeSet::new();
     for (number, step) in steps.into_iter().enumerate() {
         let mut gone = Vec::new();
         match step {
-            Step::Push {
-                account,
-                courtesy,
-                item,
-                tokens,
-            } => {
-                let class = if courtesy {
-                    Class::Courtesy
-                } else {
-                    Class::Paid
-                };
+            Step::Push { account, courtesy, item, tokens } => {
+                let class = if courtesy { Class::Courtesy } else { Class::Paid };
                 let call = number as u64;
                 let fresh = queue::Entry {
                     arrived: now,
                     deadline: now + 5 * SECOND,
-                    ..entry(
-                        call,
-                        &account.to_string(),
-                        class,
-                        tokens.into(),
-                        &item.to_string(),
-                    )
+                    ..entry(call, &account.to_string(), class, tokens.into(), &item.to_string())
                 };
                 match queue.push(now, fresh) {
                     Ok(evicted) => {
--- a/crates/route/tests/retry.rs
+++ b/crates/route/tests/retry.rs
@@ -32,17 +32,9 @@
 fn waits_are_spread_over_a_bound_that_doubles() {
     let backoff = retry::Backoff::default();
     let mut rng = rand::rngs::SmallRng::seed_from_u64(3);
-    for (retry, bound) in [
-        (0, 20),
-        (1, 40),
-        (4, 320),
-        (10, 1_000),
-        (63, 1_000),
-        (200, 1_000),
-    ] {
-        let waits: collections::BTreeSet<u128> = (0..2_000)
-            .map(|_| backoff.wait(retry, &mut rng).as_millis())
-            .collect();
+    for (retry, bound) in [(0, 20), (1, 40), (4, 320), (10, 1_000), (63, 1_000), (200, 1_000)] {
+        let waits: collections::BTreeSet<u128> =
+            (0..2_000).map(|_| backoff.wait(retry, &mut rng).as_millis()).collect();
         assert!(*waits.first().unwrap() <= bound / 10, "{retry}");
         assert!(*waits.last().unwrap() >= bound * 9 / 10, "{retry}");
         assert!(*waits.last().unwrap() <= bound, "{retry}");
--- a/crates/route/tests/subset.rs
+++ b/crates/route/tests/subset.rs
@@ -17,10 +17,7 @@
         .map(|_| {
             let count = rng.random_range(2..=24);
             let runners = rand::seq::index::sample(&mut rng, RUNNERS, count);
-            runners
-                .iter()
-                .map(|number| format!("runner-{number}").into())
-                .collect()
+            runners.iter().map(|number| format!("runner-{number}").into()).collect()
         })
         .collect()
 }
@@ -47,10 +44,7 @@
 fn a_runner_that_goes_moves_only_its_own_place() {
     let targets: Vec<ids::Target> = (0..20).map(|n| format!("runner-{n}").into()).collect();
     let before = subset::choose(&"vm-1".into(), &targets, SIZE);
-    let left: Vec<_> = targets
-        .iter()
-        .filter(|target| **target != before[0])
-        .collect();
+    let left: Vec<_> = targets.iter().filter(|target| **target != before[0]).collect();
     let after = subset::choose(&"vm-1".into(), left, SIZE);
     assert_eq!(after[..SIZE - 1], before[1..]);
 }
--- a/crates/route/tests/target.rs
+++ b/crates/route/tests/target.rs
@@ -49,13 +49,7 @@
 }
 
 fn want(prefix: u64) -> target::Want<'static> {
-    target::Want {
-        item: "draft",
-        tokens: 400,
-        prompt_tokens: 0,
-        prefix,
-        excluded: &[],
-    }
+    target::Want { item: "draft", tokens: 400, prompt_tokens: 0, prefix, excluded: &[] }
 }
 
 fn rng() -> rand::rngs::SmallRng {
@@ -67,12 +61,7 @@
 }
 
 fn load(backlog_tokens: u64, age_ms: u64) -> engine::Report {
-    engine::Report {
-        age_ms,
-        running: 1,
-        backlog_tokens,
-        ..engine::Report::default()
-    }
+    engine::Report { age_ms, running: 1, backlog_tokens, ..engine::Report::default() }
 }
 
 /// Begins `calls` calls, each where the table chooses.
@@ -113,11 +102,7 @@
     assert_eq!(chosen, Some(name(1)), "the 400 tokens at r1 are our own");
     table.began(at(1_000), ids::Attempt::new(2), &name(1), &want(0));
     let chosen = table.choose(at(1_000), &want(0), &mut rng());
-    assert_eq!(
-        chosen,
-        Some(name(2)),
-        "what was sent since the report counts"
-    );
+    assert_eq!(chosen, Some(name(2)), "what was sent since the report counts");
 }
 
 #[test]
@@ -127,11 +112,7 @@
     table.report(at(6_000), &name(2), &load(1_000, 0));
     table.began(at(6_000), ids::Attempt::new(1), &name(1), &want(0));
     let chosen = table.choose(at(6_000), &want(0), &mut rng());
-    assert_eq!(
-        chosen,
-        Some(name(2)),
-        "r1 is taken to be as busy as r2 and has our call"
-    );
+    assert_eq!(chosen, Some(name(2)), "r1 is taken to be as busy as r2 and has our call");
 }
 
 #[test]
@@ -157,10 +138,7 @@
     let mut table = table(4, target::Config::default());
     let mut rng = rng();
     let first = table.choose(at(0), &want(77), &mut rng).unwrap();
-    assert_eq!(
-        table.choose(at(0), &want(77), &mut rng),
-        Some(first.clone())
-    );
+    assert_eq!(table.choose(at(0), &want(77), &mut rng), Some(first.clone()));
     for call in 0..3 {
         table.began(at(0), ids::Attempt::new(call), &first, &want(77));
     }
@@ -182,10 +160,7 @@
     let mut table = table(4, target::Config::default());
     table.adopt(&bundle(4), &collections::BTreeSet::from([name(1)]));
     table.leave(&name(2), true);
-    let report = engine::Report {
-        leaving: true,
-        ..engine::Report::default()
-    };
+    let report = engine::Report { leaving: true, ..engine::Report::default() };
     table.report(at(0), &name(3), &report);
     assert_eq!(table.choose(at(0), &want(0), &mut rng()), Some(name(4)));
     assert!(!table.has_room(at(0), "draft", &[name(4)]));
@@ -207,10 +182,7 @@
 fn a_failing_target_is_ejected_and_comes_back_slowly() {
     let mut table = table(2, target::Config::default());
     assert!(!fail(&mut table, at(0), 2));
-    assert!(
-        fail(&mut table, at(0), 1),
-        "the third failure in a row ejects"
-    );
+    assert!(fail(&mut table, at(0), 1), "the third failure in a row ejects");
     assert_eq!(spread(&mut table, at(500), 4)[..2], [0, 4]);
     for call in 0..4 {
         table.ended(at(600), ids::Attempt::new(call), target::Ending::Ok);
@@ -227,15 +199,8 @@
 fn each_ejection_is_longer_while_the_target_goes_on_failing() {
     let mut table = table(2, target::Config::default());
     assert!(fail(&mut table, at(0), 3));
-    assert!(
-        fail(&mut table, at(1_100), 1),
-        "one failure is enough while it comes back"
-    );
-    assert_eq!(
-        spread(&mut table, at(3_000), 4)[0],
-        0,
-        "two seconds this time"
-    );
+    assert!(fail(&mut table, at(1_100), 1), "one failure is enough while it comes back");
+    assert_eq!(spread(&mut table, at(3_000), 4)[0], 0, "two seconds this time");
 }
 
 #[test]
@@ -262,12 +227,6 @@
 fn instances_of_services_are_ready_at_once() {
     let mut table = table(1, target::Config::default());
     let item = route::item::service(&"desk".into());
-    let want = target::Want {
-        item: &item,
-        ..want(0)
-    };
-    assert_eq!(
-        table.choose(at(0), &want, &mut rng()),
-        Some("desk-1".into())
-    );
+    let want = target::Want { item: &item, ..want(0) };
+    assert_eq!(table.choose(at(0), &want, &mut rng()), Some("desk-1".into()));
 }
