--- /dev/null
+++ b/crates/journal/tests/golden.rs
@@ -0,0 +1,198 @@
+//! Golden files: whole sessions of two VMs over one table.
+//!
+//! A line of a session is a comment (`#`), a step (`@MS ...`) or what a VM
+//! puts out after it (indented). With `UPDATE_SESSIONS=1` in the environment
+//! the files are written anew from their steps.
+//!
+//! Steps: `VM begin CALL KEY BODY`, `VM answered CALL TEXT`, `VM lost CALL`,
+//! `VM unsent CALL`, `VM tick`, `VM restart`, and for a transaction of the
+//! table service `VM OP take` (takes effect), `take-lose` (its answer is lost),
+//! `late` (takes effect now, was reported lost before), `lose` (no effect, so
+//! far) and `refuse`.
+
+#[path = "world/memory.rs"]
+mod memory;
+
+use std::{collections, env, fmt::Write as _, fs, path};
+
+use journal::Output;
+use platform::{Fault, Kind, table};
+
+/// Operations are shown without their area.
+const OP_MASK: u64 = (1 << 56) - 1;
+
+struct Session {
+    table: memory::Table,
+    vms: collections::BTreeMap<String, (journal::Journal, u64)>,
+    writes: collections::BTreeMap<(String, u64), (ids::Op, Vec<table::Write>)>,
+    text: String,
+}
+
+fn journal(vm: &str, incarnation: u64) -> journal::Journal {
+    let incarnation = ids::Incarnation::new(incarnation);
+    journal::Journal::new(journal::Config::new(vm.into(), incarnation, 7))
+}
+
+impl Session {
+    fn new() -> Self {
+        let mut session = Self {
+            table: memory::Table::default(),
+            vms: collections::BTreeMap::new(),
+            writes: collections::BTreeMap::new(),
+            text: String::new(),
+        };
+        for vm in ["vm-1", "vm-2"] {
+            session.vms.insert(vm.into(), (journal(vm, 1), 1));
+        }
+        session.tell_members();
+        session
+    }
+
+    fn tell_members(&mut self) {
+        let member = |(vm, (_, incarnation)): (&String, &(_, u64))| {
+            (
+                ids::Vm::from(vm.as_str()),
+                ids::Incarnation::new(*incarnation),
+            )
+        };
+        let members: Vec<_> = self.vms.iter().map(member).collect();
+        for (journal, _) in self.vms.values_mut() {
+            journal.members(&members);
+        }
+    }
+
+    fn step(&mut self, line: &str) {
+        let words: Vec<_> = line.split_whitespace().collect();
+        let [time, vm, rest @ ..] = &*words else {
+            panic!("{line}")
+        };
+        let now = time.strip_prefix('@').unwrap().parse().unwrap();
+        let now = ids::Time::from_millis(now);
+        let mut out = Vec::new();
+        self.act(now, vm, rest, &mut out);
+        for output in out {
+            self.show(vm, output);
+        }
+    }
+
+    fn act(&mut self, now: ids::Time, vm: &str, words: &[&str], out: &mut Vec<Output>) {
+        let (journal, incarnation) = self.vms.get_mut(vm).unwrap();
+        let call = |id: &str| ids::Call::new(id.parse().unwrap());
+        match words {
+            ["begin", id, key, body] => {
+                let call = journal::Call {
+                    call: call(id),
+                    account: "mayors".into(),
+                    route: "desk/bookings".into(),
+                    key: (*key).into(),
+                    digest: ids::Digest::of(body.as_bytes()),
+                };
+                journal.begin(now, call, out);
+            }
+            ["answered", id, text] => {
+                let answer = journal::Answer {
+                    status: 200,
+                    media: "text/plain".into(),
+                    body: text.as_bytes().to_vec().into(),
+                };
+                journal.answered(now, call(id), answer, out);
+            }
+            ["lost", id] => journal.lost(now, call(id), out),
+            ["unsent", id] => journal.unsent(now, call(id), out),
+            ["tick"] => journal.tick(now, out),
+            ["restart"] => {
+                *incarnation += 1;
+                *journal = self::journal(vm, *incarnation);
+                self.tell_members();
+            }
+            [op, fate] => self.transact(now, vm, op.parse().unwrap(), fate, out),
+            _ => panic!("{words:?}"),
+        }
+    }
+
+    fn transact(&mut self, now: ids::Time, vm: &str, op: u64, fate: &str, out: &mut Vec<Output>) {
+        let (op, writes) = &self.writes[&(vm.to_owned(), op)];
+        let fault = |kind| Err(Fault::new("write", "table", kind, "session"));
+        let result = match fate {
+            "take" => Ok(self.table.write(writes)),
+            "take-lose" => {
+                self.table.write(writes);
+                fault(Kind::Unknown)
+            }
+            "late" => {
+                self.table.write(writes);
+                return;
+            }
+            "lose" => fault(Kind::Unknown),
+            "refuse" => fault(Kind::Refused),
+            _ => panic!("{fate}"),
+        };
+        self.vms.get_mut(vm).unwrap().0.table(now, *op, result, out);
+    }
+
+    fn show(&mut self, vm: &str, output: Output) {
+        let line = match output {
+            Output::Table { op, request } => {
+                let table::Request::Write { writes } = request else {
+                    panic!("only writes")
+                };
+                let short = op.get() & OP_MASK;
+                let shown: Vec<_> = writes.iter().map(show_write).collect();
+                self.writes.insert((vm.to_owned(), short), (op, writes));
+                format!("write {short}: {}", shown.join(", "))
+            }
+            Output::Send { call } => format!("send {call}"),
+            Output::Replay { call, answer } => format!("replay {call} {:?}", answer.body),
+            Output::Refuse { call, reason } => format!("refuse {call}: {reason}"),
+            Output::Stored { call, durable } => format!("stored {call} durable {durable}"),
+            Output::Released { call } => format!("released {call}"),
+        };
+        writeln!(self.text, "  {vm} {line}").unwrap();
+    }
+}
+
+fn show_write(write: &table::Write) -> String {
+    let row = journal::row::Row::parse(write.value.as_ref().unwrap()).unwrap();
+    let over = write
+        .expect
+        .map_or("none".into(), |version| version.to_string());
+    let key = &write.key[..journal::row::PREFIX.len() + 4];
+    let state = match row.state {
+        journal::row::State::Answered(answer) => format!("answered {:?}", answer.body),
+        state => format!("{state:?}").to_lowercase(),
+    };
+    format!("{key} {state} over {over}")
+}
+
+fn replay(text: &str) -> String {
+    let mut session = Session::new();
+    for line in text.lines() {
+        if line.starts_with("  ") {
+            continue;
+        }
+        session.text.push_str(line);
+        session.text.push('\n');
+        if line.starts_with('@') {
+            session.step(line);
+        }
+    }
+    session.text
+}
+
+#[test]
+fn sessions() {
+    let directory = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/sessions");
+    let mut count = 0;
+    for file in fs::read_dir(directory).unwrap() {
+        let file = file.unwrap().path();
+        let text = fs::read_to_string(&file).unwrap();
+        let replayed = replay(&text);
+        if env::var_os("UPDATE_SESSIONS").is_some() {
+            fs::write(&file, &replayed).unwrap();
+        } else {
+            assert_eq!(replayed, text, "{}", file.display());
+        }
+        count += 1;
+    }
+    assert_eq!(count, 6);
+}
--- /dev/null
+++ b/crates/journal/tests/limits.rs
@@ -0,0 +1,139 @@
+//! Groups, bounds and rows that can't be read.
+
+use std::sync;
+
+use journal::{Output, Reason, config, row};
+use platform::table;
+
+const NOW: ids::Time = ids::Time::from_millis(1_000);
+
+/// Seed of the random texts.
+const SEED: u64 = 0x726f_7773;
+
+fn config() -> journal::Config {
+    journal::Config::new("vm-1".into(), ids::Incarnation::new(1), 7)
+}
+
+fn begin(journal: &mut journal::Journal, id: u64, out: &mut Vec<Output>) {
+    let call = journal::Call {
+        call: ids::Call::new(id),
+        account: "mayors".into(),
+        route: "desk/bookings".into(),
+        key: format!("order-{id}").into(),
+        digest: ids::Digest::of(b"request"),
+    };
+    journal.begin(NOW, call, out);
+}
+
+fn writes(out: &[Output]) -> Vec<(ids::Op, usize)> {
+    let size = |output: &Output| match output {
+        Output::Table {
+            op,
+            request: table::Request::Write { writes },
+        } => Some((*op, writes.len())),
+        _ => None,
+    };
+    out.iter().filter_map(size).collect()
+}
+
+#[test]
+fn a_full_group_does_not_wait_for_a_tick() {
+    let mut journal = journal::Journal::new(config());
+    let mut out = Vec::new();
+    for id in 0..config::GROUP_CLAIMS as u64 {
+        assert_eq!(writes(&out), []);
+        begin(&mut journal, id, &mut out);
+    }
+    assert_eq!(writes(&out)[0].1, config::GROUP_CLAIMS);
+}
+
+#[test]
+fn a_large_answer_travels_alone() {
+    let mut journal = journal::Journal::new(config());
+    let mut out = Vec::new();
+    for id in 0..2 {
+        begin(&mut journal, id, &mut out);
+    }
+    journal.tick(NOW, &mut out);
+    let op = writes(&out)[0].0;
+    journal.table(NOW, op, Ok(table::Answer::Written), &mut out);
+    out.clear();
+    for id in 0..2 {
+        let answer = journal::Answer {
+            status: 200,
+            media: "text/plain".into(),
+            body: vec![b'x'; config::GROUP_BYTES].into(),
+        };
+        journal.answered(NOW, ids::Call::new(id), answer, &mut out);
+    }
+    journal.tick(NOW, &mut out);
+    let sizes: Vec<_> = writes(&out).iter().map(|(_, size)| *size).collect();
+    assert_eq!(sizes, [1, 1]);
+}
+
+#[test]
+fn claims_in_memory_are_bounded() {
+    let mut journal = journal::Journal::new(config().with_most_claims(2));
+    let mut out = Vec::new();
+    for id in 0..3 {
+        begin(&mut journal, id, &mut out);
+    }
+    let call = ids::Call::new(2);
+    let reason = Reason::Unavailable;
+    assert_eq!(out, [Output::Refuse { call, reason }]);
+}
+
+#[test]
+fn a_row_that_can_not_be_read_is_of_unknown_outcome() {
+    println!("seed {SEED:#x}");
+    let property = |noise: String, cut: usize| {
+        let whole = row::Row {
+            account: "mayors".into(),
+            route: "desk/bookings".into(),
+            digest: ids::Digest::of(b"request"),
+            vm: "vm-2".into(),
+            incarnation: ids::Incarnation::new(1),
+            nonce: "n".into(),
+            state: row::State::Claimed,
+        };
+        let mut text = whole.to_json().to_string();
+        text.truncate(cut % text.len());
+        for value in [noise, text] {
+            assert_eq!(row::Row::parse(&value), None);
+            assert_eq!(refusal(&value), Reason::Unknown);
+        }
+    };
+    let generator = quickcheck::Gen::from_size_and_seed(100, SEED);
+    quickcheck::QuickCheck::new()
+        .rng(generator)
+        .quickcheck(property as fn(String, usize));
+}
+
+/// Why a claim is refused that finds a row with this text.
+fn refusal(value: &str) -> Reason {
+    let mut journal = journal::Journal::new(config());
+    let mut out = Vec::new();
+    begin(&mut journal, 1, &mut out);
+    journal.tick(NOW, &mut out);
+    let Some(Output::Table {
+        op,
+        request: table::Request::Write { writes },
+    }) = out.pop()
+    else {
+        panic!("a claim is to be written")
+    };
+    let row = table::Row {
+        key: sync::Arc::clone(&writes[0].key),
+        version: ids::Version::new(1),
+        value: value.into(),
+    };
+    let rows = vec![table::Conflict {
+        key: sync::Arc::clone(&writes[0].key),
+        row: Some(row),
+    }];
+    journal.table(NOW, op, Ok(table::Answer::Conflict { rows }), &mut out);
+    match out.pop() {
+        Some(Output::Refuse { reason, .. }) => reason,
+        other => panic!("{other:?}"),
+    }
+}
--- a/crates/journal/tests/world/mod.rs
+++ b/crates/journal/tests/world/mod.rs
@@ -1,9 +1,11 @@
 //! Two VMs over one table in memory, a counting service and callers who ask
 //! again, with a fault or none at every step as the schedule says.
 
-use std::{collections, fmt, sync, time};
+mod memory;
 
-use journal::{Output, Reason, row};
+use std::{collections, fmt, time};
+
+use journal::{Output, Reason};
 use platform::{Fault, Kind, table};
 
 /// Virtual time between ticks.
@@ -47,7 +49,7 @@
     schedule: S,
     calm: bool,
     now: ids::Time,
-    rows: collections::BTreeMap<sync::Arc<str>, (ids::Version, sync::Arc<str>)>,
+    table: memory::Table,
     late: Vec<(usize, Vec<table::Write>)>,
     outage_until: ids::Time,
     vms: Vec<(journal::Journal, ids::Incarnation)>,
@@ -78,7 +80,7 @@
             schedule,
             calm: false,
             now: ids::Time::from_millis(1_000),
-            rows: collections::BTreeMap::new(),
+            table: memory::Table::default(),
             late: Vec::new(),
             outage_until: ids::Time::default(),
             vms: (0..2).map(|vm| (journal(vm, first), first)).collect(),
@@ -227,13 +229,13 @@
         let unknown = Err(fault(Kind::Unknown));
         match self.choose(10) {
             0 => {
-                let answer = self.write(&writes);
+                let answer = self.table.write(&writes);
                 self.answer(vm, op, Ok(answer));
             }
             1 => self.answer(vm, op, Err(fault(Kind::Refused))),
             2 => self.answer(vm, op, unknown),
             3 => {
-                self.write(&writes);
+                self.table.write(&writes);
                 self.answer(vm, op, unknown);
             }
             // Takes effect late: after one, two or three more steps.
@@ -248,12 +250,12 @@
                 self.answer(vm, op, unknown);
             }
             7 => {
-                self.write(&writes);
+                self.table.write(&writes);
                 self.outage_until = self.now + OUTAGE;
             }
             8 => self.crash(vm),
             _ => {
-                self.write(&writes);
+                self.table.write(&writes);
                 self.crash(vm);
             }
         }
@@ -332,39 +334,8 @@
             !due
         });
         for writes in landing {
-            self.write(&writes);
-        }
-    }
-
-    fn write(&mut self, writes: &[table::Write]) -> table::Answer {
-        let row = |key: &sync::Arc<str>| {
-            let (version, value) = self.rows.get(key)?.clone();
-            Some(table::Row {
-                key: sync::Arc::clone(key),
-                version,
-                value,
-            })
-        };
-        let conflict = |write: &table::Write| {
-            let row = row(&write.key);
-            let fits = row.as_ref().map(|row| row.version) == write.expect;
-            (!fits).then(|| table::Conflict {
-                key: sync::Arc::clone(&write.key),
-                row,
-            })
-        };
-        let rows: Vec<_> = writes.iter().filter_map(conflict).collect();
-        if !rows.is_empty() {
-            return table::Answer::Conflict { rows };
-        }
-        for write in writes {
-            let value = write.value.clone().expect("rows are never deleted");
-            assert!(row::Row::parse(&value).is_some());
-            let version = write.expect.unwrap_or_default().next();
-            self.rows
-                .insert(sync::Arc::clone(&write.key), (version, value));
+            self.table.write(&writes);
         }
-        table::Answer::Written
     }
 }
 
