--- a/crates/daemon/src/caller/problem.rs
+++ b/crates/daemon/src/caller/problem.rs
@@ -54,7 +54,8 @@
 }
 
 /// {code}: {message}
-#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub struct Problem {
     /// Stable code.
     pub code: Code,
--- a/crates/daemon/src/caller/reply.rs
+++ b/crates/daemon/src/caller/reply.rs
@@ -24,7 +24,8 @@
 const REPLAYED: &str = "idempotent-replayed";
 
 /// The body of an error response.
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct Failure<'a> {
     code: String,
     message: &'a str,
--- a/crates/daemon/src/client/event_stream.rs
+++ b/crates/daemon/src/client/event_stream.rs
@@ -9,7 +9,8 @@
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
 /// Why a stream is no stream of events.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub enum Error {
     /// an event is larger than the limit
     Size,
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -4,7 +4,8 @@
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
 /// What kind of failure it was.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub enum Kind {
     /// wrong settings
     Settings,
@@ -13,7 +14,8 @@
 }
 
 /// {kind}: {step} of {peer}: {reason}
-#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub struct Error {
     kind: Kind,
     step: &'static str,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -12,7 +12,8 @@
 ///
 /// Prints one line of JSON with its addresses when it listens. SIGTERM stops
 /// it gracefully: every open call is finished first.
-#[derive(Debug, clap::Parser)]
+#[derive(Debug)]
+#[derive(clap::Parser)]
 #[command(version)]
 struct Arguments {
     /// The VM's settings, a YAML file.
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -12,7 +12,8 @@
 const PROBE: time::Duration = time::Duration::from_secs(20);
 
 /// The line that tells, once, where the process listens.
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct Listening<'a> {
     process: &'static str,
     vm: &'a str,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -11,7 +11,8 @@
 const CREDENTIAL_BYTES: std::ops::RangeInclusive<usize> = 16..=256;
 
 /// The settings of a VM.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of the VM.
@@ -41,7 +42,8 @@
 }
 
 /// A face that needs no credential of its own.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Face {
     /// IP number and port; port 0 takes a free one.
@@ -49,7 +51,8 @@
 }
 
 /// A face with a credential.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct GuardedFace {
     /// IP number and port; port 0 takes a free one.
@@ -59,7 +62,8 @@
 }
 
 /// Addresses of the platform's parts.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Platform {
     /// The table service.
@@ -71,7 +75,8 @@
 }
 
 /// What is logged, and how.
-#[derive(Clone, Debug, Default, serde::Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Log {
     /// Form of a line.
@@ -81,7 +86,8 @@
 }
 
 /// Form of a log line.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Format {
     /// Text for people.
@@ -92,7 +98,8 @@
 }
 
 /// Level of a log line.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Level {
     /// Failures that need a person.
@@ -107,7 +114,8 @@
 }
 
 /// Limits on sizes, counts and time.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
     /// Largest body of a call, in bytes.
@@ -162,7 +170,8 @@
 }
 
 /// How the VM stops.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Stop {
     /// Time for the balancer to see that the VM is not ready, in ms.
@@ -176,7 +185,8 @@
 }
 
 /// A number from `MIN` to `MAX`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
 #[serde(try_from = "u64")]
 pub struct Bounded<const MIN: u64, const MAX: u64>(u64);
 
@@ -212,7 +222,8 @@
 }
 
 /// A name: 1 to 64 letters, digits, `-`, `_` and `.`.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
 #[serde(try_from = "String")]
 pub struct Name(sync::Arc<str>);
 
@@ -243,7 +254,8 @@
 }
 
 /// A credential, which never shows in logs and dumps.
-#[derive(Clone, PartialEq, Eq, serde::Deserialize)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
 #[serde(try_from = "String")]
 pub struct Credential(sync::Arc<str>);
 
--- a/crates/standin/src/cache.rs
+++ b/crates/standin/src/cache.rs
@@ -10,7 +10,8 @@
 pub const BLOCK_TOKENS: usize = 16;
 
 /// What happened to a block.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Change {
     /// The block is cached.
@@ -20,7 +21,8 @@
 }
 
 /// A change as a runner publishes it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Event {
     /// Number of the event; numbers may be left out.
     pub seq: u64,
@@ -69,9 +71,7 @@
     /// Number of tokens at the beginning of a prompt of `blocks` that are cached.
     #[must_use]
     pub fn cached_tokens(&self, blocks: &[u64]) -> usize {
-        let cached = blocks
-            .iter()
-            .take_while(|block| self.by_block.contains_key(block));
+        let cached = blocks.iter().take_while(|block| self.by_block.contains_key(block));
         cached.count() * BLOCK_TOKENS
     }
 
--- a/crates/standin/src/call.rs
+++ b/crates/standin/src/call.rs
@@ -13,7 +13,8 @@
 const CONNECTION_HEADERS: [&str; 4] = ["connection", "content-length", "date", "transfer-encoding"];
 
 /// What to send.
-#[derive(Clone, Debug, clap::Args)]
+#[derive(Clone, Debug)]
+#[derive(clap::Args)]
 pub struct Config {
     /// Address to send to.
     pub address: net::SocketAddr,
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -97,11 +97,7 @@
         let (parts, body) = response.into_parts();
         let body = body.collect().await;
         let body = body.map_err(|error| Error::new("read answer", address, error))?;
-        Ok(Answer {
-            status: parts.status,
-            headers: parts.headers,
-            body: body.to_bytes(),
-        })
+        Ok(Answer { status: parts.status, headers: parts.headers, body: body.to_bytes() })
     }
 
     /// Sends `request` and leaves the body of the answer to be read part by part.
--- a/crates/standin/src/error.rs
+++ b/crates/standin/src/error.rs
@@ -6,7 +6,8 @@
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
 /// {step} at {peer}: {reason}
-#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub struct Error {
     step: &'static str,
     peer: String,
@@ -22,11 +23,7 @@
         peer: impl fmt::Display,
         reason: impl fmt::Display,
     ) -> Self {
-        Self {
-            step,
-            peer: peer.to_string(),
-            reason: reason.to_string(),
-        }
+        Self { step, peer: peer.to_string(), reason: reason.to_string() }
     }
 
     /// The step that failed.
--- a/crates/standin/src/face.rs
+++ b/crates/standin/src/face.rs
@@ -69,11 +69,7 @@
     /// An answer without a body.
     #[must_use]
     pub fn empty(status: http::StatusCode) -> Self {
-        Self {
-            status,
-            headers: http::HeaderMap::new(),
-            body: Body::Whole(bytes::Bytes::new()),
-        }
+        Self { status, headers: http::HeaderMap::new(), body: Body::Whole(bytes::Bytes::new()) }
     }
 
     /// A JSON answer.
@@ -137,10 +133,7 @@
 
 impl From<Reply> for Answer {
     fn from(reply: Reply) -> Self {
-        Self {
-            reply,
-            break_after: None,
-        }
+        Self { reply, break_after: None }
     }
 }
 
@@ -193,12 +186,7 @@
                 tracing::error!(%address, %error, "server failed");
             }
         });
-        Ok(Self {
-            address,
-            open,
-            stopper: Stopper(Box::new(move || handle.stop(false))),
-            thread,
-        })
+        Ok(Self { address, open, stopper: Stopper(Box::new(move || handle.stop(false))), thread })
     }
 
     /// The address that it listens on.
@@ -302,7 +290,8 @@
 }
 
 /// the stream was cut on request
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
 struct Broken;
 
 impl std::error::Error for Broken {}
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -8,11 +8,9 @@
 use crate::face;
 
 /// What happens to requests under a path.
-#[expect(
-    clippy::struct_excessive_bools,
-    reason = "each is an independent switch of the JSON form"
-)]
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[expect(clippy::struct_excessive_bools, reason = "each is an independent switch of the JSON form")]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Rule {
     /// What the path begins with.
@@ -41,10 +39,7 @@
     /// A rule without effect for paths that begin with `path`.
     #[must_use]
     pub fn new(path: &str) -> Self {
-        Self {
-            path: path.to_owned(),
-            ..Self::default()
-        }
+        Self { path: path.to_owned(), ..Self::default() }
     }
 
     /// The wait before the request takes effect.
--- a/crates/standin/src/ledger.rs
+++ b/crates/standin/src/ledger.rs
@@ -5,7 +5,8 @@
 use crate::face;
 
 /// One call that a target has begun.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Call {
     /// The header that names the attempt.
     pub attempt: Option<String>,
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -8,7 +8,8 @@
 static GLOBAL: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
 /// Stand-ins for the platform and the targets.
-#[derive(Debug, clap::Parser)]
+#[derive(Debug)]
+#[derive(clap::Parser)]
 #[command(version)]
 enum Command {
     /// The transactional table service.
@@ -29,7 +30,8 @@
     Call(standin::call::Config),
 }
 
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 struct Control {
     /// The control address.
     address: net::SocketAddr,
--- a/crates/standin/src/object.rs
+++ b/crates/standin/src/object.rs
@@ -8,7 +8,8 @@
 use crate::{Result, count, face, process};
 
 /// Settings of an object store.
-#[derive(Clone, Debug, Default, clap::Args)]
+#[derive(Clone, Debug, Default)]
+#[derive(clap::Args)]
 pub struct Config {
     /// Addresses to listen on.
     #[command(flatten)]
@@ -71,9 +72,7 @@
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, collections::BTreeMap<ids::Digest, bytes::Bytes>> {
-        self.objects
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        self.objects.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
 
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -12,7 +12,8 @@
 const STOP_PATIENCE: time::Duration = time::Duration::from_mins(5);
 
 /// Addresses of a stand-in.
-#[derive(Clone, Copy, Debug, clap::Args)]
+#[derive(Clone, Copy, Debug)]
+#[derive(clap::Args)]
 pub struct Addresses {
     /// Address to answer on; port 0 takes a free one.
     #[arg(long, default_value_t = LOOPBACK)]
@@ -30,11 +31,7 @@
 
 impl Default for Addresses {
     fn default() -> Self {
-        Self {
-            address: LOOPBACK,
-            control: LOOPBACK,
-            threads: 2,
-        }
+        Self { address: LOOPBACK, control: LOOPBACK, threads: 2 }
     }
 }
 
@@ -59,7 +56,8 @@
 }
 
 /// The line that a stand-in prints when it listens.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Banner {
     /// Always `standin`.
     pub process: String,
@@ -105,20 +103,12 @@
             faults: sync::Arc::clone(&faults),
             counts: sync::Arc::clone(counts),
         };
-        let control = Control {
-            role: sync::Arc::clone(role),
-            faults,
-            counts: sync::Arc::clone(counts),
-        };
+        let control =
+            Control { role: sync::Arc::clone(role), faults, counts: sync::Arc::clone(counts) };
         let main = face::Face::listen(addresses.address, addresses.threads, sync::Arc::new(main))?;
         let control = face::Face::listen(addresses.control, 1, sync::Arc::new(control))?;
         let leaver = sync::Arc::clone(role);
-        Ok(Self {
-            role: R::NAME,
-            main,
-            control,
-            leave: Leave(Box::new(move || leaver.leave())),
-        })
+        Ok(Self { role: R::NAME, main, control, leave: Leave(Box::new(move || leaver.leave())) })
     }
 
     /// The address that it answers on.
@@ -181,10 +171,7 @@
         if rule.lose_answer {
             return Err(face::Closed);
         }
-        Ok(face::Answer {
-            reply,
-            break_after: rule.break_after,
-        })
+        Ok(face::Answer { reply, break_after: rule.break_after })
     }
 }
 
--- a/crates/standin/src/runner/config.rs
+++ b/crates/standin/src/runner/config.rs
@@ -5,7 +5,8 @@
 use crate::{Error, batch, process};
 
 /// Settings of a model engine.
-#[derive(Clone, Debug, clap::Args)]
+#[derive(Clone, Debug)]
+#[derive(clap::Args)]
 pub struct Config {
     /// Addresses to listen on.
     #[command(flatten)]
@@ -68,11 +69,7 @@
     /// The settings with one more item held from the start.
     #[must_use]
     pub fn with_resident(mut self, item: &str, version: &str, memory_mib: u64) -> Self {
-        self.residents.push(Resident {
-            item: item.into(),
-            version: version.into(),
-            memory_mib,
-        });
+        self.residents.push(Resident { item: item.into(), version: version.into(), memory_mib });
         self
     }
 
--- a/crates/standin/src/runner/memory.rs
+++ b/crates/standin/src/runner/memory.rs
@@ -5,7 +5,8 @@
 use engine::report;
 
 /// Answer to `GET /memory` on the control address.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Memory {
     /// Memory in all, in MiB.
     pub memory_mib: u64,
@@ -26,10 +27,7 @@
 
 impl Item {
     pub(super) fn new(name: &str, version: &str) -> Self {
-        Self {
-            name: name.into(),
-            version: version.into(),
-        }
+        Self { name: name.into(), version: version.into() }
     }
 }
 
@@ -45,12 +43,7 @@
 
 impl Holdings {
     pub(super) const fn new(memory_mib: u64) -> Self {
-        Self {
-            memory_mib,
-            highest_mib: 0,
-            residents: Vec::new(),
-            arriving: Vec::new(),
-        }
+        Self { memory_mib, highest_mib: 0, residents: Vec::new(), arriving: Vec::new() }
     }
 
     pub(super) fn gauge(&self) -> Memory {
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -36,7 +36,8 @@
 const IDLE_WAIT: time::Duration = time::Duration::from_millis(250);
 
 /// Body of `PUT /leaving` on the control address.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Leaving {
     /// Whether the engine wants no new calls.
     pub leaving: bool,
@@ -149,9 +150,7 @@
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, state::State> {
-        self.state
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
 
--- a/crates/standin/src/runner/sse.rs
+++ b/crates/standin/src/runner/sse.rs
@@ -1,10 +1,8 @@
 //! Answers in the `OpenAI` shape, whole and as server-sent events.
 
-#[expect(
-    clippy::struct_field_names,
-    reason = "the names are those of the `OpenAI` shape"
-)]
-#[derive(Clone, Copy, Debug, serde::Serialize)]
+#[expect(clippy::struct_field_names, reason = "the names are those of the `OpenAI` shape")]
+#[derive(Clone, Copy, Debug)]
+#[derive(serde::Serialize)]
 pub(super) struct Usage {
     prompt_tokens: u64,
     completion_tokens: u64,
@@ -13,15 +11,12 @@
 
 impl Usage {
     pub(super) const fn new(prompt_tokens: u64, completion_tokens: u64) -> Self {
-        Self {
-            prompt_tokens,
-            completion_tokens,
-            total_tokens: prompt_tokens + completion_tokens,
-        }
+        Self { prompt_tokens, completion_tokens, total_tokens: prompt_tokens + completion_tokens }
     }
 }
 
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct Chunk<'a> {
     id: &'a str,
     object: &'static str,
@@ -33,20 +28,23 @@
     usage: Option<Usage>,
 }
 
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct ChunkChoice<'a> {
     index: u32,
     delta: Delta<'a>,
     finish_reason: Option<&'static str>,
 }
 
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct Delta<'a> {
     #[serde(skip_serializing_if = "Option::is_none")]
     content: Option<&'a str>,
 }
 
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 pub(super) struct Completion<'a> {
     id: &'a str,
     object: &'static str,
@@ -57,14 +55,16 @@
     usage: Usage,
 }
 
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct Choice<'a> {
     index: u32,
     message: Message<'a>,
     finish_reason: &'static str,
 }
 
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct Message<'a> {
     role: &'static str,
     content: &'a str,
@@ -107,11 +107,7 @@
         created: 0,
         model: source.model,
         system_fingerprint: source.version,
-        choices: [ChunkChoice {
-            index: 0,
-            delta: Delta { content },
-            finish_reason,
-        }],
+        choices: [ChunkChoice { index: 0, delta: Delta { content }, finish_reason }],
         usage,
     };
     serde_json::to_string(&chunk).unwrap_or_default()
@@ -131,10 +127,7 @@
         system_fingerprint: source.version,
         choices: [Choice {
             index: 0,
-            message: Message {
-                role: "assistant",
-                content,
-            },
+            message: Message { role: "assistant", content },
             finish_reason: REASON,
         }],
         usage,
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -9,7 +9,8 @@
 use crate::{Result, count, face, ledger, process};
 
 /// Settings of a plain service.
-#[derive(Clone, Debug, clap::Args)]
+#[derive(Clone, Debug)]
+#[derive(clap::Args)]
 pub struct Config {
     /// Addresses to listen on.
     #[command(flatten)]
@@ -21,10 +22,7 @@
 
 impl Default for Config {
     fn default() -> Self {
-        Self {
-            addresses: process::Addresses::default(),
-            name: "desk-1".to_owned(),
-        }
+        Self { addresses: process::Addresses::default(), name: "desk-1".to_owned() }
     }
 }
 
--- a/crates/standin/src/weight.rs
+++ b/crates/standin/src/weight.rs
@@ -19,7 +19,8 @@
 const ADAPTER_SECONDS_PER_MIB: f64 = 0.000_1;
 
 /// Settings of a weight store.
-#[derive(Clone, Debug, clap::Args)]
+#[derive(Clone, Debug)]
+#[derive(clap::Args)]
 pub struct Config {
     /// Addresses to listen on.
     #[command(flatten)]
@@ -51,7 +52,8 @@
 }
 
 /// A load that is asked for.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Load {
     /// `MODEL` or `MODEL:ADAPTER`.
     pub item: sync::Arc<str>,
@@ -133,10 +135,7 @@
 
     /// The moment at which the next load of a model may begin.
     fn begin(&self) -> tokio::time::Instant {
-        let mut next = self
-            .next_begin
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
+        let mut next = self.next_begin.lock().unwrap_or_else(sync::PoisonError::into_inner);
         let begin = tokio::time::Instant::now().max(*next);
         *next = begin + time::Duration::from_secs_f64(1.0 / self.config.loads_per_second);
         begin
