node: withdrawn keys in the queue and on resume, unanswered fetches, pauses

A call is sent only if the VM may serve for ACT_WITHIN more, and a shell that was paused for longer drops what was decided before. What becomes of open drafts under a withdrawn key is a limit in the bundle; they are completed unless it says cut. The test of the frozen node was red without the second look at freshness: the call was sent from the decision made before the pause.

--- a/crates/bundle/src/format.rs
+++ b/crates/bundle/src/format.rs
@@ -178,6 +178,18 @@
     pub adapters_at_once: u32,
 }
 
+/// What becomes of drafts that are being streamed when their key is withdrawn.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Withdrawal {
+    /// They are completed; nothing new begins.
+    #[default]
+    Finish,
+    /// They end with an error.
+    Cut,
+}
+
 /// Limits on calls.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -191,11 +203,19 @@
     pub max_tokens: u64,
     /// Calls that a VM has open at one runner at most, for each accelerator.
     pub calls_per_accelerator: u32,
+    /// What becomes of open drafts when their key is withdrawn.
+    pub withdrawal: Withdrawal,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { queue_ms: 10_000, queue_calls: 2_000, max_tokens: 512, calls_per_accelerator: 16 }
+        Self {
+            queue_ms: 10_000,
+            queue_calls: 2_000,
+            max_tokens: 512,
+            calls_per_accelerator: 16,
+            withdrawal: Withdrawal::Finish,
+        }
     }
 }
 
--- a/crates/daemon/src/effect.rs
+++ b/crates/daemon/src/effect.rs
@@ -12,9 +12,6 @@
     clock, inbox, metric, operator, peer, ready, settings,
 };
 
-/// Longest time between a decision and the act. A process that was paused for
-/// longer leaves the act undone, for what it knew may not hold any more.
-const ACT_WITHIN: time::Duration = time::Duration::from_secs(1);
 /// Most events of an attempt that wait for the core.
 const ATTEMPT_EVENTS: usize = 64;
 
@@ -319,7 +316,7 @@
 
 /// Whether the process was paused since `decided`.
 fn paused(decided: ids::Time) -> bool {
-    let late = clock::now().since(decided) > ACT_WITHIN;
+    let late = clock::now().since(decided) > node::ACT_WITHIN;
     if late {
         metrics::counter!(metric::PAUSED).increment(1);
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -34,4 +34,4 @@
 pub use config::Config;
 pub use input::Input;
 pub use node::Node;
-pub use output::{Begin, Output};
+pub use output::{ACT_WITHIN, Begin, Output};
--- a/crates/node/src/output.rs
+++ b/crates/node/src/output.rs
@@ -1,6 +1,12 @@
 //! What the decision core tells the shell to do.
 
-use std::sync;
+use std::{sync, time};
+
+/// Longest time between a decision and the act that follows from it.
+///
+/// The core decides to send a call only if the VM may serve for at least this
+/// long. A shell that was paused for longer drops what was decided before.
+pub const ACT_WITHIN: time::Duration = time::Duration::from_millis(500);
 
 /// What the shell is to do.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/node/src/system/attempt.rs
+++ b/crates/node/src/system/attempt.rs
@@ -200,7 +200,8 @@
     }
 }
 
-fn abort(node: &mut Node, now: ids::Time, call: ids::Call, out: &mut Vec<Output>) {
+/// Drops the attempt of a call, if it has one.
+pub fn abort(node: &mut Node, now: ids::Time, call: ids::Call, out: &mut Vec<Output>) {
     let Some(row) = node.calls.rows.get(&call) else {
         return;
     };
--- a/crates/node/src/system/dispatch.rs
+++ b/crates/node/src/system/dispatch.rs
@@ -6,7 +6,7 @@
 use rand::Rng as _;
 use route::{queue, retry, target};
 
-use crate::{Begin, Config, Node, Output, call, calls, count, system};
+use crate::{ACT_WITHIN, Begin, Config, Node, Output, call, calls, count, system};
 
 /// Longest wait that a caller is told when the VM is overloaded.
 const OVERLOAD_WAIT: time::Duration = time::Duration::from_secs(2);
@@ -143,7 +143,7 @@
 ///
 /// The process may have been stopped in between, and the key withdrawn.
 fn may_go_on(node: &Node, now: ids::Time, call: ids::Call) -> Result<(), (call::Code, String)> {
-    node.serves(now).map_err(|reason| (call::Code::Fenced, reason))?;
+    node.serves(now + ACT_WITHIN).map_err(|reason| (call::Code::Fenced, reason))?;
     let Some(row) = node.calls.rows.get(&call) else {
         return Ok(());
     };
--- a/crates/node/src/system/force.rs
+++ b/crates/node/src/system/force.rs
@@ -1,6 +1,6 @@
 //! Putting what the head names in force.
 
-use std::{collections, sync};
+use std::{collections, sync, time};
 
 use platform::object;
 
@@ -11,12 +11,21 @@
 pub struct Fetch {
     head: Option<member::Head>,
     texts: collections::BTreeMap<ids::Digest, sync::Arc<str>>,
-    asked: collections::BTreeMap<ids::Op, ids::Digest>,
+    asked: collections::BTreeMap<ids::Op, Asked>,
     retry_at: Option<ids::Time>,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    digest: ids::Digest,
+    at: ids::Time,
+}
+
 /// How long a failed fetch waits before it is tried again.
-const RETRY_AFTER: std::time::Duration = std::time::Duration::from_millis(200);
+const RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
+
+/// How long an answer is waited for before the object is asked for again.
+const ANSWER_WITHIN: time::Duration = time::Duration::from_secs(1);
 
 /// Begins to put `head` in force.
 pub fn adopt(node: &mut Node, now: ids::Time, head: member::Head, out: &mut Vec<Output>) {
@@ -44,12 +53,13 @@
     result: &platform::Result<object::Answer>,
     out: &mut Vec<Output>,
 ) -> bool {
-    let Some(digest) = node.fetch.asked.remove(&op) else {
+    let Some(asked) = node.fetch.asked.remove(&op) else {
         return false;
     };
+    let is_asked = |text: &str| ids::Digest::of(text.as_bytes()) == asked.digest;
     match result {
-        Ok(object::Answer::Object(Some(text))) if ids::Digest::of(text.as_bytes()) == digest => {
-            node.fetch.texts.insert(digest, sync::Arc::clone(text));
+        Ok(object::Answer::Object(Some(text))) if is_asked(text) => {
+            node.fetch.texts.insert(asked.digest, sync::Arc::clone(text));
             pursue(node, now, out);
         }
         _ => node.fetch.retry_at = Some(now + RETRY_AFTER),
@@ -57,9 +67,12 @@
     true
 }
 
-/// Tries a failed fetch again.
+/// Tries a failed or unanswered fetch again.
 pub fn tick(node: &mut Node, now: ids::Time, out: &mut Vec<Output>) {
-    if node.fetch.retry_at.is_some_and(|at| at <= now) {
+    let before = node.fetch.asked.len();
+    node.fetch.asked.retain(|_, asked| now.since(asked.at) < ANSWER_WITHIN);
+    let is_unanswered = node.fetch.asked.len() < before;
+    if is_unanswered || node.fetch.retry_at.is_some_and(|at| at <= now) {
         node.fetch.retry_at = None;
         pursue(node, now, out);
     }
@@ -77,19 +90,19 @@
         .filter(|digest| !node.fetch.texts.contains_key(digest))
         .collect();
     for digest in &missing {
-        ask(node, *digest, out);
+        ask(node, now, *digest, out);
     }
     if missing.is_empty() {
         put(node, now, &head, out);
     }
 }
 
-fn ask(node: &mut Node, digest: ids::Digest, out: &mut Vec<Output>) {
-    if node.fetch.asked.values().any(|asked| *asked == digest) {
+fn ask(node: &mut Node, now: ids::Time, digest: ids::Digest, out: &mut Vec<Output>) {
+    if node.fetch.asked.values().any(|asked| asked.digest == digest) {
         return;
     }
     let op = node.next_op();
-    node.fetch.asked.insert(op, digest);
+    node.fetch.asked.insert(op, Asked { digest, at: now });
     out.push(Output::Object { op, request: object::Request::Get { digest } });
 }
 
@@ -103,6 +116,7 @@
             system::dispatch::adopt(node);
             system::plan::adopt(node, now, head);
             system::claim::adopt(node, head);
+            system::withdraw::apply(node, now, out);
             system::member::adopted(node, now, head.version, out);
         }
         Err(reason) => {
--- a/crates/node/src/system/mod.rs
+++ b/crates/node/src/system/mod.rs
@@ -12,3 +12,4 @@
 pub mod quota;
 pub mod report;
 pub mod stop;
+pub mod withdraw;
--- a/crates/node/tests/calls.rs
+++ b/crates/node/tests/calls.rs
@@ -200,3 +200,45 @@
     world.run(world.now + 10_000);
     assert!(is_stopped(&world));
 }
+
+#[test]
+fn a_withdrawn_key_is_refused_in_the_queue_and_on_resume() {
+    let mut world = World::ready();
+    let open = world.arrive("mayors", chat(2));
+    let begin = world.begun()[0].clone();
+    world.event(begin.attempt, engine::Event::Accepted);
+    // The runners are full, so this call waits.
+    let others: Vec<_> = (0..40).map(|_| world.arrive("hosts", chat(1))).collect();
+    let waiting = world.arrive("mayors", chat(1));
+    assert!(!world.begun().iter().any(|begin| begin.call == waiting));
+    let change = bundle::amend::Change::Withdraw("mayors".into());
+    let request = node::operator::Request::Amend(change);
+    world.input(Input::Operator { op: ids::Op::new(9), request });
+    world.run(world.now + 500);
+    let refused = Some((call::Code::InvalidKey, call::Outcome::NotRun));
+    assert_eq!(world.failure(waiting), refused);
+    let resume = call::Resume { stream: "vm-1.1.1".into(), from: 0, text: "".into() };
+    let back = world.arrive_as("mayors", chat(2), |arrival| arrival.resume = Some(resume));
+    assert_eq!(world.failure(back), refused);
+    assert_eq!(world.ending(others[0]), None);
+    // The bundle says that open drafts are completed.
+    world.chunk(begin.attempt, 0);
+    world.chunk(begin.attempt, 1);
+    world.done(begin.attempt, 2);
+    assert_eq!(world.chunks(open), [0, 1]);
+}
+
+#[test]
+fn a_node_that_was_frozen_sends_nothing_before_it_has_looked() {
+    let mut world = World::ready();
+    world.is_store_out = true;
+    // A pause of the process: no step in between, then a call at once.
+    world.now += 10_000;
+    let late = world.arrive("mayors", chat(1));
+    assert_eq!(world.failure(late), Some((call::Code::Fenced, call::Outcome::NotRun)));
+    assert!(world.begun().is_empty());
+    world.is_store_out = false;
+    world.run(world.now + 2_000);
+    let call = world.arrive("mayors", chat(1));
+    assert_eq!(world.begun()[0].call, call);
+}
