--- a/crates/daemon/tests/caller.rs
+++ b/crates/daemon/tests/caller.rs
@@ -2,7 +2,7 @@
 
 use std::{io::Write as _, net, sync, time};
 
-use daemon::{calls, caller, inbox, ready, server, settings};
+use daemon::{caller, calls, inbox, ready, server, settings};
 use http_body_util::BodyExt as _;
 use node::call;
 
@@ -47,9 +47,8 @@
         headers: &[(&str, &str)],
         body: &'static str,
     ) -> tokio::task::JoinHandle<http::Response<hyper::body::Incoming>> {
-        let mut request = http::Request::builder()
-            .method(method)
-            .uri(format!("http://{}{path}", self.address));
+        let mut request =
+            http::Request::builder().method(method).uri(format!("http://{}{path}", self.address));
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
