--- a/crates/daemon/src/caller/request.rs
+++ b/crates/daemon/src/caller/request.rs
@@ -5,7 +5,7 @@
 use bytes::BytesMut;
 use http::header;
 use node::call;
-use xitca_web::body::Body as _;
+use xitca_web::body::{Body as _, Frame, RequestBody};
 
 use crate::{caller::problem, calls};
 
@@ -21,6 +21,11 @@
 /// Longest path with query of a call of a plain service, in bytes.
 const PATH_BYTES: usize = 8 * 1024;
 
+/// Most bytes of a refused body that are read, beyond the limit on bodies.
+const DISCARD_BYTES: usize = 32 * 1024 * 1024;
+/// Longest time for which a refused body is read.
+const DISCARD_TIME: time::Duration = time::Duration::from_secs(2);
+
 /// Headers that stay between the caller and the VM: credentials, and those
 /// that concern one connection or that the VM sets itself.
 const PRIVATE_HEADERS: [&str; 25] = [
@@ -177,33 +182,55 @@
 ) -> problem::Result<bytes::Bytes> {
     let declared = context.req().headers().get(header::CONTENT_LENGTH);
     let declared = declared.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    let body = std::mem::take(context.body_get_mut());
     if declared.is_some_and(|length| length > limit) {
+        discard(body).await;
         return Err(too_large(limit));
     }
-    let reading = read(context, limit);
-    tokio::time::timeout(longest, reading).await.unwrap_or_else(|_| {
+    tokio::time::timeout(longest, read(body, limit)).await.unwrap_or_else(|_elapsed| {
         Err(problem::Problem::new(problem::Code::RequestTimeout, "the body did not arrive in time"))
     })
 }
 
-async fn read(context: &mut super::Context<'_>, limit: usize) -> problem::Result<bytes::Bytes> {
+async fn read(mut body: RequestBody, limit: usize) -> problem::Result<bytes::Bytes> {
     let mut buffer = BytesMut::new();
-    let mut body = std::mem::take(context.body_get_mut());
-    loop {
-        let frame = std::future::poll_fn(|cx| pin::Pin::new(&mut body).poll_frame(cx)).await;
-        let Some(frame) = frame else {
-            return Ok(buffer.freeze());
-        };
+    while let Some(frame) = next_frame(&mut body).await {
         let frame =
             frame.map_err(|cause| problem::Problem::bad(format!("reading the body: {cause}")))?;
-        let xitca_web::body::Frame::Data(data) = frame else {
+        let Frame::Data(data) = frame else {
             continue;
         };
         if buffer.len() + data.len() > limit {
+            discard(body).await;
             return Err(too_large(limit));
         }
         buffer.extend_from_slice(&data);
     }
+    Ok(buffer.freeze())
+}
+
+async fn next_frame(
+    body: &mut RequestBody,
+) -> Option<Result<Frame<bytes::Bytes>, xitca_web::error::BodyError>> {
+    std::future::poll_fn(|cx| pin::Pin::new(&mut *body).poll_frame(cx)).await
+}
+
+/// Reads the rest of a body that is refused, within bounds. A connection that
+/// is closed with unread bytes is reset, and the caller loses the error.
+async fn discard(mut body: RequestBody) {
+    let discarding = async {
+        let mut left = DISCARD_BYTES;
+        while let Some(Ok(frame)) = next_frame(&mut body).await {
+            let length = frame.data_ref().map_or(0, bytes::Bytes::len);
+            let Some(rest) = left.checked_sub(length) else {
+                return;
+            };
+            left = rest;
+        }
+    };
+    if tokio::time::timeout(DISCARD_TIME, discarding).await.is_err() {
+        tracing::debug!("a refused body did not end in time");
+    }
 }
 
 fn too_large(limit: usize) -> problem::Problem {
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -8,7 +8,7 @@
 const TICK: time::Duration = time::Duration::from_millis(20);
 /// Most inputs in one step.
 const BATCH_INPUTS: usize = 1_024;
-/// Steps without regard to input between two publications of the counters.
+/// Time between two publications of the counters.
 const PUBLISH: time::Duration = time::Duration::from_secs(1);
 
 /// The decision core, as the daemon drives it.
@@ -25,6 +25,21 @@
     fn counters(&self) -> Vec<(&'static str, u64)>;
 }
 
+impl Core for node::Node {
+    fn step(
+        &mut self,
+        now: ids::Time,
+        inputs: &mut Vec<node::Input>,
+        outputs: &mut Vec<node::Output>,
+    ) {
+        Self::step(self, now, inputs.drain(..), outputs);
+    }
+
+    fn counters(&self) -> Vec<(&'static str, u64)> {
+        Self::counters(self).collect()
+    }
+}
+
 /// Steps `core` on batched input and at a fixed interval until no sender is
 /// left, and carries out what it says.
 pub async fn run(mut core: impl Core, mut outlet: inbox::Outlet, mut effects: effect::Effects) {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,7 +3,7 @@
 use std::{path, process};
 
 use clap::Parser as _;
-use daemon::{driver, log, settings};
+use daemon::{log, settings};
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -43,13 +43,10 @@
     log::start(&settings.log);
     let listeners = daemon::process::Listeners::bind(&settings)?;
     let incarnation = daemon::process::incarnation();
-    daemon::process::run(&settings, listeners, incarnation, Idle)
-}
-
-struct Idle;
-impl driver::Core for Idle {
-    fn step(&mut self, _: ids::Time, _: &mut Vec<node::Input>, _: &mut Vec<node::Output>) {}
-    fn counters(&self) -> Vec<(&'static str, u64)> {
-        Vec::new()
-    }
+    let peer = listeners.peer_address().to_string();
+    let config = node::Config::new(settings.vm.as_str(), settings.centre.as_str(), incarnation)
+        .with_peer(&peer)
+        .with_signers(settings.signers.clone())
+        .with_balancer_wait(settings.stop.balancer_wait_ms.millis());
+    daemon::process::run(&settings, listeners, incarnation, node::Node::new(config))
 }
--- a/crates/daemon/src/metric.rs
+++ b/crates/daemon/src/metric.rs
@@ -18,7 +18,7 @@
 /// Calls that ended.
 pub const CALLS: &str = "primroseplank_calls_total";
 /// Tokens charged.
-pub const TOKENS: &str = "primroseplank_tokens_total";
+pub const TOKENS: &str = "primroseplank_account_tokens_total";
 /// Calls open now.
 pub const OPEN: &str = "primroseplank_open_calls";
 /// Whether the VM is ready for calls.
@@ -51,6 +51,9 @@
 
 fn describe() {
     use metrics::Unit;
+    for counter in node::count::ALL {
+        metrics::describe_counter!(counter.name, Unit::Count, counter.help);
+    }
     metrics::describe_histogram!(QUEUE, Unit::Seconds, "Wait of a call in the queue.");
     metrics::describe_histogram!(
         FIRST_TOKEN,
@@ -111,8 +114,7 @@
     metrics::histogram!(name, "account" => account.as_str().to_owned()).record(wait);
 }
 
-/// Sets a counter of the decision core, by the name it has there.
+/// Sets a counter of the decision core.
 pub fn publish(name: &'static str, value: u64) {
-    let name = format!("primroseplank_{name}_total");
     metrics::counter!(name).absolute(value);
 }
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -192,8 +192,7 @@
         signalled().await?;
         tracing::info!(step = "stop", "told to stop; finishing open calls");
         self.readiness.stop();
-        // New calls are served until the balancer has seen that the VM stops.
-        tokio::time::sleep(settings.stop.balancer_wait_ms.millis()).await;
+        // The core goes on to serve new calls until the balancer has seen it.
         self.inbox.send(node::Input::Stop).await;
         let mut stopped = self.stopped.clone();
         if stopped.wait_for(|stopped| *stopped).await.is_err() {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -129,7 +129,7 @@
     /// Longest time for which a caller may take nothing, in ms.
     pub write_stall_ms: Bounded<100, 600_000>,
     /// Longest time for which an idle connection of a caller is kept, in ms.
-    pub keep_alive_ms: Bounded<100, 25_000>,
+    pub keep_alive_ms: Bounded<1_000, 25_000>,
     /// Threads that serve callers' connections.
     pub threads: Bounded<1, 256>,
     /// Longest time to connect to a target or a platform part, in ms.
