--- /dev/null
+++ b/crates/node/benches/step.rs
@@ -0,0 +1,204 @@
+//! Cost of a step at the sizes of today, of next year and of the year after.
+//!
+//! Each size has members, runners and models in the node's tables. Measured
+//! are a tick without input, a runner's report, a whole call and one chunk of
+//! a stream. `docs/CAPACITY.md` multiplies these by how often they happen.
+
+use std::{fmt::Write as _, hint, sync, time};
+
+use bundle::signed;
+use criterion::{BenchmarkId, Criterion};
+use node::{Input, Output, call, operator};
+use platform::memory;
+
+/// Members, runners and models.
+const SIZES: [(usize, usize, usize); 3] = [(10, 60, 35), (100, 200, 120), (330, 600, 350)];
+
+/// Copies of each model.
+const COPIES: usize = 4;
+
+/// Chunks of the calls measured.
+const CHUNKS: u64 = 64;
+
+struct Scene {
+    node: node::Node,
+    now: u64,
+    last_call: u64,
+    table: memory::Table,
+    objects: memory::Objects,
+    outputs: Vec<Output>,
+}
+
+fn bundle_text(runners: usize, models: usize) -> String {
+    let mut text = "format: 1\ndeployment: bench\ncentres: [north]\nmodels:\n".to_owned();
+    for model in 0..models {
+        let line = "version: v1, memory_mib: 20000, kv_floor_mib: 4000, copies: 4";
+        writeln!(text, "  - {{name: model-{model}, {line}}}").unwrap();
+    }
+    text.push_str("runners:\n");
+    for runner in 0..runners {
+        let line = "centre: north, accelerators: 8, memory_mib: 640000, address: '127.0.0.1:1'";
+        writeln!(text, "  - {{name: runner-{runner}, {line}}}").unwrap();
+    }
+    let digest = presented().digest;
+    text.push_str("accounts:\n  - {name: mayors, class: paid, rate: 900000000, ");
+    writeln!(text, "burst: 900000000, keys: [{{id: bench, digest: '{digest}'}}]}}").unwrap();
+    text.push_str("weights: {loads_per_second: 100, loads_at_once: 100}\n");
+    text
+}
+
+fn presented() -> bundle::key::Presented {
+    bundle::key::Presented::parse("pp.bench.secret").unwrap()
+}
+
+impl Scene {
+    fn new(members: usize, runners: usize, models: usize) -> Self {
+        let secret = signed::Secret::new([5; 32]);
+        let signer = signed::Signer::new("alice", secret.public());
+        let config = node::Config::new("vm-0", "north", 1).with_signers(vec![signer]);
+        let text = bundle_text(runners, models);
+        let document: sync::Arc<str> = signed::sign(&text, &secret, "alice", 1).to_json().into();
+        let mut scene = Self {
+            node: node::Node::new(config.clone()),
+            now: 0,
+            last_call: 0,
+            table: memory::Table::default(),
+            objects: memory::Objects::default(),
+            outputs: Vec::new(),
+        };
+        scene.found(&config, members);
+        scene.run(2_000);
+        let request = operator::Request::Accept { document, replaces: None };
+        scene.step([Input::Operator { op: ids::Op::new(1), request }]);
+        scene.run(10_000);
+        for runner in 0..runners {
+            scene.step([report(runner, models, runners)]);
+        }
+        scene.run(1_000);
+        scene
+    }
+
+    /// Writes a head in which all members are entered.
+    fn found(&mut self, config: &node::Config, members: usize) {
+        let mut head = member::Head { version: ids::Version::new(1), ..member::Head::default() };
+        for number in 0..members {
+            let mut entry = config.member();
+            entry.vm = format!("vm-{number}").into();
+            head = head.with_member(entry, 9);
+        }
+        self.table.answer(&member::row::write(&head));
+    }
+
+    fn run(&mut self, millis: u64) {
+        let until = self.now + millis;
+        while self.now < until {
+            self.now += 10;
+            self.step([]);
+        }
+    }
+
+    /// Steps and answers the platform's part at once.
+    fn step(&mut self, inputs: impl IntoIterator<Item = Input>) {
+        self.outputs.clear();
+        self.node.step(ids::Time::from_millis(self.now), inputs, &mut self.outputs);
+        let mut answers = Vec::new();
+        for output in &self.outputs {
+            match output {
+                Output::Table { op, request } => {
+                    let result = Ok(self.table.answer(request));
+                    answers.push(Input::Table { op: *op, result });
+                }
+                Output::Object { op, request } => {
+                    let result = Ok(self.objects.answer(request));
+                    answers.push(Input::Object { op: *op, result });
+                }
+                _ => {}
+            }
+        }
+        let mut more = Vec::new();
+        self.node.step(ids::Time::from_millis(self.now), answers, &mut more);
+        self.outputs.append(&mut more);
+    }
+
+    fn arrive(&mut self) -> Option<ids::Attempt> {
+        self.last_call += 1;
+        let arrival = call::Arrival {
+            call: ids::Call::new(self.last_call),
+            key: Some(presented()),
+            work: call::Work::Chat {
+                model: "model-1".into(),
+                adapter: None,
+                prompt_tokens: 100,
+                max_tokens: Some(CHUNKS),
+                prefix: self.last_call,
+            },
+            idempotency: None,
+            digest: ids::Digest::default(),
+            resume: None,
+            patience: None,
+        };
+        self.step([Input::Arrival(arrival)]);
+        self.outputs.iter().find_map(|output| match output {
+            Output::Begin(begin) => Some(begin.attempt),
+            _ => None,
+        })
+    }
+
+    fn call(&mut self) {
+        let Some(attempt) = self.arrive() else {
+            panic!("the call was not sent: {:?}", self.outputs);
+        };
+        for seq in 0..CHUNKS {
+            self.chunk(attempt, seq);
+        }
+        let reason = "length".into();
+        let event = engine::Event::Done { chunks: CHUNKS, reason, prompt_tokens: 100 };
+        self.step([Input::Attempt { attempt, event }]);
+    }
+
+    fn chunk(&mut self, attempt: ids::Attempt, seq: u64) {
+        let event = engine::Event::Chunk { seq, text: "word ".into() };
+        self.step([Input::Attempt { attempt, event }]);
+    }
+}
+
+fn report(runner: usize, models: usize, runners: usize) -> Input {
+    let holds = |model: &usize| (0..COPIES).any(|copy| (model * COPIES + copy) % runners == runner);
+    let residents = (0..models).filter(holds).map(|model| engine::report::Resident {
+        item: format!("model-{model}").into(),
+        version: "v1".into(),
+        state: engine::report::State::Ready,
+        memory_mib: 24_000,
+    });
+    let report = engine::Report { residents: residents.collect(), ..engine::Report::default() };
+    Input::Report { target: format!("runner-{runner}").into(), report: Some(report) }
+}
+
+fn measure(criterion: &mut Criterion) {
+    for (members, runners, models) in SIZES {
+        let mut scene = Scene::new(members, runners, models);
+        let size = format!("{members}-members");
+        let mut group = criterion.benchmark_group("step");
+        group.measurement_time(time::Duration::from_secs(2)).sample_size(20);
+        group.bench_function(BenchmarkId::new("tick", &size), |bencher| {
+            bencher.iter(|| {
+                scene.now += 20;
+                scene.step([]);
+            });
+        });
+        group.bench_function(BenchmarkId::new("report", &size), |bencher| {
+            let input = report(1, models, runners);
+            bencher.iter(|| scene.step([hint::black_box(input.clone())]));
+        });
+        group.bench_function(BenchmarkId::new("call-of-64-chunks", &size), |bencher| {
+            bencher.iter(|| scene.call());
+        });
+        group.finish();
+    }
+}
+
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    measure(&mut criterion);
+    criterion.final_summary();
+}
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -3,11 +3,11 @@
 //! Targets answer only when a test says so. The table service and the object
 //! store answer after `LATENCY_MS`, unless the test has put them out.
 
-use std::{collections, fmt::Write as _, sync};
+use std::fmt::Write as _;
 
 use bundle::signed;
 use node::{Begin, Input, Output, call, operator};
-use platform::{object, table};
+use platform::memory;
 
 const LATENCY_MS: u64 = 2;
 const SECRET: [u8; 24] = [7; 24];
@@ -43,8 +43,8 @@
     pub text: String,
     pub outputs: Vec<Output>,
     pub is_store_out: bool,
-    rows: collections::BTreeMap<sync::Arc<str>, table::Row>,
-    objects: collections::BTreeMap<ids::Digest, sync::Arc<str>>,
+    table: memory::Table,
+    objects: memory::Objects,
     due: Vec<(u64, Input)>,
     next_call: u64,
 }
@@ -83,8 +83,8 @@
             text,
             outputs: Vec::new(),
             is_store_out: false,
-            rows: collections::BTreeMap::new(),
-            objects: collections::BTreeMap::new(),
+            table: memory::Table::default(),
+            objects: memory::Objects::default(),
             due: Vec::new(),
             next_call: 0,
         };
@@ -231,65 +231,16 @@
         }
         let input = match output {
             Output::Table { op, request } => {
-                Input::Table { op: *op, result: Ok(self.table(request)) }
+                Input::Table { op: *op, result: Ok(self.table.answer(request)) }
             }
             Output::Object { op, request } => {
-                Input::Object { op: *op, result: Ok(self.object(request)) }
+                Input::Object { op: *op, result: Ok(self.objects.answer(request)) }
             }
             Output::Vms { op } => Input::Vms { op: *op, result: Ok(Vec::new()) },
             _ => return,
         };
         self.due.push((self.now + LATENCY_MS, input));
     }
-
-    fn object(&mut self, request: &object::Request) -> object::Answer {
-        match request {
-            object::Request::Get { digest } => {
-                object::Answer::Object(self.objects.get(digest).cloned())
-            }
-            object::Request::Put { text } => {
-                let digest = ids::Digest::of(text.as_bytes());
-                self.objects.insert(digest, sync::Arc::clone(text));
-                object::Answer::Stored
-            }
-        }
-    }
-
-    fn table(&mut self, request: &table::Request) -> table::Answer {
-        match request {
-            table::Request::Get { key } => table::Answer::Row(self.rows.get(key).cloned()),
-            table::Request::Scan { prefix, .. } => {
-                let rows = self.rows.values().filter(|row| row.key.starts_with(&**prefix));
-                table::Answer::Rows(rows.cloned().collect())
-            }
-            table::Request::Write { writes } => self.write(writes),
-        }
-    }
-
-    fn write(&mut self, writes: &[table::Write]) -> table::Answer {
-        let version = |row: &table::Row| row.version;
-        let conflicts: Vec<_> = writes
-            .iter()
-            .filter(|write| self.rows.get(&write.key).map(version) != write.expect)
-            .map(|write| table::Conflict {
-                key: sync::Arc::clone(&write.key),
-                row: self.rows.get(&write.key).cloned(),
-            })
-            .collect();
-        if !conflicts.is_empty() {
-            return table::Answer::Conflict { rows: conflicts };
-        }
-        for write in writes {
-            let key = sync::Arc::clone(&write.key);
-            let Some(value) = write.value.clone() else {
-                self.rows.remove(&key);
-                continue;
-            };
-            let version = write.expect.unwrap_or_default().next();
-            self.rows.insert(sync::Arc::clone(&key), table::Row { key, version, value });
-        }
-        table::Answer::Written
-    }
 }
 
 /// A draft of `max_tokens` chunks.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,6 +13,7 @@
 //! ```
 
 pub mod fault;
+pub mod memory;
 pub mod object;
 pub mod table;
 pub mod vm;
