--- /dev/null
+++ b/crates/bundle/src/check/decode.rs
@@ -0,0 +1,367 @@
+//! Reads a tree as a typed value and goes on after a fault.
+//!
+//! A plain deserialiser stops at the first fault. This one notes the fault,
+//! puts a harmless value in its place and goes on, so that a document's faults
+//! are told all at once. The value that it returns is of use only for finding
+//! further faults.
+
+use std::{cell, fmt};
+
+use serde::de::{self, Error as _};
+
+use super::tree::{Node, Value};
+
+/// Text that stands in where one is missing; it is also a digest.
+const TEXT_STAND_IN: &str = "0000000000000000000000000000000000000000000000000000000000000000";
+
+/// Faults after which no further ones are looked for.
+const MOST_REPAIRS: usize = 200;
+
+/// A fault of form at a path.
+#[derive(Clone, Debug)]
+pub(super) struct Defect {
+    pub path: Vec<String>,
+    pub problem: String,
+    pub allowed: String,
+}
+
+/// Why a value could not be read.
+#[derive(Debug)]
+struct Error {
+    reason: String,
+    missing: Option<&'static str>,
+    path: Option<Vec<String>>,
+}
+
+impl Error {
+    /// The same error at `path`, unless it is already known to be deeper.
+    fn at(mut self, path: &[String]) -> Self {
+        self.path.get_or_insert_with(|| path.to_vec());
+        self
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.reason)
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl de::Error for Error {
+    fn custom<T: fmt::Display>(msg: T) -> Self {
+        Self { reason: msg.to_string(), missing: None, path: None }
+    }
+
+    fn missing_field(field: &'static str) -> Self {
+        Self { reason: "is missing".to_owned(), missing: Some(field), path: None }
+    }
+}
+
+/// Reads `node` as `T` and notes in `defects` what is wrong.
+///
+/// Faults that stop the reading are repaired in `node`, and it is read anew.
+pub(super) fn read<T: de::DeserializeOwned>(
+    node: &mut Node,
+    defects: &mut Vec<Defect>,
+) -> Option<T> {
+    for _ in 0..MOST_REPAIRS {
+        let notes = cell::RefCell::new(Vec::new());
+        let reader = Reader { node, path: Vec::new(), notes: &notes };
+        match T::deserialize(reader) {
+            Ok(value) => {
+                defects.append(&mut notes.into_inner());
+                return Some(value);
+            }
+            Err(error) => repair(node, error, defects)?,
+        }
+    }
+    None
+}
+
+/// Puts a stand-in where a value is missing or could not be read.
+///
+/// Returns `None` if that is not possible. A fault within a stand-in is not
+/// noted.
+fn repair(node: &mut Node, error: Error, defects: &mut Vec<Defect>) -> Option<()> {
+    let mut path = error.path.unwrap_or_default();
+    let place = node.at_mut(&path)?;
+    let silent = place.stand_in;
+    if let Some(field) = error.missing {
+        let (line, column) = (place.line, place.column);
+        let stand_in = Node { line, column, stand_in: true, value: Value::Missing };
+        let field = field.to_owned();
+        path.push(field.clone());
+        match &mut place.value {
+            Value::Map(fields) => fields.push((field, stand_in)),
+            value => *value = Value::Map(vec![(field, stand_in)]),
+        }
+    } else {
+        place.value = Value::Missing;
+        place.stand_in = true;
+    }
+    if !silent {
+        defects.push(Defect { path, problem: error.reason, allowed: String::new() });
+    }
+    Some(())
+}
+
+/// A node to be read, and where it is.
+struct Reader<'a> {
+    node: &'a Node,
+    path: Vec<String>,
+    notes: &'a cell::RefCell<Vec<Defect>>,
+}
+
+impl<'a> Reader<'a> {
+    fn child(&self, name: String, node: &'a Node) -> Self {
+        let mut path = self.path.clone();
+        path.push(name);
+        Self { node, path, notes: self.notes }
+    }
+
+    fn note(&self, problem: String, allowed: &str) {
+        let path = self.path.clone();
+        let allowed = allowed.to_owned();
+        self.notes.borrow_mut().push(Defect { path, problem, allowed });
+    }
+
+    /// Notes a value of the wrong kind.
+    fn mistyped(&self, allowed: &str) {
+        if self.node.value != Value::Missing {
+            self.note(format!("{} is not allowed here", self.node.value), allowed);
+        }
+    }
+
+    fn integer(&self) -> u64 {
+        const ALLOWED: &str = "a whole number, not negative";
+        if let Value::Integer(number) = &self.node.value
+            && let Ok(number) = u64::try_from(*number)
+        {
+            return number;
+        }
+        self.mistyped(ALLOWED);
+        1
+    }
+
+    fn text(&self) -> String {
+        match &self.node.value {
+            Value::Text(text) => text.clone(),
+            Value::Bool(value) => value.to_string(),
+            Value::Integer(number) => number.to_string(),
+            Value::Float(number) => number.to_string(),
+            _ => {
+                self.mistyped("a text");
+                TEXT_STAND_IN.to_owned()
+            }
+        }
+    }
+
+    fn map(&self) -> &'a [(String, Node)] {
+        if let Value::Map(fields) = &self.node.value {
+            return fields;
+        }
+        self.mistyped("a map with fields");
+        &[]
+    }
+
+    fn list(&self) -> &'a [Node] {
+        if let Value::List(items) = &self.node.value {
+            return items;
+        }
+        self.mistyped("a list");
+        &[]
+    }
+}
+
+impl fmt::Display for Value {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Missing | Self::Null => f.write_str("nothing"),
+            Self::Bool(value) => value.fmt(f),
+            Self::Integer(number) => number.fmt(f),
+            Self::Float(number) => number.fmt(f),
+            Self::Text(text) => write!(f, "{text:?}"),
+            Self::List(_) => f.write_str("a list"),
+            Self::Map(_) => f.write_str("a map"),
+        }
+    }
+}
+
+macro_rules! integers {
+    ($($method:ident $type:ty;)*) => {
+        $(
+            fn $method<V: de::Visitor<'de>>(self, visitor: V) -> Result<V::Value, Error> {
+                let number = self.integer();
+                if <$type>::try_from(number).is_ok() {
+                    return visitor.visit_u64(number);
+                }
+                self.mistyped(concat!("a whole number that fits ", stringify!($type)));
+                visitor.visit_u64(1)
+            }
+        )*
+    };
+}
+
+impl<'de> de::Deserializer<'de> for Reader<'_> {
+    type Error = Error;
+
+    integers! {
+        deserialize_u8 u8;
+        deserialize_u16 u16;
+        deserialize_u32 u32;
+        deserialize_u64 u64;
+    }
+
+    fn deserialize_f64<V: de::Visitor<'de>>(self, visitor: V) -> Result<V::Value, Error> {
+        match &self.node.value {
+            Value::Float(number) => visitor.visit_f64(*number),
+            Value::Integer(number) => visitor.visit_f64(*number as f64),
+            _ => {
+                self.mistyped("a number");
+                visitor.visit_f64(1.0)
+            }
+        }
+    }
+
+    fn deserialize_bool<V: de::Visitor<'de>>(self, visitor: V) -> Result<V::Value, Error> {
+        if let Value::Bool(value) = self.node.value {
+            return visitor.visit_bool(value);
+        }
+        self.mistyped("true or false");
+        visitor.visit_bool(true)
+    }
+
+    fn deserialize_str<V: de::Visitor<'de>>(self, visitor: V) -> Result<V::Value, Error> {
+        visitor.visit_string(self.text())
+    }
+
+    fn deserialize_string<V: de::Visitor<'de>>(self, visitor: V) -> Result<V::Value, Error> {
+        visitor.visit_string(self.text())
+    }
+
+    fn deserialize_identifier<V: de::Visitor<'de>>(self, visitor: V) -> Result<V::Value, Error> {
+        visitor.visit_string(self.text())
+    }
+
+    fn deserialize_newtype_struct<V: de::Visitor<'de>>(
+        self,
+        _name: &'static str,
+        visitor: V,
+    ) -> Result<V::Value, Error> {
+        visitor.visit_newtype_struct(self)
+    }
+
+    fn deserialize_option<V: de::Visitor<'de>>(self, visitor: V) -> Result<V::Value, Error> {
+        if self.node.value == Value::Null {
+            return visitor.visit_none();
+        }
+        visitor.visit_some(self)
+    }
+
+    fn deserialize_seq<V: de::Visitor<'de>>(self, visitor: V) -> Result<V::Value, Error> {
+        let list = self.list();
+        visitor.visit_seq(Items { reader: self, list, next: 0 })
+    }
+
+    fn deserialize_struct<V: de::Visitor<'de>>(
+        self,
+        _name: &'static str,
+        fields: &'static [&'static str],
+        visitor: V,
+    ) -> Result<V::Value, Error> {
+        let path = self.path.clone();
+        let present = self.map();
+        let value = visitor.visit_map(Fields { reader: self, known: fields, present, next: 0 });
+        value.map_err(|error| error.at(&path))
+    }
+
+    fn deserialize_enum<V: de::Visitor<'de>>(
+        self,
+        _name: &'static str,
+        variants: &'static [&'static str],
+        visitor: V,
+    ) -> Result<V::Value, Error> {
+        let text = self.text();
+        let variant = variants.iter().find(|variant| **variant == text);
+        if variant.is_none() && self.node.value != Value::Missing {
+            self.note(format!("{text:?} is not allowed here"), &variants.join(" or "));
+        }
+        let variant = variant.or(variants.first()).copied().unwrap_or_default();
+        visitor.visit_enum(de::value::StrDeserializer::new(variant))
+    }
+
+    fn deserialize_any<V: de::Visitor<'de>>(self, _visitor: V) -> Result<V::Value, Error> {
+        Err(Error::custom("values of any kind are not read"))
+    }
+
+    serde::forward_to_deserialize_any! {
+        i8 i16 i32 i64 f32 char bytes byte_buf unit unit_struct tuple tuple_struct map ignored_any
+    }
+}
+
+/// The items of a list.
+struct Items<'a> {
+    reader: Reader<'a>,
+    list: &'a [Node],
+    next: usize,
+}
+
+impl<'de> de::SeqAccess<'de> for Items<'_> {
+    type Error = Error;
+
+    fn next_element_seed<S: de::DeserializeSeed<'de>>(
+        &mut self,
+        seed: S,
+    ) -> Result<Option<S::Value>, Error> {
+        let Some(node) = self.list.get(self.next) else {
+            return Ok(None);
+        };
+        let reader = self.reader.child(self.next.to_string(), node);
+        let path = reader.path.clone();
+        self.next += 1;
+        seed.deserialize(reader).map(Some).map_err(|error| error.at(&path))
+    }
+}
+
+/// The fields of a map; unknown ones are noted and passed over.
+struct Fields<'a> {
+    reader: Reader<'a>,
+    known: &'static [&'static str],
+    present: &'a [(String, Node)],
+    next: usize,
+}
+
+impl<'de> de::MapAccess<'de> for Fields<'_> {
+    type Error = Error;
+
+    fn next_key_seed<S: de::DeserializeSeed<'de>>(
+        &mut self,
+        seed: S,
+    ) -> Result<Option<S::Value>, Error> {
+        while let Some((name, node)) = self.present.get(self.next) {
+            if self.known.contains(&&**name) {
+                break;
+            }
+            let allowed = self.known.join(", ");
+            let reader = self.reader.child(name.clone(), node);
+            reader.note("is not a field of this format".to_owned(), &allowed);
+            self.next += 1;
+        }
+        let Some((name, _)) = self.present.get(self.next) else {
+            return Ok(None);
+        };
+        seed.deserialize(de::value::StrDeserializer::new(name)).map(Some)
+    }
+
+    fn next_value_seed<S: de::DeserializeSeed<'de>>(&mut self, seed: S) -> Result<S::Value, Error> {
+        let Some((name, node)) = self.present.get(self.next) else {
+            return Err(Error::custom("no value"));
+        };
+        self.next += 1;
+        let reader = self.reader.child(name.clone(), node);
+        let path = reader.path.clone();
+        seed.deserialize(reader).map_err(|error| error.at(&path))
+    }
+}
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -4,7 +4,8 @@
 //! runners, plain services and client accounts. [`read()`] turns the text into
 //! a bundle or says what is wrong and where. [`Amendments`] are the changes
 //! made between bundles: keys issued or withdrawn, targets drained. [`signed`]
-//! has the signed document as it is accepted and stored.
+//! has the signed document as it is accepted and stored, [`check`] what is
+//! looked at before, [`diff`] what a bundle changes.
 //!
 //! ```
 //! let text = "
@@ -24,9 +25,14 @@
 //! ```
 
 pub mod amend;
+pub mod check;
+pub mod diff;
 pub mod error;
 pub mod format;
+pub mod history;
 pub mod key;
+pub mod loads;
+pub mod packing;
 pub mod signed;
 
 pub use amend::Amendments;
--- a/crates/bundle/src/signed.rs
+++ b/crates/bundle/src/signed.rs
@@ -169,10 +169,7 @@
     /// The signer `name` with the public key `key`.
     #[must_use]
     pub fn new(name: &str, key: Public) -> Self {
-        Self {
-            name: name.into(),
-            key,
-        }
+        Self { name: name.into(), key }
     }
 }
 
@@ -230,19 +227,12 @@
 pub fn verify(document: &Document, signers: &[Signer]) -> error::Result<()> {
     let refused = |reason: String| error::Error::new(error::Kind::Signature, reason);
     let name = &document.signer;
-    let mut named = signers
-        .iter()
-        .filter(|signer| signer.name == *name)
-        .peekable();
+    let mut named = signers.iter().filter(|signer| signer.name == *name).peekable();
     if named.peek().is_none() {
         return Err(refused(format!("{name:?} is not among the signers")));
     }
     let digest = digest(&document.bundle, name, document.signed_at);
-    let altered = || {
-        refused(format!(
-            "the document was altered or not signed by {name:?}"
-        ))
-    };
+    let altered = || refused(format!("the document was altered or not signed by {name:?}"));
     let signature = signature(&document.signature).ok_or_else(altered)?;
     if named.any(|signer| signer.key.0.verify_strict(&digest, &signature).is_ok()) {
         return Ok(());
--- a/crates/bundle/tests/signed.rs
+++ b/crates/bundle/tests/signed.rs
@@ -44,39 +44,17 @@
     let document = signed::sign(TEXT, &secret(), "alice", 42);
     let text = TEXT.replace("demo", "other");
     let altered = [
-        signed::Document {
-            bundle: text.into(),
-            ..document.clone()
-        },
-        signed::Document {
-            signer: "bob".into(),
-            ..document.clone()
-        },
-        signed::Document {
-            signer: "carol".into(),
-            ..document.clone()
-        },
-        signed::Document {
-            signed_at: 43,
-            ..document.clone()
-        },
-        signed::Document {
-            signature: String::new(),
-            ..document.clone()
-        },
-        signed::Document {
-            signature: "0".repeat(128),
-            ..document.clone()
-        },
+        signed::Document { bundle: text.into(), ..document.clone() },
+        signed::Document { signer: "bob".into(), ..document.clone() },
+        signed::Document { signer: "carol".into(), ..document.clone() },
+        signed::Document { signed_at: 43, ..document.clone() },
+        signed::Document { signature: String::new(), ..document.clone() },
+        signed::Document { signature: "0".repeat(128), ..document.clone() },
         signed::sign(TEXT, &other, "alice", 42),
     ];
     assert_eq!(kind(&document, &signers), None);
     for document in altered {
-        assert_eq!(
-            kind(&document, &signers),
-            Some(error::Kind::Signature),
-            "{document:?}"
-        );
+        assert_eq!(kind(&document, &signers), Some(error::Kind::Signature), "{document:?}");
     }
 }
 
@@ -97,21 +75,10 @@
 fn a_signer_is_written_as_in_the_settings() {
     let signer = signed::Signer::new("alice", secret().public());
     let text = serde_json::to_string(&signer).unwrap();
-    assert_eq!(
-        text,
-        format!(r#"{{"name":"alice","key":"{}"}}"#, secret().public())
-    );
-    assert_eq!(
-        serde_json::from_str::<signed::Signer>(&text).unwrap(),
-        signer
-    );
+    assert_eq!(text, format!(r#"{{"name":"alice","key":"{}"}}"#, secret().public()));
+    assert_eq!(serde_json::from_str::<signed::Signer>(&text).unwrap(), signer);
     let short = serde_json::from_str::<signed::Signer>(r#"{"name":"a","key":"12"}"#);
-    assert!(
-        short
-            .unwrap_err()
-            .to_string()
-            .contains("64 hexadecimal digits")
-    );
+    assert!(short.unwrap_err().to_string().contains("64 hexadecimal digits"));
 }
 
 #[test]
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -91,10 +91,7 @@
     /// How many claims are worked on.
     #[must_use]
     pub fn summary(&self) -> Summary {
-        let mut summary = Summary {
-            transactions: self.groups.len(),
-            ..Summary::default()
-        };
+        let mut summary = Summary { transactions: self.groups.len(), ..Summary::default() };
         for entry in self.entries.values() {
             match entry.phase {
                 Phase::Claim => summary.claiming += 1,
@@ -245,10 +242,9 @@
             return;
         }
         match &entry.phase {
-            Phase::Settle(row::State::Answered(answer)) => out.push(Output::Replay {
-                call: call.call,
-                answer: answer.clone(),
-            }),
+            Phase::Settle(row::State::Answered(answer)) => {
+                out.push(Output::Replay { call: call.call, answer: answer.clone() })
+            }
             Phase::Settle(row::State::Unknown) => refuse(call.call, Reason::Unknown, out),
             _ => refuse(call.call, Reason::InProgress, out),
         }
@@ -337,12 +333,7 @@
         self.nonces += 1;
         let numbers = [self.config.incarnation.get(), self.config.seed, self.nonces];
         let numbers = numbers.map(|number| number.to_string());
-        let parts = [
-            self.config.vm.as_str(),
-            &numbers[0],
-            &numbers[1],
-            &numbers[2],
-        ];
+        let parts = [self.config.vm.as_str(), &numbers[0], &numbers[1], &numbers[2]];
         let digest = ids::Digest::of(&row::framed(&parts)).to_string();
         digest[..NONCE_DIGITS].into()
     }
--- a/crates/journal/src/journal/resolution.rs
+++ b/crates/journal/src/journal/resolution.rs
@@ -60,10 +60,8 @@
         rows: Vec<table::Conflict>,
         out: &mut Vec<Output>,
     ) {
-        let mut rows: collections::BTreeMap<_, _> = rows
-            .into_iter()
-            .map(|conflict| (conflict.key, conflict.row))
-            .collect();
+        let mut rows: collections::BTreeMap<_, _> =
+            rows.into_iter().map(|conflict| (conflict.key, conflict.row)).collect();
         let fits = |key: &&sync::Arc<str>| !rows.contains_key(*key);
         if keys.iter().all(|key| fits(&key)) {
             // Sending the same again at once could go on for ever.
--- a/crates/journal/src/journal/schedule.rs
+++ b/crates/journal/src/journal/schedule.rs
@@ -44,12 +44,8 @@
     pub(super) fn expire_groups(&mut self, now: ids::Time) {
         let limit = self.config.answer_within;
         let late = |group: &Group| now.since(group.sent_at) >= limit;
-        let ops: Vec<_> = self
-            .groups
-            .iter()
-            .filter(|(_, group)| late(group))
-            .map(|(op, _)| *op)
-            .collect();
+        let ops: Vec<_> =
+            self.groups.iter().filter(|(_, group)| late(group)).map(|(op, _)| *op).collect();
         for op in ops {
             let Some(group) = self.groups.remove(&op) else {
                 continue;
@@ -85,11 +81,7 @@
         let Some(entry) = self.entries.get_mut(key) else {
             return;
         };
-        if entry
-            .deadline
-            .take_if(|deadline| *deadline <= now)
-            .is_none()
-        {
+        if entry.deadline.take_if(|deadline| *deadline <= now).is_none() {
             return;
         }
         let call = entry.call;
@@ -105,10 +97,7 @@
                 entry.call = None;
                 if let Some(call) = call {
                     self.calls.remove(&call);
-                    out.push(Output::Stored {
-                        call,
-                        durable: false,
-                    });
+                    out.push(Output::Stored { call, durable: false });
                 }
             }
         }
@@ -159,10 +148,7 @@
     fn send(&mut self, now: ids::Time, writes: Vec<table::Write>, out: &mut Vec<Output>) {
         self.ops += 1;
         let op = ids::Op::new(OP_AREA | self.ops);
-        let keys: Vec<_> = writes
-            .iter()
-            .map(|write| sync::Arc::clone(&write.key))
-            .collect();
+        let keys: Vec<_> = writes.iter().map(|write| sync::Arc::clone(&write.key)).collect();
         for key in &keys {
             if let Some(entry) = self.entries.get_mut(key) {
                 entry.op = Some(op);
--- a/crates/journal/src/output.rs
+++ b/crates/journal/src/output.rs
@@ -10,7 +10,7 @@
     Hash,
     serde::Serialize,
     serde::Deserialize,
-    displaydoc::Display,
+    displaydoc::Display
 )]
 #[serde(rename_all = "kebab-case")]
 pub enum Reason {
--- a/crates/journal/tests/crash.rs
+++ b/crates/journal/tests/crash.rs
@@ -50,10 +50,7 @@
 
 /// Runs all sessions with at most `faults` faults; returns their number.
 fn enumerate(faults: usize, first: &[usize], lagging: bool) -> usize {
-    let mut script = Script {
-        faults_left: faults,
-        ..Script::default()
-    };
+    let mut script = Script { faults_left: faults, ..Script::default() };
     for sessions in 1.. {
         let (world, last) = World::new(script, lagging).run(first);
         judge(&world, &last);
--- a/crates/journal/tests/golden.rs
+++ b/crates/journal/tests/golden.rs
@@ -50,10 +50,7 @@
 
     fn tell_members(&mut self) {
         let member = |(vm, (_, incarnation)): (&String, &(_, u64))| {
-            (
-                ids::Vm::from(vm.as_str()),
-                ids::Incarnation::new(*incarnation),
-            )
+            (ids::Vm::from(vm.as_str()), ids::Incarnation::new(*incarnation))
         };
         let members: Vec<_> = self.vms.iter().map(member).collect();
         for (journal, _) in self.vms.values_mut() {
@@ -63,9 +60,7 @@
 
     fn step(&mut self, line: &str) {
         let words: Vec<_> = line.split_whitespace().collect();
-        let [time, vm, rest @ ..] = &*words else {
-            panic!("{line}")
-        };
+        let [time, vm, rest @ ..] = &*words else { panic!("{line}") };
         let now = time.strip_prefix('@').unwrap().parse().unwrap();
         let now = ids::Time::from_millis(now);
         let mut out = Vec::new();
@@ -133,9 +128,7 @@
     fn show(&mut self, vm: &str, output: Output) {
         let line = match output {
             Output::Table { op, request } => {
-                let table::Request::Write { writes } = request else {
-                    panic!("only writes")
-                };
+                let table::Request::Write { writes } = request else { panic!("only writes") };
                 let short = op.get() & OP_MASK;
                 let shown: Vec<_> = writes.iter().map(show_write).collect();
                 self.writes.insert((vm.to_owned(), short), (op, writes));
@@ -153,9 +146,7 @@
 
 fn show_write(write: &table::Write) -> String {
     let row = journal::row::Row::parse(write.value.as_ref().unwrap()).unwrap();
-    let over = write
-        .expect
-        .map_or("none".into(), |version| version.to_string());
+    let over = write.expect.map_or("none".into(), |version| version.to_string());
     let key = &write.key[..journal::row::PREFIX.len() + 4];
     let state = match row.state {
         journal::row::State::Answered(answer) => format!("answered {:?}", answer.body),
--- a/crates/journal/tests/limits.rs
+++ b/crates/journal/tests/limits.rs
@@ -27,10 +27,9 @@
 
 fn writes(out: &[Output]) -> Vec<(ids::Op, usize)> {
     let size = |output: &Output| match output {
-        Output::Table {
-            op,
-            request: table::Request::Write { writes },
-        } => Some((*op, writes.len())),
+        Output::Table { op, request: table::Request::Write { writes } } => {
+            Some((*op, writes.len()))
+        }
         _ => None,
     };
     out.iter().filter_map(size).collect()
@@ -104,9 +103,7 @@
         }
     };
     let generator = quickcheck::Gen::from_size_and_seed(100, SEED);
-    quickcheck::QuickCheck::new()
-        .rng(generator)
-        .quickcheck(property as fn(String, usize));
+    quickcheck::QuickCheck::new().rng(generator).quickcheck(property as fn(String, usize));
 }
 
 /// Why a claim is refused that finds a row with this text.
@@ -115,11 +112,7 @@
     let mut out = Vec::new();
     begin(&mut journal, 1, &mut out);
     journal.tick(NOW, &mut out);
-    let Some(Output::Table {
-        op,
-        request: table::Request::Write { writes },
-    }) = out.pop()
-    else {
+    let Some(Output::Table { op, request: table::Request::Write { writes } }) = out.pop() else {
         panic!("a claim is to be written")
     };
     let row = table::Row {
@@ -127,10 +120,7 @@
         version: ids::Version::new(1),
         value: value.into(),
     };
-    let rows = vec![table::Conflict {
-        key: sync::Arc::clone(&writes[0].key),
-        row: Some(row),
-    }];
+    let rows = vec![table::Conflict { key: sync::Arc::clone(&writes[0].key), row: Some(row) }];
     journal.table(NOW, op, Ok(table::Answer::Conflict { rows }), &mut out);
     match out.pop() {
         Some(Output::Refuse { reason, .. }) => reason,
--- a/crates/journal/tests/world/memory.rs
+++ b/crates/journal/tests/world/memory.rs
@@ -15,11 +15,7 @@
     fn row(&self, key: &sync::Arc<str>) -> Option<table::Row> {
         let (version, value) = self.rows.get(key)?.clone();
         let key = sync::Arc::clone(key);
-        Some(table::Row {
-            key,
-            version,
-            value,
-        })
+        Some(table::Row { key, version, value })
     }
 
     /// Makes all changes or none.
@@ -38,8 +34,7 @@
             let value = write.value.clone().expect("rows are never deleted");
             assert!(row::Row::parse(&value).is_some());
             let version = write.expect.unwrap_or_default().next();
-            self.rows
-                .insert(sync::Arc::clone(&write.key), (version, value));
+            self.rows.insert(sync::Arc::clone(&write.key), (version, value));
         }
         table::Answer::Written
     }
--- a/crates/journal/tests/world/mod.rs
+++ b/crates/journal/tests/world/mod.rs
@@ -163,9 +163,7 @@
         for output in out {
             let event = match output {
                 Output::Table { op, request } => {
-                    let table::Request::Write { writes } = request else {
-                        panic!("only writes")
-                    };
+                    let table::Request::Write { writes } = request else { panic!("only writes") };
                     Event::Table(op, writes)
                 }
                 Output::Send { call } => Event::Send(call),
@@ -180,11 +178,7 @@
                 }
                 Output::Stored { .. } | Output::Released { .. } => continue,
             };
-            self.pending.push_back(Pending {
-                vm,
-                incarnation,
-                event,
-            });
+            self.pending.push_back(Pending { vm, incarnation, event });
         }
     }
 
@@ -200,11 +194,7 @@
     }
 
     fn handle(&mut self, pending: Pending) {
-        let Pending {
-            vm,
-            incarnation,
-            event,
-        } = pending;
+        let Pending { vm, incarnation, event } = pending;
         if self.vms[vm].1 != incarnation {
             return;
         }
@@ -269,11 +259,7 @@
         match choice {
             0 => {
                 let body = call.to_string().into_bytes().into();
-                let answer = journal::Answer {
-                    status: 200,
-                    media: "text/plain".into(),
-                    body,
-                };
+                let answer = journal::Answer { status: 200, media: "text/plain".into(), body };
                 self.with(vm, |journal, now, out| {
                     journal.answered(now, call, answer, out);
                 });
@@ -342,11 +328,7 @@
 /// Checks what must hold of every session, whatever its faults.
 pub fn judge<S: Schedule>(world: &World<S>, last: &Told) {
     let trace = format!("{:?} {:?}", world.schedule, world.told);
-    assert!(
-        world.runs.len() <= 1,
-        "ran twice: {:?}; {trace}",
-        world.runs
-    );
+    assert!(world.runs.len() <= 1, "ran twice: {:?}; {trace}", world.runs);
     for (call, told) in &world.told {
         let ran = world.runs.contains(call);
         match told {
