--- a/crates/bundle/src/signed.rs
+++ b/crates/bundle/src/signed.rs
@@ -38,7 +38,8 @@
 const KEY_BYTES: usize = 32;
 
 /// A bundle's text with its signature.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Document {
     /// The bundle, as YAML text.
@@ -73,7 +74,8 @@
 }
 
 /// The public half of a signing key: 64 hexadecimal digits.
-#[derive(Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Public(ed25519_dalek::VerifyingKey);
 
@@ -156,7 +158,8 @@
 }
 
 /// Someone who may sign bundles off, as named in the settings.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Signer {
     /// Name, as in the documents.
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -23,7 +23,8 @@
 const NONCE_DIGITS: usize = 32;
 
 /// A call that may not be repeated.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Call {
     /// The call.
     pub call: ids::Call,
@@ -38,7 +39,8 @@
 }
 
 /// How many claims a journal works on, by phase.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Summary {
     /// Claims to be written.
     pub claiming: usize,
