daemon: read refused bodies to their end, so that the error arrives

A connection closed with unread bytes is reset: the caller lost the error, and a pooled client lost its next request.

--- a/crates/daemon/src/caller/mod.rs
+++ b/crates/daemon/src/caller/mod.rs
@@ -80,22 +80,19 @@
     server::Running::spawn("caller-face", move || future.wait(), move || handle.stop(true))
 }
 
-async fn handle_chat(context: Context<'_>) -> Result<WebResponse, convert::Infallible> {
-    let state = sync::Arc::clone(context.state());
-    let response = match serve_chat(&state, context).await {
-        Ok(response) => response,
-        Err(problem) => reply::problem(&problem),
-    };
-    Ok(finish(&state, response))
+async fn handle_chat(mut context: Context<'_>) -> Result<WebResponse, convert::Infallible> {
+    let served = serve_chat(&mut context).await;
+    Ok(finish(context, served).await)
 }
 
-async fn serve_chat(state: &Shared, mut context: Context<'_>) -> problem::Result<WebResponse> {
-    request::allow(&context, &http::Method::POST)?;
+async fn serve_chat(context: &mut Context<'_>) -> problem::Result<WebResponse> {
+    let state = &sync::Arc::clone(context.state());
+    request::allow(context, &http::Method::POST)?;
     let key = request::key(context.req().headers())?;
     let resume = request::resume(context.req().headers())?;
     let patience = request::patience(context.req().headers())?;
     let idempotency = request::idempotency(context.req().headers())?;
-    let body = request::body(&mut context, state.body_bytes, state.body_time).await?;
+    let body = request::body(context, state.body_bytes, state.body_time).await?;
     let chat = chat::Chat::parse(&body)?;
     let resume = chat.resume(resume)?;
     let digest = request::digest(context.req(), &chat.canonical());
@@ -108,16 +105,13 @@
     Ok(reply::chat(answer, shape).await)
 }
 
-async fn handle_models(context: Context<'_>) -> Result<WebResponse, convert::Infallible> {
-    let state = sync::Arc::clone(context.state());
-    let response = match serve_models(&state, &context).await {
-        Ok(response) => response,
-        Err(problem) => reply::problem(&problem),
-    };
-    Ok(finish(&state, response))
+async fn handle_models(mut context: Context<'_>) -> Result<WebResponse, convert::Infallible> {
+    let served = serve_models(&mut context).await;
+    Ok(finish(context, served).await)
 }
 
-async fn serve_models(state: &Shared, context: &Context<'_>) -> problem::Result<WebResponse> {
+async fn serve_models(context: &mut Context<'_>) -> problem::Result<WebResponse> {
+    let state = &sync::Arc::clone(context.state());
     request::allow(context, &http::Method::GET)?;
     let key = request::key(context.req().headers())?;
     let (call, parts) = open(state, calls::Payload::None)?;
@@ -135,20 +129,17 @@
     Ok(reply::whole(answer).await)
 }
 
-async fn handle_service(context: Context<'_>) -> Result<WebResponse, convert::Infallible> {
-    let state = sync::Arc::clone(context.state());
-    let response = match serve_service(&state, context).await {
-        Ok(response) => response,
-        Err(problem) => reply::problem(&problem),
-    };
-    Ok(finish(&state, response))
+async fn handle_service(mut context: Context<'_>) -> Result<WebResponse, convert::Infallible> {
+    let served = serve_service(&mut context).await;
+    Ok(finish(context, served).await)
 }
 
-async fn serve_service(state: &Shared, mut context: Context<'_>) -> problem::Result<WebResponse> {
+async fn serve_service(context: &mut Context<'_>) -> problem::Result<WebResponse> {
+    let state = &sync::Arc::clone(context.state());
     let key = request::key(context.req().headers())?;
     let patience = request::patience(context.req().headers())?;
     let idempotency = request::idempotency(context.req().headers())?;
-    let body = request::body(&mut context, state.body_bytes, state.body_time).await?;
+    let body = request::body(context, state.body_bytes, state.body_time).await?;
     let digest = request::digest(context.req(), &body);
     let (work, payload) = request::service(context.req(), body)?;
     let (call, parts) = open(state, payload)?;
@@ -167,7 +158,7 @@
              try /v1/chat/completions, /v1/models or /svc/SERVICE/PATH"
         ),
     );
-    Ok(reply::problem(&problem))
+    Ok(finish(context, Err(problem)).await)
 }
 
 fn open(
@@ -189,9 +180,17 @@
     Err(problem::Problem::new(problem::Code::Core(call::Code::Stopping), "this VM has stopped"))
 }
 
-/// Asks callers to come back on another connection while the VM stops.
-fn finish(state: &State, mut response: WebResponse) -> WebResponse {
-    if state.readiness.is_stopping() {
+/// Ends a request: a body that was not looked at is read, so that the
+/// connection can be used again, unless the VM stops.
+async fn finish(mut context: Context<'_>, served: problem::Result<WebResponse>) -> WebResponse {
+    let mut response = match served {
+        Ok(response) => response,
+        Err(problem) => {
+            request::discard(std::mem::take(context.body_get_mut())).await;
+            reply::problem(&problem)
+        }
+    };
+    if context.state().readiness.is_stopping() {
         response
             .headers_mut()
             .insert(http::header::CONNECTION, http::HeaderValue::from_static("close"));
--- a/crates/daemon/src/caller/request.rs
+++ b/crates/daemon/src/caller/request.rs
@@ -217,7 +217,7 @@
 
 /// Reads the rest of a body that is refused, within bounds. A connection that
 /// is closed with unread bytes is reset, and the caller loses the error.
-async fn discard(mut body: RequestBody) {
+pub async fn discard(mut body: RequestBody) {
     let discarding = async {
         let mut left = DISCARD_BYTES;
         while let Some(Ok(frame)) = next_frame(&mut body).await {
--- a/crates/daemon/tests/caller.rs
+++ b/crates/daemon/tests/caller.rs
@@ -104,7 +104,7 @@
     call::Ending::Done { chunks: 2, reason: "stop".into(), prompt_tokens: 5 }
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn chat_is_streamed_with_numbers_and_its_end() {
     let mut face = Face::start();
     let key = "Bearer pp.k1.secret";
@@ -130,7 +130,7 @@
     assert_eq!(face.calls.count(), 0);
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stream_that_ends_early_ends_with_an_error_event() {
     let mut face = Face::start();
     let response = face.open("POST", "/v1/chat/completions", &[], CHAT);
@@ -153,7 +153,7 @@
     assert!(!text.contains("[DONE]"), "{text}");
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn refusal_has_code_outcome_and_whole_seconds_to_wait() {
     let mut face = Face::start();
     let response = face.open("GET", "/v1/models", &[], "");
@@ -169,7 +169,7 @@
     assert!(text.contains(r#""code":"over-rate""#), "{text}");
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn resuming_names_stream_and_place_and_keeps_the_digest() {
     let mut face = Face::start();
     let first = face.open("POST", "/v1/chat/completions", &[], CHAT);
@@ -187,7 +187,7 @@
     drop((first.await, second.await));
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn caller_that_leaves_is_reported_gone() {
     let mut face = Face::start();
     let response = face.open("POST", "/v1/chat/completions", &[], CHAT);
@@ -206,7 +206,7 @@
     assert_eq!(face.input().await, node::Input::Gone { call });
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn caller_that_reads_nothing_loses_its_call_and_no_other() {
     let mut face = Face::start();
     let slow = face.open("POST", "/v1/chat/completions", &[], CHAT);
@@ -224,7 +224,7 @@
     assert!(slow.contains("slow-caller") && !slow.contains("[DONE]"), "{slow}");
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn calls_beyond_the_limit_are_refused_not_run() {
     let mut face = Face::start();
     let first = face.open("POST", "/v1/chat/completions", &[], CHAT);
@@ -239,7 +239,7 @@
     drop((first.await, second.await));
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn credentials_are_not_passed_on_to_a_service() {
     let mut face = Face::start();
     let headers = [
@@ -268,7 +268,7 @@
     drop(response.await);
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn wrong_requests_get_clear_errors() {
     let face = Face::start();
     let large: &'static str = "x".repeat(4_096).leak();
