standin: open-loop load generator with the mixes of both deployments

`standin load` sends a seeded Poisson process with bursts to the caller faces of VMs, or to runners directly, and reports attainment (per accelerator, over time, for each account and the worst-served one), refusals inside an account's rate, times to first token and between tokens, and outcomes by kind.

The handlers of the stand-ins run in their connection's task again: xitca-web does not drop a handler whose caller has left, which a test now states.

--- a/crates/standin/src/batch.rs
+++ b/crates/standin/src/batch.rs
@@ -70,11 +70,7 @@
     /// Settings of `accelerators` accelerators of speed `power`.
     #[must_use]
     pub fn new(power: f64, accelerators: u32) -> Self {
-        Self {
-            power,
-            accelerators,
-            ..Self::default()
-        }
+        Self { power, accelerators, ..Self::default() }
     }
 
     fn slots(&self) -> usize {
@@ -119,14 +115,7 @@
     /// A job of `total` chunks with a prompt that is not cached.
     #[must_use]
     pub const fn new(id: u64, priority: u8, prompt_tokens: u64, total: u64) -> Self {
-        Self {
-            id,
-            priority,
-            prompt_tokens,
-            blocks: Vec::new(),
-            next: 0,
-            total,
-        }
+        Self { id, priority, prompt_tokens, blocks: Vec::new(), next: 0, total }
     }
 
     /// The job with the names of its prompt's blocks.
@@ -256,11 +245,7 @@
     #[must_use]
     pub fn load(&self) -> Load {
         let waiting: u64 = self.waiting.values().map(Job::left).sum();
-        let running: u64 = self
-            .running
-            .values()
-            .map(|running| running.job.left())
-            .sum();
+        let running: u64 = self.running.values().map(|running| running.job.left()).sum();
         Load {
             running: self.running.len() as u64,
             waiting: self.waiting.len() as u64,
@@ -281,10 +266,7 @@
             return;
         }
         let prompt_tokens = self.plan_prefill();
-        let decoding = self
-            .running
-            .values()
-            .filter(|running| running.prompt_left == 0);
+        let decoding = self.running.values().filter(|running| running.prompt_left == 0);
         let tokens = decoding.count() as u64;
         self.end = Some(start + self.config.length(tokens, prompt_tokens));
     }
@@ -328,11 +310,7 @@
     fn start(&self, job: Job) -> Running {
         let cached = self.cache.cached_tokens(&job.blocks) as u64;
         let prompt = job.prompt_tokens + job.next;
-        Running {
-            prompt_left: cmp::max(prompt.saturating_sub(cached), 1),
-            prompt_now: 0,
-            job,
-        }
+        Running { prompt_left: cmp::max(prompt.saturating_sub(cached), 1), prompt_now: 0, job }
     }
 
     /// Shares the step's prompt tokens out by rank; returns their number.
--- a/crates/standin/src/cache.rs
+++ b/crates/standin/src/cache.rs
@@ -69,9 +69,7 @@
     /// Number of tokens at the beginning of a prompt of `blocks` that are cached.
     #[must_use]
     pub fn cached_tokens(&self, blocks: &[u64]) -> usize {
-        let cached = blocks
-            .iter()
-            .take_while(|block| self.by_block.contains_key(block));
+        let cached = blocks.iter().take_while(|block| self.by_block.contains_key(block));
         cached.count() * BLOCK_TOKENS
     }
 
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -33,6 +33,21 @@
 }
 
 impl Answer {
+    /// Reads the rest of `response`, which came from `address`.
+    ///
+    /// # Errors
+    ///
+    /// The connection failed before the whole answer was there.
+    pub async fn collect(
+        address: net::SocketAddr,
+        response: http::Response<hyper::body::Incoming>,
+    ) -> Result<Self> {
+        let (parts, body) = response.into_parts();
+        let body = body.collect().await;
+        let body = body.map_err(|error| Error::new("read answer", address, error))?;
+        Ok(Self { status: parts.status, headers: parts.headers, body: body.to_bytes() })
+    }
+
     /// The body as text; bytes that are none are replaced.
     #[must_use]
     pub fn text(&self) -> String {
@@ -94,14 +109,7 @@
         request: http::Request<bytes::Bytes>,
     ) -> Result<Answer> {
         let response = self.open(address, request).await?;
-        let (parts, body) = response.into_parts();
-        let body = body.collect().await;
-        let body = body.map_err(|error| Error::new("read answer", address, error))?;
-        Ok(Answer {
-            status: parts.status,
-            headers: parts.headers,
-            body: body.to_bytes(),
-        })
+        Answer::collect(address, response).await
     }
 
     /// Sends `request` and leaves the body of the answer to be read part by part.
--- a/crates/standin/src/error.rs
+++ b/crates/standin/src/error.rs
@@ -22,11 +22,7 @@
         peer: impl fmt::Display,
         reason: impl fmt::Display,
     ) -> Self {
-        Self {
-            step,
-            peer: peer.to_string(),
-            reason: reason.to_string(),
-        }
+        Self { step, peer: peer.to_string(), reason: reason.to_string() }
     }
 
     /// The step that failed.
--- a/crates/standin/src/face.rs
+++ b/crates/standin/src/face.rs
@@ -69,11 +69,7 @@
     /// An answer without a body.
     #[must_use]
     pub fn empty(status: http::StatusCode) -> Self {
-        Self {
-            status,
-            headers: http::HeaderMap::new(),
-            body: Body::Whole(bytes::Bytes::new()),
-        }
+        Self { status, headers: http::HeaderMap::new(), body: Body::Whole(bytes::Bytes::new()) }
     }
 
     /// A JSON answer.
@@ -137,10 +133,7 @@
 
 impl From<Reply> for Answer {
     fn from(reply: Reply) -> Self {
-        Self {
-            reply,
-            break_after: None,
-        }
+        Self { reply, break_after: None }
     }
 }
 
@@ -193,12 +186,7 @@
                 tracing::error!(%address, %error, "server failed");
             }
         });
-        Ok(Self {
-            address,
-            open,
-            stopper: Stopper(Box::new(move || handle.stop(false))),
-            thread,
-        })
+        Ok(Self { address, open, stopper: Stopper(Box::new(move || handle.stop(false))), thread })
     }
 
     /// The address that it listens on.
@@ -249,10 +237,7 @@
     guard: Open,
 ) -> Result<WebResponse, Closed> {
     let request = read(request).await?;
-    // The handler runs apart from the connection, so that a caller that leaves
-    // does not undo what its request began.
-    let answer = tokio::spawn(handler.handle(request)).await;
-    let answer = answer.map_err(|_panic| Closed)??;
+    let answer = handler.handle(request).await?;
     Ok(write(answer, guard))
 }
 
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -8,10 +8,7 @@
 use crate::face;
 
 /// What happens to requests under a path.
-#[expect(
-    clippy::struct_excessive_bools,
-    reason = "each is an independent switch of the JSON form"
-)]
+#[expect(clippy::struct_excessive_bools, reason = "each is an independent switch of the JSON form")]
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Rule {
@@ -41,10 +38,7 @@
     /// A rule without effect for paths that begin with `path`.
     #[must_use]
     pub fn new(path: &str) -> Self {
-        Self {
-            path: path.to_owned(),
-            ..Self::default()
-        }
+        Self { path: path.to_owned(), ..Self::default() }
     }
 
     /// The wait before the request takes effect.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 //! - The targets: [`runner`], a model engine, and [`service`], a plain service.
 //! - [`batch`] is the runner's batching model alone, without input or output,
 //!   for experiments in virtual time.
+//! - [`load`] sends calls to VMs or runners and reports what callers saw.
 //! - [`text`] computes what any runner answers, so that a test can check it.
 //!
 //! ```
@@ -32,6 +33,7 @@
 pub mod face;
 pub mod fault;
 pub mod ledger;
+pub mod load;
 pub mod object;
 pub mod process;
 pub mod runner;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -23,6 +23,8 @@
     Runner(standin::runner::Config),
     /// A plain service: the booking and lookup desk.
     Service(standin::service::Config),
+    /// Sends calls to VMs or runners and prints what callers saw.
+    Load(Box<standin::load::Config>),
     /// Sends one request to a control address and prints the answer.
     Control(Control),
 }
@@ -63,6 +65,7 @@
         Command::Weights(config) => standin::weight::start(&config)?,
         Command::Runner(config) => standin::runner::start(&config)?,
         Command::Service(config) => standin::service::start(&config)?,
+        Command::Load(config) => return load(&config).await,
         Command::Control(control) => return send(&control).await,
     };
     serve(process).await?;
@@ -86,16 +89,20 @@
     tokio::signal::unix::signal(kind)
 }
 
+async fn load(config: &standin::load::Config) -> Result<ExitCode, Box<dyn std::error::Error>> {
+    let report = standin::load::run(config).await?;
+    if config.json {
+        print(&serde_json::to_string_pretty(&report)?)?;
+    } else {
+        print(&report.to_string())?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 async fn send(control: &Control) -> Result<ExitCode, Box<dyn std::error::Error>> {
     let client = standin::client::Client::new();
-    let answer = client
-        .send(
-            control.address,
-            &control.method,
-            &control.path,
-            control.body.clone(),
-        )
-        .await?;
+    let answer =
+        client.send(control.address, &control.method, &control.path, control.body.clone()).await?;
     if answer.status.is_success() {
         print(&answer.text())?;
         return Ok(ExitCode::SUCCESS);
--- a/crates/standin/src/object.rs
+++ b/crates/standin/src/object.rs
@@ -71,9 +71,7 @@
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, collections::BTreeMap<ids::Digest, bytes::Bytes>> {
-        self.objects
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        self.objects.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
 
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -30,11 +30,7 @@
 
 impl Default for Addresses {
     fn default() -> Self {
-        Self {
-            address: LOOPBACK,
-            control: LOOPBACK,
-            threads: 2,
-        }
+        Self { address: LOOPBACK, control: LOOPBACK, threads: 2 }
     }
 }
 
@@ -105,20 +101,12 @@
             faults: sync::Arc::clone(&faults),
             counts: sync::Arc::clone(counts),
         };
-        let control = Control {
-            role: sync::Arc::clone(role),
-            faults,
-            counts: sync::Arc::clone(counts),
-        };
+        let control =
+            Control { role: sync::Arc::clone(role), faults, counts: sync::Arc::clone(counts) };
         let main = face::Face::listen(addresses.address, addresses.threads, sync::Arc::new(main))?;
         let control = face::Face::listen(addresses.control, 1, sync::Arc::new(control))?;
         let leaver = sync::Arc::clone(role);
-        Ok(Self {
-            role: R::NAME,
-            main,
-            control,
-            leave: Leave(Box::new(move || leaver.leave())),
-        })
+        Ok(Self { role: R::NAME, main, control, leave: Leave(Box::new(move || leaver.leave())) })
     }
 
     /// The address that it answers on.
@@ -181,10 +169,7 @@
         if rule.lose_answer {
             return Err(face::Closed);
         }
-        Ok(face::Answer {
-            reply,
-            break_after: rule.break_after,
-        })
+        Ok(face::Answer { reply, break_after: rule.break_after })
     }
 }
 
--- a/crates/standin/src/runner/chat.rs
+++ b/crates/standin/src/runner/chat.rs
@@ -52,9 +52,7 @@
     } else {
         listener.collect().await
     };
-    reply
-        .with_header(engine::header::CALL, attempt)
-        .with_header(engine::header::STREAM, &name)
+    reply.with_header(engine::header::CALL, attempt).with_header(engine::header::STREAM, &name)
 }
 
 fn read(request: &face::Request) -> serde_json::Result<(Chat, bool)> {
@@ -86,11 +84,7 @@
 ) -> Result<stream::Listener, state::Refusal> {
     let listener = runner.lock().begin(chat)?;
     runner.calls.begin(request);
-    runner.counts.add(if listener.from > 0 {
-        "calls-resumed"
-    } else {
-        "calls"
-    });
+    runner.counts.add(if listener.from > 0 { "calls-resumed" } else { "calls" });
     if is_foreign(chat) {
         runner.counts.add("continue-text-wrong");
     }
--- a/crates/standin/src/runner/config.rs
+++ b/crates/standin/src/runner/config.rs
@@ -68,11 +68,7 @@
     /// The settings with one more item held from the start.
     #[must_use]
     pub fn with_resident(mut self, item: &str, version: &str, memory_mib: u64) -> Self {
-        self.residents.push(Resident {
-            item: item.into(),
-            version: version.into(),
-            memory_mib,
-        });
+        self.residents.push(Resident { item: item.into(), version: version.into(), memory_mib });
         self
     }
 
--- a/crates/standin/src/runner/memory.rs
+++ b/crates/standin/src/runner/memory.rs
@@ -26,10 +26,7 @@
 
 impl Item {
     pub(super) fn new(name: &str, version: &str) -> Self {
-        Self {
-            name: name.into(),
-            version: version.into(),
-        }
+        Self { name: name.into(), version: version.into() }
     }
 }
 
@@ -45,12 +42,7 @@
 
 impl Holdings {
     pub(super) const fn new(memory_mib: u64) -> Self {
-        Self {
-            memory_mib,
-            highest_mib: 0,
-            residents: Vec::new(),
-            arriving: Vec::new(),
-        }
+        Self { memory_mib, highest_mib: 0, residents: Vec::new(), arriving: Vec::new() }
     }
 
     pub(super) fn gauge(&self) -> Memory {
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -149,9 +149,7 @@
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, state::State> {
-        self.state
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
 
--- a/crates/standin/src/runner/sse.rs
+++ b/crates/standin/src/runner/sse.rs
@@ -1,9 +1,6 @@
 //! Answers in the `OpenAI` shape, whole and as server-sent events.
 
-#[expect(
-    clippy::struct_field_names,
-    reason = "the names are those of the `OpenAI` shape"
-)]
+#[expect(clippy::struct_field_names, reason = "the names are those of the `OpenAI` shape")]
 #[derive(Clone, Copy, Debug, serde::Serialize)]
 pub(super) struct Usage {
     prompt_tokens: u64,
@@ -13,11 +10,7 @@
 
 impl Usage {
     pub(super) const fn new(prompt_tokens: u64, completion_tokens: u64) -> Self {
-        Self {
-            prompt_tokens,
-            completion_tokens,
-            total_tokens: prompt_tokens + completion_tokens,
-        }
+        Self { prompt_tokens, completion_tokens, total_tokens: prompt_tokens + completion_tokens }
     }
 }
 
@@ -107,11 +100,7 @@
         created: 0,
         model: source.model,
         system_fingerprint: source.version,
-        choices: [ChunkChoice {
-            index: 0,
-            delta: Delta { content },
-            finish_reason,
-        }],
+        choices: [ChunkChoice { index: 0, delta: Delta { content }, finish_reason }],
         usage,
     };
     serde_json::to_string(&chunk).unwrap_or_default()
@@ -131,10 +120,7 @@
         system_fingerprint: source.version,
         choices: [Choice {
             index: 0,
-            message: Message {
-                role: "assistant",
-                content,
-            },
+            message: Message { role: "assistant", content },
             finish_reason: REASON,
         }],
         usage,
--- a/crates/standin/src/runner/state.rs
+++ b/crates/standin/src/runner/state.rs
@@ -70,11 +70,7 @@
         if chat.resume_from > chat.total {
             return Err(Refusal::BeyondEnd);
         }
-        if let Some(held) = chat
-            .stream
-            .as_deref()
-            .and_then(|name| self.streams.get(name))
-        {
+        if let Some(held) = chat.stream.as_deref().and_then(|name| self.streams.get(name)) {
             return listen(held, chat);
         }
         if self.leaving {
@@ -108,10 +104,7 @@
             items,
             job,
         };
-        let progress = stream::Progress {
-            made: chat.resume_from,
-            end: None,
-        };
+        let progress = stream::Progress { made: chat.resume_from, end: None };
         self.streams.entry(name).or_insert(stream::Held {
             stream: sync::Arc::new(stream),
             progress: tokio::sync::watch::Sender::new(progress),
@@ -176,16 +169,14 @@
     pub(super) fn release(&mut self) {
         let streams = &self.streams;
         let running = self.by_job.values().filter_map(|name| streams.get(name));
-        let used: Vec<memory::Item> = running
-            .flat_map(|held| held.stream.items.iter().cloned())
-            .collect();
+        let used: Vec<memory::Item> =
+            running.flat_map(|held| held.stream.items.iter().cloned()).collect();
         self.memory.release(|item| used.contains(item));
     }
 
     /// Drops streams that ended long ago.
     fn forget(&mut self) {
-        self.streams
-            .retain(|_, held| held.ended.is_none_or(|ended| ended.elapsed() < KEEP_ENDED));
+        self.streams.retain(|_, held| held.ended.is_none_or(|ended| ended.elapsed() < KEEP_ENDED));
     }
 
     fn publish(&mut self, change: cache::Change) {
@@ -193,10 +184,7 @@
         if self.event_gap > 0 && self.event_seq.is_multiple_of(self.event_gap) {
             return;
         }
-        let event = cache::Event {
-            seq: self.event_seq,
-            change,
-        };
+        let event = cache::Event { seq: self.event_seq, change };
         self.events.push_back((time::Instant::now(), event));
         if self.events.len() > KEEP_EVENTS {
             self.events.pop_front();
@@ -216,11 +204,7 @@
     pub(super) fn sample(&mut self, lag: time::Duration) {
         let report = self.present_report();
         self.samples.push_back((time::Instant::now(), report));
-        while self
-            .samples
-            .get(1)
-            .is_some_and(|(at, _)| at.elapsed() >= lag)
-        {
+        while self.samples.get(1).is_some_and(|(at, _)| at.elapsed() >= lag) {
             self.samples.pop_front();
         }
     }
@@ -232,10 +216,7 @@
             return self.present_report();
         };
         let age_ms = u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX);
-        engine::Report {
-            age_ms,
-            ..report.clone()
-        }
+        engine::Report { age_ms, ..report.clone() }
     }
 
     fn present_report(&self) -> engine::Report {
--- a/crates/standin/src/runner/stream.rs
+++ b/crates/standin/src/runner/stream.rs
@@ -34,15 +34,9 @@
 
 impl Stream {
     fn source(&self) -> sse::Source<'_> {
-        let (model, version) = self
-            .items
-            .first()
-            .map_or(("", ""), |item| (&*item.name, &*item.version));
-        sse::Source {
-            stream: &self.name,
-            model,
-            version,
-        }
+        let (model, version) =
+            self.items.first().map_or(("", ""), |item| (&*item.name, &*item.version));
+        sse::Source { stream: &self.name, model, version }
     }
 
     const fn usage(&self) -> sse::Usage {
@@ -107,10 +101,7 @@
 
     /// Waits for the end and answers the text from the first chunk wanted.
     pub(super) async fn collect(mut self) -> face::Reply {
-        let ended = self
-            .progress
-            .wait_for(|progress| progress.end.is_some())
-            .await;
+        let ended = self.progress.wait_for(|progress| progress.end.is_some()).await;
         let end = ended.ok().and_then(|progress| progress.end);
         if end != Some(End::Complete) {
             let status = http::StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -21,10 +21,7 @@
 
 impl Default for Config {
     fn default() -> Self {
-        Self {
-            addresses: process::Addresses::default(),
-            name: "desk-1".to_owned(),
-        }
+        Self { addresses: process::Addresses::default(), name: "desk-1".to_owned() }
     }
 }
 
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -112,9 +112,7 @@
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, Rows> {
-        self.rows
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        self.rows.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
 
@@ -124,11 +122,9 @@
 fn apply(rows: &mut Rows, request: &table::Request) -> Result<table::Answer, Doubled> {
     match request {
         table::Request::Get { key } => Ok(table::Answer::Row(rows.get(key).cloned())),
-        table::Request::Scan {
-            prefix,
-            after,
-            limit,
-        } => Ok(scan(rows, prefix, after.as_ref(), *limit)),
+        table::Request::Scan { prefix, after, limit } => {
+            Ok(scan(rows, prefix, after.as_ref(), *limit))
+        }
         table::Request::Write { writes } => write(rows, writes),
     }
 }
@@ -207,10 +203,7 @@
     }
 
     fn take(&self) -> bool {
-        let mut state = self
-            .state
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
+        let mut state = self.state.lock().unwrap_or_else(sync::PoisonError::into_inner);
         let now = time::Instant::now();
         let refill = now.duration_since(state.0).as_secs_f64() * self.per_second;
         let level = (state.1 + refill).min(Self::burst(self.per_second));
--- a/crates/standin/src/vm.rs
+++ b/crates/standin/src/vm.rs
@@ -25,11 +25,7 @@
 
 impl Default for Config {
     fn default() -> Self {
-        Self {
-            addresses: process::Addresses::default(),
-            vms: Vec::new(),
-            lag_ms: 2000,
-        }
+        Self { addresses: process::Addresses::default(), vms: Vec::new(), lag_ms: 2000 }
     }
 }
 
@@ -40,16 +36,11 @@
 /// An address cannot be bound.
 pub fn start(config: &Config) -> Result<process::Process> {
     let counts = sync::Arc::new(count::Counts::new());
-    let first = config.vms.iter().map(|name| vm::Entry {
-        name: name.clone(),
-        state: vm::State::Live,
-    });
+    let first =
+        config.vms.iter().map(|name| vm::Entry { name: name.clone(), state: vm::State::Live });
     let role = sync::Arc::new(List {
         lag: time::Duration::from_millis(config.lag_ms),
-        lists: sync::Mutex::new(Lists {
-            shown: first.collect(),
-            coming: Vec::new(),
-        }),
+        lists: sync::Mutex::new(Lists { shown: first.collect(), coming: Vec::new() }),
     });
     process::Process::start(config.addresses, &role, &counts)
 }
@@ -97,8 +88,6 @@
 
 impl List {
     fn lock(&self) -> sync::MutexGuard<'_, Lists> {
-        self.lists
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        self.lists.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
--- a/crates/standin/src/weight.rs
+++ b/crates/standin/src/weight.rs
@@ -133,10 +133,7 @@
 
     /// The moment at which the next load of a model may begin.
     fn begin(&self) -> tokio::time::Instant {
-        let mut next = self
-            .next_begin
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
+        let mut next = self.next_begin.lock().unwrap_or_else(sync::PoisonError::into_inner);
         let begin = tokio::time::Instant::now().max(*next);
         *next = begin + time::Duration::from_secs_f64(1.0 / self.config.loads_per_second);
         begin
--- a/crates/standin/tests/batch.rs
+++ b/crates/standin/tests/batch.rs
@@ -46,10 +46,7 @@
 
 #[test]
 fn better_priority_goes_first_and_takes_over_places() {
-    let config = batch::Config {
-        slots: 1,
-        ..batch::Config::default()
-    };
+    let config = batch::Config { slots: 1, ..batch::Config::default() };
     let mut batch = batch::Batch::new(config);
     batch.submit(time::Duration::ZERO, batch::Job::new(1, 2, 10, 10));
     batch.submit(time::Duration::ZERO, batch::Job::new(2, 2, 10, 10));
@@ -75,10 +72,7 @@
         let blocks = standin::cache::blocks("draft", &tokens[from..from + 320]);
         batch::Job::new(id, 0, 320, 1).with_blocks(blocks)
     };
-    let config = batch::Config {
-        cache_tokens: 320,
-        ..batch::Config::default()
-    };
+    let config = batch::Config { cache_tokens: 320, ..batch::Config::default() };
     let mut batch = batch::Batch::new(config);
     let mut span = |id, from| {
         let start = time::Duration::from_secs(id);
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -7,10 +7,7 @@
 async fn ask(address: net::SocketAddr, request: &platform::table::Request) -> client::Answer {
     let body = serde_json::to_vec(request).expect("a request is JSON");
     let client = client::Client::new();
-    client
-        .send(address, "POST", "/table", body)
-        .await
-        .expect("the table answers")
+    client.send(address, "POST", "/table", body).await.expect("the table answers")
 }
 
 fn change(key: &str, expect: Option<u64>, value: &str) -> platform::table::Write {
@@ -31,9 +28,7 @@
 
 async fn set_faults(process: &process::Process, rules: &str) {
     let client = client::Client::new();
-    let answer = client
-        .send(process.control(), "PUT", "/faults", rules.to_owned())
-        .await;
+    let answer = client.send(process.control(), "PUT", "/faults", rules.to_owned()).await;
     let answer = answer.expect("the control address answers");
     assert_eq!(answer.status, 204, "{}", answer.text());
 }
@@ -42,21 +37,15 @@
 async fn transaction_is_all_or_nothing() {
     let table = table::start(&table::Config::default()).expect("starts");
     let both = vec![change("a", None, "1"), change("b", None, "1")];
-    assert_eq!(
-        write(table.address(), both).await,
-        platform::table::Answer::Written
-    );
+    assert_eq!(write(table.address(), both).await, platform::table::Answer::Written);
     let stale = vec![change("a", Some(1), "2"), change("b", None, "2")];
     let platform::table::Answer::Conflict { rows } = write(table.address(), stale).await else {
         panic!("the change of b does not fit");
     };
     assert_eq!(rows.len(), 1);
     assert_eq!(&*rows[0].key, "b");
-    let scan = platform::table::Request::Scan {
-        prefix: "".into(),
-        after: Some("a".into()),
-        limit: 5,
-    };
+    let scan =
+        platform::table::Request::Scan { prefix: "".into(), after: Some("a".into()), limit: 5 };
     let platform::table::Answer::Rows(rows) =
         ask(table.address(), &scan).await.json().expect("rows")
     else {
@@ -65,21 +54,13 @@
     assert_eq!(rows.len(), 1);
     assert_eq!((&*rows[0].value, rows[0].version.get()), ("1", 1));
     let get = platform::table::Request::Get { key: "a".into() };
-    assert!(
-        ask(table.address(), &get)
-            .await
-            .text()
-            .contains(r#""version":1"#)
-    );
+    assert!(ask(table.address(), &get).await.text().contains(r#""version":1"#));
     table.stop().await;
 }
 
 #[tokio::test]
 async fn writes_above_the_rate_are_refused() {
-    let config = table::Config {
-        writes_per_second: 1,
-        ..table::Config::default()
-    };
+    let config = table::Config { writes_per_second: 1, ..table::Config::default() };
     let table = table::start(&config).expect("starts");
     let mut refused = 0;
     for number in 0..20 {
@@ -89,10 +70,7 @@
             refused += 1;
         }
     }
-    assert!(
-        refused > 0,
-        "20 writes at once pass a limit of one a second"
-    );
+    assert!(refused > 0, "20 writes at once pass a limit of one a second");
     table.stop().await;
 }
 
@@ -118,16 +96,9 @@
     set_faults(&table, rules).await;
     let lost = client.send(table.address(), "POST", "/table", body).await;
     lost.expect_err("the answer is lost");
-    assert!(
-        ask(table.address(), &get)
-            .await
-            .text()
-            .contains(r#""value":"1""#)
-    );
-
-    let unknown = client
-        .send(table.control(), "PUT", "/faults", r#"[{"delay":1}]"#)
-        .await;
+    assert!(ask(table.address(), &get).await.text().contains(r#""value":"1""#));
+
+    let unknown = client.send(table.control(), "PUT", "/faults", r#"[{"delay":1}]"#).await;
     assert_eq!(unknown.expect("an answer").status, 400);
     table.stop().await;
 }
@@ -135,11 +106,7 @@
 #[tokio::test]
 async fn delayed_request_takes_effect_though_its_caller_left() {
     let table = table::start(&table::Config::default()).expect("starts");
-    set_faults(
-        &table,
-        r#"[{"path":"/table","contains":"write","delay_ms":2000}]"#,
-    )
-    .await;
+    set_faults(&table, r#"[{"path":"/table","contains":"write","delay_ms":2000}]"#).await;
     let writes = vec![change("late", None, "1")];
     let hurried = time::Duration::from_millis(50);
     tokio::time::timeout(hurried, write(table.address(), writes))
@@ -173,11 +140,7 @@
 
 #[tokio::test]
 async fn list_of_vms_lags() {
-    let config = vm::Config {
-        vms: vec!["vm-1".to_owned()],
-        lag_ms: 500,
-        ..vm::Config::default()
-    };
+    let config = vm::Config { vms: vec!["vm-1".to_owned()], lag_ms: 500, ..vm::Config::default() };
     let list = vm::start(&config).expect("starts");
     let client = client::Client::new();
     let body = r#"[{"name":"vm-1","state":"leaving"}]"#;
--- a/crates/standin/tests/process.rs
+++ b/crates/standin/tests/process.rs
@@ -10,9 +10,7 @@
         .expect("the program starts");
     let mut line = String::new();
     let stdout = child.stdout.as_mut().expect("stdout is piped");
-    io::BufReader::new(stdout)
-        .read_line(&mut line)
-        .expect("a line");
+    io::BufReader::new(stdout).read_line(&mut line).expect("a line");
     let banner = serde_json::from_str(&line).expect("a banner");
     (child, banner)
 }
@@ -24,9 +22,7 @@
     let body = r#"{"model":"draft","messages":[],"max_tokens":200}"#;
     let call = runtime.spawn(async move {
         let client = standin::client::Client::new();
-        client
-            .send(banner.address, "POST", "/v1/chat/completions", body)
-            .await
+        client.send(banner.address, "POST", "/v1/chat/completions", body).await
     });
     loop {
         let counts = control(&banner.control.to_string(), &["GET", "/calls"]);
@@ -40,12 +36,7 @@
         .expect("kill runs");
     assert!(terminated.success());
     let answer = runtime.block_on(call).expect("the task ends");
-    assert!(
-        answer
-            .expect("an answer")
-            .text()
-            .contains(r#""completion_tokens":200"#)
-    );
+    assert!(answer.expect("an answer").text().contains(r#""completion_tokens":200"#));
     assert!(child.wait().expect("the program ends").success());
 }
 
--- a/crates/standin/tests/runner.rs
+++ b/crates/standin/tests/runner.rs
@@ -30,9 +30,7 @@
         request = request.header(*name, *value);
     }
     let request = request.body(body.to_string().into()).expect("a request");
-    client::Client::new()
-        .request(process.address(), request)
-        .await
+    client::Client::new().request(process.address(), request).await
 }
 
 async fn control(process: &process::Process, method: &str, path: &str, body: &str) -> String {
@@ -50,9 +48,7 @@
         r#"{{"fence":{fence},"action":"{action}","item":"{item}","version":"v1","memory_mib":{mib}}}"#
     );
     let client = client::Client::new();
-    let answer = client
-        .send(process.address(), "POST", "/orders", order)
-        .await;
+    let answer = client.send(process.address(), "POST", "/orders", order).await;
     answer.expect("an answer").status.as_u16()
 }
 
@@ -80,16 +76,12 @@
     let runner = start(runner::Config::default());
     let expected = text::range(&text::digest(&body(true, 5)), 0, 5);
     let headers = [("x-call-id", "attempt-7"), ("x-stream-id", "s")];
-    let streamed = call(&runner, &body(true, 5), &headers)
-        .await
-        .expect("an answer");
+    let streamed = call(&runner, &body(true, 5), &headers).await.expect("an answer");
     assert_eq!(streamed.headers["x-call-id"], "attempt-7");
     let (numbers, whole, ended) = events(&streamed.text());
     assert_eq!((numbers, ended), (vec![0, 1, 2, 3, 4], true));
     assert_eq!(whole, expected);
-    let plain = call(&runner, &body(false, 5), &[])
-        .await
-        .expect("an answer");
+    let plain = call(&runner, &body(false, 5), &[]).await.expect("an answer");
     let plain: serde_json::Value = plain.json().expect("JSON");
     assert_eq!(plain["choices"][0]["message"]["content"], expected);
     assert_eq!(plain["usage"]["completion_tokens"], 5);
@@ -99,29 +91,19 @@
 
 #[tokio::test]
 async fn broken_stream_is_resumed_on_the_same_and_on_another_runner() {
-    let (first, second) = (
-        start(runner::Config::default()),
-        start(runner::Config::default()),
-    );
+    let (first, second) = (start(runner::Config::default()), start(runner::Config::default()));
     let rule = r#"[{"path":"/v1/chat","break_after":3,"count":1}]"#;
     control(&first, "PUT", "/faults", rule).await;
     let broken = call(&first, &body(true, 6), &[("x-stream-id", "s")]).await;
     broken.expect_err("the stream is cut");
 
     let from = [("x-stream-id", "s"), ("x-resume-from", "3")];
-    let resumed = call(&first, &body(true, 6), &from)
-        .await
-        .expect("an answer");
+    let resumed = call(&first, &body(true, 6), &from).await.expect("an answer");
     let prompt = text::digest(&body(true, 6));
     let expected = text::range(&prompt, 3, 6);
-    assert_eq!(
-        events(&resumed.text()),
-        (vec![3, 4, 5], expected.clone(), true)
-    );
+    assert_eq!(events(&resumed.text()), (vec![3, 4, 5], expected.clone(), true));
 
-    let unknown = call(&second, &body(true, 6), &from)
-        .await
-        .expect("an answer");
+    let unknown = call(&second, &body(true, 6), &from).await.expect("an answer");
     assert_eq!(
         (unknown.status.as_u16(), &unknown.headers["x-not-run"]),
         (409, &"1".parse().unwrap())
@@ -130,11 +112,7 @@
     continued["continue_text"] = text::range(&prompt, 0, 3).into();
     let moved = call(&second, &continued, &from).await.expect("an answer");
     assert_eq!(events(&moved.text()), (vec![3, 4, 5], expected, true));
-    assert!(
-        !control(&second, "GET", "/counts", "")
-            .await
-            .contains("wrong")
-    );
+    assert!(!control(&second, "GET", "/counts", "").await.contains("wrong"));
     first.stop().await;
     second.stop().await;
 }
@@ -148,29 +126,18 @@
     assert_eq!(refused.status, 503);
     assert_eq!(refused.headers["x-not-run"], "1");
     control(&runner, "PUT", "/leaving", r#"{"leaving":true}"#).await;
-    let refused = call(&runner, &body(false, 2), &[])
-        .await
-        .expect("an answer");
+    let refused = call(&runner, &body(false, 2), &[]).await.expect("an answer");
     assert_eq!(refused.headers["x-not-run"], "1");
     assert_eq!(control(&runner, "GET", "/calls", "").await, "[]");
     control(&runner, "PUT", "/leaving", r#"{"leaving":false}"#).await;
-    call(&runner, &body(false, 2), &[("x-call-id", "a1")])
-        .await
-        .expect("an answer");
-    assert!(
-        control(&runner, "GET", "/calls", "")
-            .await
-            .contains(r#""attempt":"a1""#)
-    );
+    call(&runner, &body(false, 2), &[("x-call-id", "a1")]).await.expect("an answer");
+    assert!(control(&runner, "GET", "/calls", "").await.contains(r#""attempt":"a1""#));
     runner.stop().await;
 }
 
 #[tokio::test]
 async fn old_fencing_tokens_are_refused_only_where_they_are_checked() {
-    let checking = start(runner::Config {
-        fencing: true,
-        ..runner::Config::default()
-    });
+    let checking = start(runner::Config { fencing: true, ..runner::Config::default() });
     assert_eq!(order(&checking, 5, "load", "quote", 10_000).await, 202);
     assert_eq!(order(&checking, 4, "unload", "quote", 10_000).await, 409);
     let ignoring = start(runner::Config::default());
@@ -204,10 +171,7 @@
 
 #[tokio::test]
 async fn unload_waits_for_calls_and_report_lags() {
-    let runner = start(runner::Config {
-        report_lag_ms: 60_000,
-        ..runner::Config::default()
-    });
+    let runner = start(runner::Config { report_lag_ms: 60_000, ..runner::Config::default() });
     let endless = body(true, 1_000_000);
     let headers = [("x-stream-id", "s")];
     let (answer, ()) = tokio::join!(call(&runner, &endless, &headers), async {
@@ -266,14 +230,7 @@
     assert_eq!(calls.as_array().map(Vec::len), Some(1));
     let again = client.send(desk.address(), "POST", "/booking", "{}").await;
     assert_eq!(again.expect("an answer").status, 201);
-    let found = client
-        .send(desk.address(), "GET", "/lookup/family/7", "")
-        .await;
-    assert!(
-        found
-            .expect("an answer")
-            .text()
-            .contains("/lookup/family/7")
-    );
+    let found = client.send(desk.address(), "GET", "/lookup/family/7", "").await;
+    assert!(found.expect("an answer").text().contains("/lookup/family/7"));
     desk.stop().await;
 }
