--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -24,6 +24,8 @@
     Runner(standin::runner::Config),
     /// A plain service: the booking and lookup desk.
     Service(standin::service::Config),
+    /// Sends calls to VMs or runners and prints what callers saw.
+    Load(Box<standin::load::Config>),
     /// Sends one request to a control address and prints the answer.
     Control(Control),
     /// Sends one request and prints the answer as its caller sees it.
@@ -67,6 +69,7 @@
         Command::Weights(config) => standin::weight::start(&config)?,
         Command::Runner(config) => standin::runner::start(&config)?,
         Command::Service(config) => standin::service::start(&config)?,
+        Command::Load(config) => return load(&config).await,
         Command::Control(control) => return send(&control).await,
         Command::Call(config) => return call(&config).await,
     };
@@ -98,6 +101,16 @@
     Ok(if succeeded { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+async fn load(config: &standin::load::Config) -> Result<ExitCode, Box<dyn std::error::Error>> {
+    let report = standin::load::run(config).await?;
+    if config.json {
+        print(&serde_json::to_string_pretty(&report)?)?;
+    } else {
+        print(&report.to_string())?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 async fn send(control: &Control) -> Result<ExitCode, Box<dyn std::error::Error>> {
     let client = standin::client::Client::new();
     let answer =
