--- a/crates/standin/src/face.rs
+++ b/crates/standin/src/face.rs
@@ -237,10 +237,7 @@
     guard: Open,
 ) -> Result<WebResponse, Closed> {
     let request = read(request).await?;
-    // The handler runs apart from the connection, so that a caller that leaves
-    // does not undo what its request began.
-    let answer = tokio::spawn(handler.handle(request)).await;
-    let answer = answer.map_err(|_panic| Closed)??;
+    let answer = handler.handle(request).await?;
     Ok(write(answer, guard))
 }
 
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -9,8 +9,7 @@
 
 /// What happens to requests under a path.
 #[expect(clippy::struct_excessive_bools, reason = "each is an independent switch of the JSON form")]
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Rule {
     /// What the path begins with.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`batch`] is the runner's batching model alone, without input or output,
 //!   for experiments in virtual time.
 //! - [`call`] sends one request and shows the answer as its caller sees it.
+//! - [`load`] sends calls to VMs or runners and reports what callers saw.
 //! - [`text`] computes what any runner answers, so that a test can check it.
 //!
 //! ```
@@ -34,6 +35,7 @@
 pub mod face;
 pub mod fault;
 pub mod ledger;
+pub mod load;
 pub mod object;
 pub mod process;
 pub mod runner;
