--- /dev/null
+++ b/crates/proofs/src/process.rs
@@ -0,0 +1,164 @@
+//! Programs as separate processes.
+
+use std::{env, fs, io, io::BufRead as _, path, process, thread, time};
+
+use rustix::process::{Pid, Signal};
+
+use crate::{Error, Result, wait};
+
+/// Time between two looks at whether a process has ended.
+const PAUSE: time::Duration = time::Duration::from_millis(10);
+
+/// A running program; it is killed when it is dropped.
+#[derive(Debug)]
+pub struct Program {
+    name: String,
+    child: process::Child,
+    banner: serde_json::Value,
+    log: path::PathBuf,
+}
+
+impl Program {
+    /// Starts the program `binary` and waits for the line that tells its
+    /// addresses. Its log goes to a file named `name` in `directory`.
+    ///
+    /// # Errors
+    ///
+    /// The program cannot be started or ends without that line.
+    pub fn start(
+        binary: &str,
+        name: &str,
+        directory: &path::Path,
+        arguments: &[String],
+    ) -> Result<Self> {
+        let fault = |cause: &dyn std::fmt::Display| Error::new("start", &name, &cause);
+        let log = directory.join(format!("{name}.log"));
+        let file = fs::File::options().create(true).append(true).open(&log);
+        let file = file.map_err(|cause| fault(&cause))?;
+        let mut child = process::Command::new(directory_of_programs()?.join(binary))
+            .args(arguments)
+            .stdin(process::Stdio::null())
+            .stdout(process::Stdio::piped())
+            .stderr(file)
+            .spawn()
+            .map_err(|cause| fault(&cause))?;
+        let mut line = String::new();
+        if let Some(stdout) = child.stdout.take() {
+            let read = io::BufReader::new(stdout).read_line(&mut line);
+            read.map_err(|cause| fault(&cause))?;
+        }
+        let banner = match serde_json::from_str(&line) {
+            Ok(banner) => banner,
+            Err(cause) => {
+                let said = fs::read_to_string(&log).unwrap_or_default();
+                return Err(fault(&format!("{cause}; it said: {said}")));
+            }
+        };
+        Ok(Self { name: name.to_owned(), child, banner, log })
+    }
+
+    /// An address that the program told at its start.
+    ///
+    /// # Panics
+    ///
+    /// There is no address of that name.
+    #[must_use]
+    pub fn address(&self, name: &str) -> std::net::SocketAddr {
+        let text = self.banner[name].as_str().unwrap_or_default();
+        text.parse().unwrap_or_else(|cause| panic!("{}: address {name}: {cause}", self.name))
+    }
+
+    /// The process's number.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// All that the program has written to its log.
+    #[must_use]
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Stops the process where it is (SIGSTOP).
+    ///
+    /// # Errors
+    ///
+    /// The process has ended.
+    pub fn freeze(&self) -> Result<()> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Lets a frozen process go on (SIGCONT).
+    ///
+    /// # Errors
+    ///
+    /// The process has ended.
+    pub fn thaw(&self) -> Result<()> {
+        self.signal(Signal::CONT)
+    }
+
+    /// Asks the process to stop gracefully (SIGTERM).
+    ///
+    /// # Errors
+    ///
+    /// The process has ended.
+    pub fn terminate(&self) -> Result<()> {
+        self.signal(Signal::TERM)
+    }
+
+    /// Kills the process (SIGKILL) and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// The process has ended before.
+    pub fn kill(&mut self) -> Result<()> {
+        self.signal(Signal::KILL)?;
+        self.wait().map(drop)
+    }
+
+    /// Whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Waits for the end of the process.
+    ///
+    /// # Errors
+    ///
+    /// It has not ended before the deadline.
+    pub fn wait(&mut self) -> Result<process::ExitStatus> {
+        let fault = |cause: &dyn std::fmt::Display| Error::new("end", &self.name, &cause);
+        let begun = time::Instant::now();
+        while begun.elapsed() < wait::DEADLINE {
+            if let Some(status) = self.child.try_wait().map_err(|cause| fault(&cause))? {
+                return Ok(status);
+            }
+            thread::sleep(PAUSE);
+        }
+        Err(fault(&"it goes on"))
+    }
+
+    fn signal(&self, signal: Signal) -> Result<()> {
+        let fault = |cause: &dyn std::fmt::Display| Error::new("signal", &self.name, &cause);
+        let id = i32::try_from(self.child.id()).map_err(|cause| fault(&cause))?;
+        let id = Pid::from_raw(id).ok_or_else(|| fault(&"no process number"))?;
+        rustix::process::kill_process(id, signal).map_err(|cause| fault(&cause))
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        if self.is_running() && self.child.kill().is_ok() {
+            drop(self.child.wait());
+        }
+    }
+}
+
+/// The directory above the one of the running test.
+fn directory_of_programs() -> Result<path::PathBuf> {
+    let test = env::current_exe().map_err(|cause| Error::new("find", &"programs", &cause))?;
+    let directory = test.parent().and_then(path::Path::parent);
+    let directory = directory.ok_or_else(|| Error::new("find", &"programs", &"no directory"))?;
+    Ok(directory.to_owned())
+}
