--- a/crates/proofs/src/fleet.rs
+++ b/crates/proofs/src/fleet.rs
@@ -147,22 +147,21 @@
     pub fn bundle(&self) -> String {
         let digest = ids::Digest::of(self.key.as_bytes());
         let desk = self.desk.address("address");
-        let runners: String = (1..)
-            .zip(&self.runners)
-            .map(|(number, runner)| {
-                let address = runner.address("address");
-                format!(
-                    "  - {{name: runner-{number}, centre: north, address: '{address}', \
-                     accelerators: 1, memory_mib: 8000, fencing: true}}\n"
-                )
-            })
-            .collect();
+        let runner = |(number, runner): (usize, &process::Program)| {
+            let address = runner.address("address");
+            format!(
+                "  - {{name: runner-{number}, centre: north, address: '{address}', \
+                 accelerators: 1, memory_mib: 8000, fencing: true}}"
+            )
+        };
+        let runners: Vec<String> = (1..).zip(&self.runners).map(runner).collect();
+        let runners = runners.join("\n");
         let copies = self.runners.len();
         format!(
             "format: 1\ndeployment: proofs\ncentres: [north]\n\
              models:\n  - {{name: draft, version: v1, memory_mib: 1000, kv_floor_mib: 200, \
              copies: {copies}}}\n\
-             runners:\n{runners}\
+             runners:\n{runners}\n\
              services:\n  - name: desk\n    targets:\n      \
              - {{name: desk-1, centre: north, address: '{desk}'}}\n    routes:\n      \
              - {{path: /lookup/public, repeatable: true, open: true}}\n      \
--- a/crates/proofs/src/wait.rs
+++ b/crates/proofs/src/wait.rs
@@ -5,7 +5,7 @@
 use crate::{Error, Result};
 
 /// Longest wait for anything that is to happen.
-pub const DEADLINE: time::Duration = time::Duration::from_secs(60);
+pub const DEADLINE: time::Duration = time::Duration::from_mins(1);
 /// Time between two looks.
 const PAUSE: time::Duration = time::Duration::from_millis(20);
 
