--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -1,3 +1,4 @@
+#![allow(dead_code, reason = "each test file uses another part of the world")]
 //! One node before an in-memory platform, recorded as a session.
 //!
 //! Targets answer only when a test says so. The table service and the object
@@ -10,6 +11,7 @@
 use platform::memory;
 
 const LATENCY_MS: u64 = 2;
+pub const TICK_MS: u64 = 20;
 const SECRET: [u8; 24] = [7; 24];
 
 pub const BUNDLE: &str = "
@@ -114,7 +116,7 @@
             for (_, input) in due {
                 self.input(input);
             }
-            if self.now.is_multiple_of(20) {
+            if self.now.is_multiple_of(TICK_MS) {
                 writeln!(self.text, "@{}", self.now).unwrap();
                 self.step([]);
             }
