--- a/crates/standin/src/face.rs
+++ b/crates/standin/src/face.rs
@@ -1,6 +1,6 @@
 //! One HTTP address of a stand-in.
 
-use std::{fmt, net, sync, sync::atomic, task, thread, time};
+use std::{fmt, net, pin, sync, sync::atomic, task, thread, time};
 
 use xitca_web::body::BodyExt as _;
 
@@ -129,11 +129,13 @@
     pub reply: Reply,
     /// The connection is closed after so many parts of a stream.
     pub break_after: Option<u64>,
+    /// Each part of a stream is sent twice.
+    pub double: bool,
 }
 
 impl From<Reply> for Answer {
     fn from(reply: Reply) -> Self {
-        Self { reply, break_after: None }
+        Self { reply, break_after: None, double: false }
     }
 }
 
@@ -260,7 +262,17 @@
 fn write(answer: Answer, guard: Open) -> WebResponse {
     let body = match answer.reply.body {
         Body::Whole(bytes) => xitca_web::body::ResponseBody::bytes(bytes),
-        Body::Stream(receiver) => stream(receiver, answer.break_after, guard),
+        Body::Stream(receiver) => {
+            let parts = Parts {
+                receiver,
+                left: answer.break_after,
+                double: answer.double,
+                again: None,
+                _guard: guard,
+            };
+            let parts = xitca_web::body::StreamDataBody::new(parts);
+            xitca_web::body::ResponseBody::boxed(parts)
+        }
     };
     let mut response = WebResponse::new(body);
     *response.status_mut() = answer.reply.status;
@@ -268,22 +280,35 @@
     response
 }
 
-fn stream(
-    mut receiver: tokio::sync::mpsc::Receiver<bytes::Bytes>,
-    break_after: Option<u64>,
-    guard: Open,
-) -> xitca_web::body::ResponseBody {
-    let mut sent = 0;
-    let parts = futures_util::stream::poll_fn(move |cx| {
-        let _held = &guard;
-        if break_after.is_some_and(|limit| sent >= limit) {
+/// The parts of a streamed answer, as a fault rule lets them through.
+struct Parts {
+    receiver: tokio::sync::mpsc::Receiver<bytes::Bytes>,
+    /// Parts until the stream is cut.
+    left: Option<u64>,
+    double: bool,
+    /// The part that was just sent, if it is to be sent again.
+    again: Option<bytes::Bytes>,
+    _guard: Open,
+}
+
+impl futures_util::Stream for Parts {
+    type Item = Result<bytes::Bytes, Broken>;
+
+    fn poll_next(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Self::Item>> {
+        if let Some(part) = self.again.take() {
+            return task::Poll::Ready(Some(Ok(part)));
+        }
+        if self.left == Some(0) {
             return task::Poll::Ready(Some(Err(Broken)));
         }
-        let part = futures_util::ready!(receiver.poll_recv(cx));
-        sent += 1;
+        let part = futures_util::ready!(self.receiver.poll_recv(cx));
+        self.left = self.left.map(|left| left - 1);
+        self.again = part.clone().filter(|_| self.double);
         task::Poll::Ready(part.map(Ok))
-    });
-    xitca_web::body::ResponseBody::boxed(xitca_web::body::StreamDataBody::new(parts))
+    }
 }
 
 /// the stream was cut on request
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -30,6 +30,10 @@
     pub lose_answer: bool,
     /// Cut a streamed answer after so many chunks.
     pub break_after: Option<u64>,
+    /// Send each chunk of a streamed answer twice.
+    pub double: bool,
+    /// Exchange the answer with that of the next request that a crossing rule fits.
+    pub cross: bool,
     /// Apply so many times, then end; without it the rule lasts.
     pub count: Option<u64>,
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod cache;
 pub mod client;
 pub mod count;
+mod cross;
 mod error;
 pub mod face;
 pub mod fault;
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -6,7 +6,7 @@
 
 use std::{future, net, sync, time};
 
-use crate::{Result, count, face, fault};
+use crate::{Result, count, cross, face, fault};
 
 /// How long a stop waits for answers under way.
 const STOP_PATIENCE: time::Duration = time::Duration::from_mins(5);
@@ -99,6 +99,7 @@
         let main = Main {
             role: sync::Arc::clone(role),
             faults: sync::Arc::clone(&faults),
+            crossing: cross::Crossing::default(),
             counts: sync::Arc::clone(counts),
         };
         let control =
@@ -144,6 +145,7 @@
 struct Main<R> {
     role: sync::Arc<R>,
     faults: sync::Arc<fault::Rules>,
+    crossing: cross::Crossing,
     counts: sync::Arc<count::Counts>,
 }
 
@@ -169,7 +171,8 @@
         if rule.lose_answer {
             return Err(face::Closed);
         }
-        Ok(face::Answer { reply, break_after: rule.break_after })
+        let reply = if rule.cross { self.crossing.exchange(reply).await } else { reply };
+        Ok(face::Answer { reply, break_after: rule.break_after, double: rule.double })
     }
 }
 
--- a/crates/standin/tests/load.rs
+++ b/crates/standin/tests/load.rs
@@ -180,7 +180,8 @@
     let rules = r#"[
         {"path": "/v1", "refuse": true, "count": 2},
         {"path": "/v1", "break_after": 1, "count": 1},
-        {"path": "/v1", "lose_request": true, "count": 1}
+        {"path": "/v1", "lose_request": true, "count": 1},
+        {"path": "/v1", "cross": true, "count": 2}
     ]"#;
     let client = client::Client::new();
     let set = client.send(faulty.control(), "PUT", "/faults", rules).await;
@@ -194,7 +195,8 @@
     assert_eq!(drafts.values().sum::<u64>(), report.drafts.sent);
     assert_eq!(drafts["not-run: refused"], 2);
     assert_eq!(drafts["cut"], 2);
-    assert_eq!(drafts["answered"], report.drafts.sent - 4);
+    assert_eq!(drafts["wrong"], 2);
+    assert_eq!(drafts["answered"], report.drafts.sent - 6);
     assert_eq!(report.wrongful_refusals, 2);
     assert!(report.first_token.count >= drafts["answered"]);
     assert!(report.to_string().contains("worst-served account"));
--- a/crates/standin/tests/runner.rs
+++ b/crates/standin/tests/runner.rs
@@ -234,3 +234,20 @@
     assert!(found.expect("an answer").text().contains("/lookup/family/7"));
     desk.stop().await;
 }
+
+#[tokio::test]
+async fn answers_are_crossed_and_chunks_doubled() {
+    let runner = start(runner::Config::default());
+    let rules = r#"[{"path":"/v1/chat","cross":true,"count":2},{"path":"/v1/chat","double":true}]"#;
+    control(&runner, "PUT", "/faults", rules).await;
+    let plain = body(false, 2);
+    let (first, second) = tokio::join!(
+        call(&runner, &plain, &[("x-call-id", "first")]),
+        call(&runner, &plain, &[("x-call-id", "second")]),
+    );
+    assert_eq!(first.expect("an answer").headers["x-call-id"], "second");
+    assert_eq!(second.expect("an answer").headers["x-call-id"], "first");
+    let doubled = call(&runner, &body(true, 2), &[]).await.expect("an answer");
+    assert_eq!(events(&doubled.text()).0, [0, 0, 1, 1]);
+    runner.stop().await;
+}
