--- a/crates/standin/src/cache.rs
+++ b/crates/standin/src/cache.rs
@@ -10,7 +10,8 @@
 pub const BLOCK_TOKENS: usize = 16;
 
 /// What happened to a block.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Change {
     /// The block is cached.
@@ -20,7 +21,8 @@
 }
 
 /// A change as a runner publishes it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Event {
     /// Number of the event; numbers may be left out.
     pub seq: u64,
--- a/crates/standin/src/face.rs
+++ b/crates/standin/src/face.rs
@@ -312,7 +312,8 @@
 }
 
 /// the stream was cut on request
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
 struct Broken;
 
 impl std::error::Error for Broken {}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`batch`] is the runner's batching model alone, without input or output,
 //!   for experiments in virtual time.
 //! - [`load`] sends calls to VMs or runners and reports what callers saw.
+//! - [`call`] sends one request and shows the answer as its caller sees it.
 //! - [`text`] computes what any runner answers, so that a test can check it.
 //!
 //! ```
@@ -27,6 +28,7 @@
 
 pub mod batch;
 pub mod cache;
+pub mod call;
 pub mod client;
 pub mod count;
 mod cross;
--- a/crates/standin/src/load/mix.rs
+++ b/crates/standin/src/load/mix.rs
@@ -19,7 +19,8 @@
 use crate::{Error, Result};
 
 /// The mix of calls.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Mix {
     /// Name of the deployment.
@@ -39,7 +40,8 @@
 }
 
 /// Times at which more calls come, at fixed intervals.
-#[derive(Clone, Copy, Debug, PartialEq, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Bursts {
     /// From the beginning of a burst to that of the next, in seconds.
@@ -51,7 +53,8 @@
 }
 
 /// A client account.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Account {
     /// Its name in the bundle.
@@ -65,7 +68,8 @@
 }
 
 /// Calls of models.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Drafts {
     /// Part of all calls, relative to the services.
@@ -91,7 +95,8 @@
 }
 
 /// A log-normal length.
-#[derive(Clone, Copy, Debug, PartialEq, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Length {
     /// Half of all lengths are shorter.
@@ -103,7 +108,8 @@
 }
 
 /// A change of a model's popularity.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Shift {
     /// When it takes place, in seconds from the beginning.
@@ -115,7 +121,8 @@
 }
 
 /// Calls of one route of a plain service.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// Name of the calls in the report.
--- a/crates/standin/src/load/mod.rs
+++ b/crates/standin/src/load/mod.rs
@@ -18,7 +18,8 @@
 use crate::{Error, Result};
 
 /// Settings of a run.
-#[derive(Clone, Debug, clap::Args)]
+#[derive(Clone, Debug)]
+#[derive(clap::Args)]
 pub struct Config {
     /// YAML file with the mix of calls.
     #[arg(long, value_name = "FILE")]
--- a/crates/standin/src/load/report.rs
+++ b/crates/standin/src/load/report.rs
@@ -10,7 +10,8 @@
 const FIGURES: u8 = 3;
 
 /// What callers saw of a run.
-#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Report {
     /// The mix's deployment.
     pub deployment: String,
@@ -49,7 +50,8 @@
 }
 
 /// How many drafts were answered whole and in time.
-#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Share {
     /// Drafts sent.
     pub sent: u64,
@@ -66,7 +68,8 @@
 }
 
 /// A step of time.
-#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Bin {
     /// Where it begins, in seconds.
     pub from_seconds: f64,
@@ -77,7 +80,8 @@
 }
 
 /// An account.
-#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Account {
     /// Its name.
     pub name: String,
@@ -90,7 +94,8 @@
 }
 
 /// A distribution of times, in ms.
-#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Times {
     /// Number of times.
     pub count: u64,
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -8,7 +8,8 @@
 static GLOBAL: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
 /// Stand-ins for the platform and the targets.
-#[derive(Debug, clap::Parser)]
+#[derive(Debug)]
+#[derive(clap::Parser)]
 #[command(version)]
 enum Command {
     /// The transactional table service.
@@ -27,9 +28,12 @@
     Load(Box<standin::load::Config>),
     /// Sends one request to a control address and prints the answer.
     Control(Control),
+    /// Sends one request and prints the answer as its caller sees it.
+    Call(standin::call::Config),
 }
 
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 struct Control {
     /// The control address.
     address: net::SocketAddr,
@@ -67,6 +71,7 @@
         Command::Service(config) => standin::service::start(&config)?,
         Command::Load(config) => return load(&config).await,
         Command::Control(control) => return send(&control).await,
+        Command::Call(config) => return call(&config).await,
     };
     serve(process).await?;
     Ok(ExitCode::SUCCESS)
@@ -99,6 +104,13 @@
     Ok(ExitCode::SUCCESS)
 }
 
+async fn call(config: &standin::call::Config) -> Result<ExitCode, Box<dyn std::error::Error>> {
+    let mut out = std::io::stdout().lock();
+    let succeeded = standin::call::run(config, &mut out).await?;
+    writeln!(out)?;
+    Ok(if succeeded { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 async fn send(control: &Control) -> Result<ExitCode, Box<dyn std::error::Error>> {
     let client = standin::client::Client::new();
     let answer =
--- a/crates/standin/src/object.rs
+++ b/crates/standin/src/object.rs
@@ -8,7 +8,8 @@
 use crate::{Result, count, face, process};
 
 /// Settings of an object store.
-#[derive(Clone, Debug, Default, clap::Args)]
+#[derive(Clone, Debug, Default)]
+#[derive(clap::Args)]
 pub struct Config {
     /// Addresses to listen on.
     #[command(flatten)]
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -12,7 +12,8 @@
 const STOP_PATIENCE: time::Duration = time::Duration::from_mins(5);
 
 /// Addresses of a stand-in.
-#[derive(Clone, Copy, Debug, clap::Args)]
+#[derive(Clone, Copy, Debug)]
+#[derive(clap::Args)]
 pub struct Addresses {
     /// Address to answer on; port 0 takes a free one.
     #[arg(long, default_value_t = LOOPBACK)]
@@ -55,7 +56,8 @@
 }
 
 /// The line that a stand-in prints when it listens.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Banner {
     /// Always `standin`.
     pub process: String,
--- a/crates/standin/src/runner/chat.rs
+++ b/crates/standin/src/runner/chat.rs
@@ -11,7 +11,8 @@
 const DEFAULT_PRIORITY: u8 = 1;
 
 /// Fields of the body that the engine heeds.
-#[derive(Debug, serde::Deserialize)]
+#[derive(Debug)]
+#[derive(serde::Deserialize)]
 struct Body {
     model: String,
     #[serde(default)]
--- a/crates/standin/src/runner/config.rs
+++ b/crates/standin/src/runner/config.rs
@@ -5,7 +5,8 @@
 use crate::{Error, batch, process};
 
 /// Settings of a model engine.
-#[derive(Clone, Debug, clap::Args)]
+#[derive(Clone, Debug)]
+#[derive(clap::Args)]
 pub struct Config {
     /// Addresses to listen on.
     #[command(flatten)]
--- a/crates/standin/src/runner/memory.rs
+++ b/crates/standin/src/runner/memory.rs
@@ -5,7 +5,8 @@
 use engine::report;
 
 /// Answer to `GET /memory` on the control address.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Memory {
     /// Memory in all, in MiB.
     pub memory_mib: u64,
--- a/crates/standin/src/runner/state.rs
+++ b/crates/standin/src/runner/state.rs
@@ -11,7 +11,8 @@
 const KEEP_EVENTS: usize = 10_000;
 
 /// Why a call is not taken on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub(super) enum Refusal {
     /// the runner is about to stop
     Leaving,
--- a/crates/standin/src/vm.rs
+++ b/crates/standin/src/vm.rs
@@ -10,7 +10,8 @@
 use crate::{Result, count, face, process};
 
 /// Settings of a VM list.
-#[derive(Clone, Debug, clap::Args)]
+#[derive(Clone, Debug)]
+#[derive(clap::Args)]
 pub struct Config {
     /// Addresses to listen on.
     #[command(flatten)]
--- a/crates/standin/tests/process.rs
+++ b/crates/standin/tests/process.rs
@@ -63,3 +63,25 @@
     child.kill().expect("the program is killed");
     child.wait().expect("the program ends");
 }
+
+#[test]
+fn call_command_prints_what_a_caller_sees() {
+    let (mut child, banner) = start("runner");
+    let address = banner.address.to_string();
+    let call = |path: &str| {
+        let body = r#"{"model":"draft","messages":[],"max_tokens":2,"stream":true}"#;
+        process::Command::new(env!("CARGO_BIN_EXE_standin"))
+            .args(["call", &address, "POST", path, "--header", "x-call-id: 7", "--body", body])
+            .output()
+            .expect("the program runs")
+    };
+    let answered = call("/v1/chat/completions");
+    let text = String::from_utf8(answered.stdout).expect("text");
+    assert!(answered.status.success(), "{text}");
+    assert!(text.starts_with("200 OK\n"), "{text}");
+    assert!(text.contains("x-call-id: 7\n"), "{text}");
+    assert!(text.trim_end().ends_with("data: [DONE]"), "{text}");
+    assert!(!call("/nothing").status.success());
+    child.kill().expect("the program is killed");
+    child.wait().expect("the program ends");
+}
