--- a/crates/node/src/system/operate.rs
+++ b/crates/node/src/system/operate.rs
@@ -66,11 +66,9 @@
     replaces: Option<ids::Version>,
     out: &mut Vec<Output>,
 ) {
-    let opened = match bundle::signed::open(&document, &node.config.signers) {
-        Ok(opened) => opened,
-        Err(cause) => return refuse(op, cause.to_string(), out),
-    };
-    drop(opened);
+    if let Err(reason) = examine(node, &document) {
+        return refuse(op, reason, out);
+    }
     let known = node.version();
     if replaces.is_some_and(|replaces| replaces != known) {
         return refuse(op, format!("version {known} is in force, not the one replaced"), out);
@@ -80,6 +78,19 @@
     store(node, op, document, member::Change::Bundle { bundle, replaces }, out);
 }
 
+/// Checks signature and content, so that nothing unfit is ever named by the head.
+fn examine(node: &Node, document: &str) -> Result<(), String> {
+    let signers = &node.config.signers;
+    bundle::signed::open(document, signers).map_err(|cause| cause.to_string())?;
+    let signed = bundle::signed::Document::parse(document).map_err(|cause| cause.to_string())?;
+    let faults = bundle::check::run(&signed.bundle).faults;
+    if faults.is_empty() {
+        return Ok(());
+    }
+    let lines: Vec<_> = faults.iter().map(ToString::to_string).collect();
+    Err(lines.join("\n"))
+}
+
 fn amend(node: &mut Node, op: ids::Op, change: &amend::Change, out: &mut Vec<Output>) {
     let Some(force) = node.force.clone() else {
         return refuse(op, "no bundle is in force yet", out);
