--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -94,13 +94,6 @@
     tokio::signal::unix::signal(kind)
 }
 
-async fn call(config: &standin::call::Config) -> Result<ExitCode, Box<dyn std::error::Error>> {
-    let mut out = std::io::stdout().lock();
-    let succeeded = standin::call::run(config, &mut out).await?;
-    writeln!(out)?;
-    Ok(if succeeded { ExitCode::SUCCESS } else { ExitCode::FAILURE })
-}
-
 async fn load(config: &standin::load::Config) -> Result<ExitCode, Box<dyn std::error::Error>> {
     let report = standin::load::run(config).await?;
     if config.json {
@@ -111,6 +104,13 @@
     Ok(ExitCode::SUCCESS)
 }
 
+async fn call(config: &standin::call::Config) -> Result<ExitCode, Box<dyn std::error::Error>> {
+    let mut out = std::io::stdout().lock();
+    let succeeded = standin::call::run(config, &mut out).await?;
+    writeln!(out)?;
+    Ok(if succeeded { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 async fn send(control: &Control) -> Result<ExitCode, Box<dyn std::error::Error>> {
     let client = standin::client::Client::new();
     let answer =
