--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -25,8 +25,10 @@
     pub balancer_wait: time::Duration,
     /// How long a stream goes on without its caller, so that it can be resumed.
     pub detach_for: time::Duration,
-    /// Time between two reports asked of a runner.
+    /// Time between two reports asked of a runner, at least.
     pub report_every: time::Duration,
+    /// Reports asked of all runners together, in reports a second.
+    pub reports_per_second: f64,
     /// Most attempts for one call.
     pub attempts: u32,
     /// Who may sign bundles.
@@ -59,6 +61,7 @@
             balancer_wait: time::Duration::from_secs(2),
             detach_for: time::Duration::from_secs(5),
             report_every: time::Duration::from_millis(500),
+            reports_per_second: 16.0,
             attempts: 4,
             signers: Vec::new(),
             queue: route::queue::Config::default(),
--- a/crates/node/src/system/force.rs
+++ b/crates/node/src/system/force.rs
@@ -114,6 +114,7 @@
             keep(node, head);
             system::quota::adopt(node, now, head);
             system::dispatch::adopt(node);
+            system::report::adopt(node, now);
             system::plan::adopt(node, now, head);
             system::claim::adopt(node, head);
             system::withdraw::apply(node, now, out);
--- a/crates/node/src/system/report.rs
+++ b/crates/node/src/system/report.rs
@@ -1,6 +1,6 @@
 //! Reports of runners and the platform's list of machines.
 
-use std::time;
+use std::{collections, sync, time};
 
 use platform::vm;
 
@@ -9,19 +9,44 @@
 /// Time between two looks at the platform's list of machines.
 const VMS_EVERY: time::Duration = time::Duration::from_secs(2);
 
-/// When what was last asked for.
+/// When what is asked for next.
 #[derive(Clone, Debug, Default)]
 pub struct Schedule {
-    reports_at: ids::Time,
+    reports: collections::BTreeMap<ids::Target, ids::Time>,
     vms_at: ids::Time,
     vms_op: Option<ids::Op>,
 }
 
+/// Takes the runners to be asked from what is in force.
+///
+/// The first reports of new runners are spread over one period, so that the
+/// VMs of a fleet that restarts do not ask all at once.
+pub fn adopt(node: &mut Node, now: ids::Time) {
+    let Some(force) = node.force.clone() else {
+        return;
+    };
+    let known = std::mem::take(&mut node.schedule.reports);
+    let runners = &force.bundle.runners;
+    let step = node.config.report_every / u32::try_from(runners.len().max(1)).unwrap_or(u32::MAX);
+    let mut first = now;
+    for runner in runners {
+        first = first + step;
+        let at = known.get(&runner.name).copied().unwrap_or(first);
+        node.schedule.reports.insert(runner.name.clone(), at);
+    }
+}
+
 /// Asks for reports and for the list when their time has come.
 pub fn tick(node: &mut Node, now: ids::Time, out: &mut Vec<Output>) {
-    if node.schedule.reports_at <= now {
-        node.schedule.reports_at = now + node.config.report_every;
-        ask(node, out);
+    let due = due(node, now);
+    for target in due {
+        let Some(row) = node.targets.get(&target) else {
+            continue;
+        };
+        let address = sync::Arc::clone(&row.address);
+        let at = now + period(node, &target);
+        node.schedule.reports.insert(target.clone(), at);
+        out.push(Output::Report { target, address });
     }
     if node.schedule.vms_at <= now {
         node.schedule.vms_at = now + VMS_EVERY;
@@ -31,6 +56,26 @@
     }
 }
 
+fn due(node: &Node, now: ids::Time) -> Vec<ids::Target> {
+    let due = node.schedule.reports.iter().filter(|(_, at)| **at <= now);
+    due.map(|(target, _)| target.clone()).collect()
+}
+
+/// Time between two reports of a runner.
+///
+/// All runners together are asked for at most `reports_per_second`, so that
+/// what a VM spends on reports does not grow with the fleet. Those that this
+/// VM plans for are asked more often, for a load is done only when a report
+/// shows it.
+fn period(node: &Node, target: &ids::Target) -> time::Duration {
+    let least = node.config.report_every;
+    if node.planner.plans(target) {
+        return least;
+    }
+    let seconds = node.schedule.reports.len() as f64 / node.config.reports_per_second;
+    least.max(time::Duration::from_secs_f64(seconds))
+}
+
 /// Takes in what a runner said of itself, or that it said nothing.
 pub fn report(
     node: &mut Node,
@@ -62,14 +107,3 @@
     system::dispatch::listed(node, &entries);
     system::member::vms(node, now, &entries, out);
 }
-
-fn ask(node: &Node, out: &mut Vec<Output>) {
-    let Some(force) = &node.force else {
-        return;
-    };
-    for runner in &force.bundle.runners {
-        let target = runner.name.clone();
-        let address = std::sync::Arc::clone(&runner.address);
-        out.push(Output::Report { target, address });
-    }
-}
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -82,6 +82,12 @@
         self.ready.get(target).cloned().unwrap_or_default()
     }
 
+    /// Whether this VM plans what the runner holds.
+    #[must_use]
+    pub fn plans(&self, target: &ids::Target) -> bool {
+        self.ready.contains_key(target)
+    }
+
     /// Takes in how a runner took an order.
     pub const fn order(
         &mut self,
