--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -9,7 +9,8 @@
 
 /// What happens to requests under a path.
 #[expect(clippy::struct_excessive_bools, reason = "each is an independent switch of the JSON form")]
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Rule {
     /// What the path begins with.
@@ -30,6 +31,10 @@
     pub lose_answer: bool,
     /// Cut a streamed answer after so many chunks.
     pub break_after: Option<u64>,
+    /// Send each chunk of a streamed answer twice.
+    pub double: bool,
+    /// Exchange the answer with that of the next request that a crossing rule fits.
+    pub cross: bool,
     /// Apply so many times, then end; without it the rule lasts.
     pub count: Option<u64>,
 }
--- a/crates/standin/src/runner/sse.rs
+++ b/crates/standin/src/runner/sse.rs
@@ -1,7 +1,8 @@
 //! Answers in the `OpenAI` shape, whole and as server-sent events.
 
 #[expect(clippy::struct_field_names, reason = "the names are those of the `OpenAI` shape")]
-#[derive(Clone, Copy, Debug, serde::Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(serde::Serialize)]
 pub(super) struct Usage {
     prompt_tokens: u64,
     completion_tokens: u64,
@@ -14,7 +15,8 @@
     }
 }
 
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct Chunk<'a> {
     id: &'a str,
     object: &'static str,
@@ -26,20 +28,23 @@
     usage: Option<Usage>,
 }
 
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct ChunkChoice<'a> {
     index: u32,
     delta: Delta<'a>,
     finish_reason: Option<&'static str>,
 }
 
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct Delta<'a> {
     #[serde(skip_serializing_if = "Option::is_none")]
     content: Option<&'a str>,
 }
 
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 pub(super) struct Completion<'a> {
     id: &'a str,
     object: &'static str,
@@ -50,14 +55,16 @@
     usage: Usage,
 }
 
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct Choice<'a> {
     index: u32,
     message: Message<'a>,
     finish_reason: &'static str,
 }
 
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct Message<'a> {
     role: &'static str,
     content: &'a str,
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -1,8 +1,9 @@
 //! A plain service: the booking and lookup desk.
 //!
-//! `GET /lookup/...` is idempotent; `POST /booking` and `POST /order` make a
-//! new booking or order each time they run. `GET /calls` on the control
-//! address lists every call begun.
+//! A `GET` of any path is a lookup, which is idempotent; a `POST` to any path
+//! makes a new record, such as a booking or an order, each time it runs.
+//! `GET /calls` on the control address lists every call begun, and the counters
+//! are named by method and first segment of the path, as in `POST /bookings`.
 
 use std::sync;
 
@@ -53,9 +54,8 @@
     async fn serve(self: sync::Arc<Self>, request: face::Request) -> face::Reply {
         let reply = match (request.method.as_str(), request.path.as_str()) {
             ("GET", "/healthz") => return face::Reply::empty(http::StatusCode::OK),
-            ("GET", path) if path.starts_with("/lookup") => self.lookup(&request),
-            ("POST", "/booking") => self.record(&request, "booking"),
-            ("POST", "/order") => self.record(&request, "order"),
+            ("GET", _) => self.lookup(&request),
+            ("POST", _) => self.record(&request),
             _ => return process::unknown_path().with_header(engine::header::NOT_RUN, "1"),
         };
         let attempt = request.header(engine::header::CALL).unwrap_or_default();
@@ -73,7 +73,7 @@
 impl Desk {
     fn lookup(&self, request: &face::Request) -> face::Reply {
         self.calls.begin(request);
-        self.counts.add("lookups");
+        self.counts.add(&counter(request));
         let found = serde_json::json!({
             "lookup": request.path,
             "query": request.query,
@@ -83,11 +83,11 @@
         face::Reply::json(http::StatusCode::OK, &found)
     }
 
-    fn record(&self, request: &face::Request, kind: &str) -> face::Reply {
+    fn record(&self, request: &face::Request) -> face::Reply {
         let number = self.calls.begin(request);
-        self.counts.add(kind);
+        self.counts.add(&counter(request));
         let record = serde_json::json!({
-            "kind": kind,
+            "kind": first_segment(&request.path),
             "number": format!("{}-{number:06}", self.name),
             "idempotency_key": request.header("idempotency-key"),
             "body_digest": ids::Digest::of(&request.body),
@@ -96,3 +96,12 @@
         face::Reply::json(http::StatusCode::CREATED, &record)
     }
 }
+
+/// Name of the counter for requests of this method under this path.
+fn counter(request: &face::Request) -> String {
+    format!("{} /{}", request.method, first_segment(&request.path))
+}
+
+fn first_segment(path: &str) -> &str {
+    path.split('/').nth(1).unwrap_or_default()
+}
