node, daemon: GET /v1/amendments; bundle: entries of the history

The command line lists client keys from the bundle and the amendments in force and so needs to read the latter. The reply History is there for GET /v1/history, which no VM answers yet.

--- a/crates/bundle/src/history.rs
+++ b/crates/bundle/src/history.rs
@@ -1,24 +1,9 @@
 //! What has been in force.
+//!
+//! An entry names the objects of one version of the head. What a version
+//! changed is what differs from the entry before; [`changes`] says it.
 
-use std::sync;
-
-/// What a version of the head changed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Change {
-    /// A bundle was accepted.
-    Bundle {
-        /// Digest of the signed document, its name in the object store.
-        document: ids::Digest,
-        /// Who signed it.
-        signer: sync::Arc<str>,
-        /// When it was signed, in seconds since the epoch.
-        signed_at: u64,
-    },
-    /// The amendments were changed.
-    Amendment(crate::amend::Change),
-}
+use crate::amend;
 
 /// One version of the head.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,6 +11,23 @@
 pub struct Entry {
     /// The version.
     pub version: ids::Version,
-    /// What it changed.
-    pub change: Change,
+    /// The signed document that was in force.
+    pub bundle: Option<ids::Digest>,
+    /// The amendments that were in force.
+    pub amendments: Option<ids::Digest>,
+}
+
+/// The changes that lead from `old` to `new` amendments.
+#[must_use]
+pub fn changes(old: &amend::Amendments, new: &amend::Amendments) -> Vec<amend::Change> {
+    let is_new = |issue: &&amend::Issue| !old.issued.contains(issue);
+    let issued = new.issued.iter().filter(is_new).cloned().map(amend::Change::Issue);
+    let withdrawn = new.withdrawn.difference(&old.withdrawn).cloned();
+    let drained = new.drained.difference(&old.drained).cloned();
+    let returned = old.drained.difference(&new.drained).cloned();
+    issued
+        .chain(withdrawn.map(amend::Change::Withdraw))
+        .chain(drained.map(amend::Change::Drain))
+        .chain(returned.map(amend::Change::Return))
+        .collect()
 }
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -141,11 +141,12 @@
         ("GET", "/state") => ask(context.state(), operator::Request::State).await,
         ("GET", "/v1/status") => ask(context.state(), operator::Request::Status).await,
         ("GET", "/v1/bundle") => ask(context.state(), operator::Request::Document).await,
+        ("GET", "/v1/amendments") => ask(context.state(), operator::Request::Amendments).await,
         ("POST", "/v1/accept") => accept(context).await,
         ("POST", "/v1/amend") => amend(context).await,
         _ => refused(
             http::StatusCode::NOT_FOUND,
-            "try GET /state, /metrics, /v1/status, /v1/bundle, or POST /v1/accept, /v1/amend",
+            "try GET /state, /metrics, /v1/status, /v1/bundle, /v1/amendments, or POST /v1/accept, /v1/amend",
         ),
     }
 }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -19,6 +19,8 @@
     Amend(bundle::amend::Change),
     /// The signed document in force.
     Document,
+    /// The amendments in force.
+    Amendments,
     /// How the VM and the fleet are.
     Status,
     /// The dump of all tables.
@@ -49,6 +51,10 @@
     },
     /// The signed document in force.
     Document(sync::Arc<str>),
+    /// The amendments in force.
+    Amendments(bundle::Amendments),
+    /// What has been in force, the newest last.
+    History(Vec<bundle::history::Entry>),
     /// The status.
     Status(Box<Status>),
     /// The dump, as JSON.
--- a/crates/node/src/system/operate.rs
+++ b/crates/node/src/system/operate.rs
@@ -28,6 +28,7 @@
         }
         operator::Request::Amend(change) => amend(node, op, &change, out),
         operator::Request::Document => document(node, op, out),
+        operator::Request::Amendments => amendments(node, op, out),
         operator::Request::Status => {
             let reply = operator::Reply::Status(Box::new(node.status(now)));
             out.push(Output::Operator { op, reply });
@@ -143,6 +144,14 @@
     out.push(Output::Operator { op, reply });
 }
 
+fn amendments(node: &Node, op: ids::Op, out: &mut Vec<Output>) {
+    let reply = match &node.force {
+        Some(force) => operator::Reply::Amendments((*force.amendments).clone()),
+        None => operator::Reply::Refused { reason: "no bundle is in force yet".to_owned() },
+    };
+    out.push(Output::Operator { op, reply });
+}
+
 /// Stores the change's object before the head names it.
 fn store(
     node: &mut Node,
