cli: primroseplank, the operators' command line

check, diff, sign, verify, signer new, accept, history, key issue, list, withdraw and rotate, drain, return, state and status, with exit codes 0 done, 1 refused or faults found, 2 usage, 3 not known or unreachable. Secrets of client keys are made locally and only their digests are sent.

--- /dev/null
+++ b/crates/cli/src/command/check.rs
@@ -0,0 +1,35 @@
+//! `primroseplank check`.
+
+use std::{fmt::Write as _, path};
+
+use bundle::check;
+
+use crate::{done, error, file};
+
+/// Checks the bundle in `file`.
+pub(super) fn run(file: &path::Path, json: bool) -> error::Result<done::Done> {
+    let report = check::run(&file::read(file)?);
+    let exit = if report.is_ok() { done::Exit::Done } else { done::Exit::Refused };
+    let text = if json { super::json(&report) } else { words(file, &report) };
+    Ok(done::Done::new(exit, text))
+}
+
+/// The faults with the file's name, the memory sum and the loads.
+pub(super) fn words(file: &path::Path, report: &check::Report) -> String {
+    let mut text = String::new();
+    for fault in &report.faults {
+        _ = writeln!(text, "{}: {fault}", file.display());
+    }
+    if let Some(packing) = &report.packing {
+        _ = writeln!(text, "memory, in MiB:\n{packing}");
+    }
+    if let Some(loads) = &report.loads {
+        _ = writeln!(text, "a rollout onto empty runners: {loads}");
+    }
+    _ = match report.faults.len() {
+        0 => writeln!(text, "{}: ok", file.display()),
+        1 => writeln!(text, "{}: 1 fault", file.display()),
+        count => writeln!(text, "{}: {count} faults", file.display()),
+    };
+    text
+}
--- /dev/null
+++ b/crates/cli/src/command/key.rs
@@ -0,0 +1,174 @@
+//! `primroseplank key`.
+
+use std::fmt::Write as _;
+
+use bundle::{amend, key};
+use node::operator;
+
+use crate::{args, client, done, error};
+
+/// Random bytes in a made-up id.
+const ID_BYTES: usize = 4;
+
+/// A key in the list.
+#[derive(Clone, Debug, serde::Serialize)]
+struct Entry {
+    account: ids::Account,
+    id: ids::Key,
+    /// `bundle` or `issued`.
+    origin: &'static str,
+    withdrawn: bool,
+}
+
+/// Issues, lists, withdraws or rotates keys.
+pub(super) async fn run(
+    client: &client::Client,
+    command: args::Key,
+    json: bool,
+) -> error::Result<done::Done> {
+    match command {
+        args::Key::Issue { account, id } => {
+            known_account(client, &account).await?;
+            issue(client, &account, id, json).await
+        }
+        args::Key::List => list(client, json).await,
+        args::Key::Withdraw { id } => {
+            let reply = amend::Change::Withdraw(id.as_str().into());
+            let reply = super::amend::send(client, &reply).await?;
+            super::accept::outcome("withdrawing", reply, json)
+        }
+        args::Key::Rotate { id, new_id, withdraw } => {
+            rotate(client, &id, new_id, withdraw, json).await
+        }
+    }
+}
+
+async fn known_account(client: &client::Client, account: &str) -> error::Result<()> {
+    let bundle = bundle(client).await?;
+    if bundle.accounts.iter().any(|known| known.name.as_str() == account) {
+        return Ok(());
+    }
+    let names: Vec<_> = bundle.accounts.iter().map(|account| account.name.as_str()).collect();
+    let reason = format!("is not in the bundle in force; there are: {}", names.join(", "));
+    Err(error::Error::new(error::Kind::Refused, "looking up the account", &account, &reason))
+}
+
+async fn bundle(client: &client::Client) -> error::Result<bundle::Bundle> {
+    let document = super::document(client).await?;
+    bundle::read(&document.bundle).map_err(|cause| {
+        error::Error::new(error::Kind::Unknown, "reading", &"bundle in force", &cause)
+    })
+}
+
+async fn issue(
+    client: &client::Client,
+    account: &str,
+    id: Option<String>,
+    json: bool,
+) -> error::Result<done::Done> {
+    let id = match id {
+        Some(id) => id,
+        None => format!("{account}-{}", hex::encode(super::signing::random::<ID_BYTES>()?)),
+    };
+    let id = ids::Key::from(id.replace('.', "-"));
+    let secret = key::Secret::new(&id, &super::signing::random()?);
+    let change =
+        amend::Change::Issue(amend::Issue { account: account.into(), key: secret.entry(&id) });
+    let reply = super::amend::send(client, &change).await;
+    let outcome = reply.and_then(|reply| super::accept::outcome("issuing", reply, json));
+    let text = if json {
+        super::json(&serde_json::json!({"id": id, "key": secret.reveal()}))
+    } else {
+        format!("key {id} of {account}, shown this once:\n{}", secret.reveal())
+    };
+    match outcome {
+        Ok(done) if json => Ok(done::Done::new(done.exit, text)),
+        Ok(done) => Ok(done::Done::new(done.exit, format!("{}{text}", done.text))),
+        // It may come into force, and nobody could use it then.
+        Err(error) if error.kind() == error::Kind::Unknown => {
+            eprintln!("primroseplank: {error}; the key may come into force");
+            Ok(done::Done::new(done::Exit::Unknown, text))
+        }
+        Err(error) => Err(error),
+    }
+}
+
+async fn rotate(
+    client: &client::Client,
+    id: &str,
+    new_id: Option<String>,
+    withdraw: bool,
+    json: bool,
+) -> error::Result<done::Done> {
+    let entries = entries(client).await?;
+    let old = entries.into_iter().find(|entry| entry.id.as_str() == id && !entry.withdrawn);
+    let missing = || {
+        let reason = "no such key is in force; see `primroseplank key list`";
+        error::Error::new(error::Kind::Refused, "looking up the key", &id, &reason)
+    };
+    let old = old.ok_or_else(missing)?;
+    let mut done = issue(client, old.account.as_str(), new_id, json).await?;
+    if done.exit != done::Exit::Done {
+        return Ok(done);
+    }
+    if withdraw {
+        let reply = super::amend::send(client, &amend::Change::Withdraw(old.id)).await?;
+        let withdrawn = super::accept::outcome("withdrawing the old key", reply, json)?;
+        if !json {
+            _ = write!(done.text, "{id} is withdrawn: {}", withdrawn.text);
+        }
+    } else if !json {
+        _ = writeln!(
+            done.text,
+            "{id} goes on; once its callers have the new one, run `primroseplank key withdraw {id}`"
+        );
+    }
+    Ok(done)
+}
+
+async fn list(client: &client::Client, json: bool) -> error::Result<done::Done> {
+    let entries = entries(client).await?;
+    if json {
+        return Ok(done::Done::ok(super::json(&entries)));
+    }
+    let width = |text: fn(&Entry) -> &str| {
+        entries.iter().map(|entry| text(entry).len()).max().unwrap_or_default()
+    };
+    let account = width(|entry| entry.account.as_str());
+    let id = width(|entry| entry.id.as_str());
+    let mut text = String::new();
+    for entry in &entries {
+        let state = if entry.withdrawn { "withdrawn" } else { "admitted" };
+        _ = writeln!(
+            text,
+            "{:account$}  {:id$}  {:6}  {state}",
+            entry.account.as_str(),
+            entry.id.as_str(),
+            entry.origin
+        );
+    }
+    Ok(done::Done::ok(text))
+}
+
+/// All keys of the bundle and of the amendments, by account.
+async fn entries(client: &client::Client) -> error::Result<Vec<Entry>> {
+    let bundle = bundle(client).await?;
+    let reply = client.send(&client::Request::get("/v1/amendments")).await?;
+    let operator::Reply::Amendments(amendments) = reply else {
+        return Err(super::unexpected("reading the amendments", reply));
+    };
+    let entry = |account: &ids::Account, key: &key::Entry, origin| Entry {
+        account: account.clone(),
+        id: key.id.clone(),
+        origin,
+        withdrawn: amendments.withdrawn.contains(&key.id),
+    };
+    let mut entries = Vec::new();
+    for account in &bundle.accounts {
+        entries.extend(account.keys.iter().map(|key| entry(&account.name, key, "bundle")));
+    }
+    entries
+        .extend(amendments.issued.iter().map(|issue| entry(&issue.account, &issue.key, "issued")));
+    entries.sort_by(|one, other| (&one.account, &one.id).cmp(&(&other.account, &other.id)));
+    Ok(entries)
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,40 @@
-//! Placeholder.
+//! The operators' command line, as a library.
+//!
+//! [`args`] has the commands and their options, [`command`] what they do,
+//! [`client`] the way to a VM's operator face. Every command ends with an
+//! [`Exit`] that scripts can use:
+//!
+//! | code | meaning |
+//! | --- | --- |
+//! | 0 | done, or nothing is wrong |
+//! | 1 | refused, or faults were found |
+//! | 2 | the command line is wrong |
+//! | 3 | not known, or no VM could be reached |
+//!
+//! ```
+//! use clap::Parser as _;
+//!
+//! let line = cli::args::Line::try_parse_from(["primroseplank", "key", "withdraw", "mayors-1"]);
+//! assert!(matches!(line.unwrap().command, cli::args::Command::Key { .. }));
+//! ```
+
+pub mod args;
+pub mod client;
+pub mod command;
+pub mod credential;
+pub mod done;
+pub mod error;
+pub mod file;
+
+pub use done::{Done, Exit};
+pub use error::{Error, Kind, Result};
+
+/// Runs one command line.
+///
+/// # Errors
+///
+/// [`Kind::Refused`] if the command was refused, [`Kind::Usage`] if it can't
+/// be run as it was given, [`Kind::Unknown`] if its outcome is not known.
+pub async fn run(line: args::Line) -> Result<Done> {
+    command::run(line).await
+}
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -245,7 +245,7 @@
         }
         match &entry.phase {
             Phase::Settle(row::State::Answered(answer)) => {
-                out.push(Output::Replay { call: call.call, answer: answer.clone() })
+                out.push(Output::Replay { call: call.call, answer: answer.clone() });
             }
             Phase::Settle(row::State::Unknown) => refuse(call.call, Reason::Unknown, out),
             _ => refuse(call.call, Reason::InProgress, out),
