--- a/crates/daemon/src/ready.rs
+++ b/crates/daemon/src/ready.rs
@@ -31,11 +31,6 @@
     /// Takes what the decision core says.
     pub fn set(&self, ready: bool, reason: &str) {
         let state = State { ready, reason: reason.to_owned() };
-        if ready {
-            tracing::info!(step = "readiness", "ready for calls");
-        } else {
-            tracing::warn!(step = "readiness", reason, "not ready for calls");
-        }
         *self.lock() = state;
         self.show();
     }
