--- a/crates/proofs/src/caller.rs
+++ b/crates/proofs/src/caller.rs
@@ -166,6 +166,17 @@
         }
     }
 
+    /// The rest of the body as text, without looking for events.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke.
+    pub async fn raw(self) -> Result<String> {
+        let body = self.body.collect().await;
+        let body = body.map_err(|cause| Error::new("read", &"body", &cause))?;
+        Ok(String::from_utf8_lossy(&body.to_bytes()).into_owned())
+    }
+
     /// Reads the stream to its end.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/proofs/tests/stop.rs
@@ -0,0 +1,176 @@
+//! Planned stops, pauses and restarts of VMs.
+
+use std::{sync, sync::atomic, time};
+
+use proofs::{caller, fleet, wait};
+
+/// Chunks of a stream that lasts for several seconds.
+const LONG: u64 = 400;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_cuts_no_stream_and_exits_with_0() -> proofs::Result<()> {
+    let mut fleet = fleet::Fleet::start(fleet::Config::default()).await?;
+    let caller = fleet.caller();
+    let body = fleet::chat(LONG, true, "a long draft");
+    let mut stream = caller.stream(fleet.address(0), &[], &body).await?;
+    let first = stream.next().await?.expect("a chunk");
+    fleet.vms[0].terminate()?;
+    fleet.not_ready(0).await?;
+    assert!(fleet.vms[0].is_running(), "it waits for the stream");
+    let whole = stream.whole().await?;
+    assert!(whole.is_done, "{:?}", whole.error);
+    let text = format!("{}{}", first.text(), whole.text);
+    assert_eq!(text, fleet::answer(LONG, "a long draft"));
+    assert_eq!(fleet.vms[0].wait()?.code(), Some(0), "{}", fleet.vms[0].log());
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_vm_serves_nothing_of_before_and_comes_back() -> proofs::Result<()> {
+    let fleet = fleet::Fleet::start(fleet::Config { vms: 3, runners: 1 }).await?;
+    let caller = fleet.caller();
+    fleet.vms[0].freeze()?;
+    let sent = tokio::spawn({
+        let (caller, address) = (caller.clone(), fleet.address(0));
+        let headers = [("idempotency-key", "frozen-1")];
+        async move { caller.send(address, "POST", "/svc/desk/booking", &headers, "{}").await }
+    });
+    let withdrawn = fleet.operate(1, "POST", "/v1/amend", r#"{"withdraw":"mayors-1"}"#).await?;
+    assert_eq!(withdrawn.status, 200, "{}", withdrawn.text());
+    fleet.vms[0].thaw()?;
+    let answer = sent.await.expect("a task")?;
+    assert_ne!(answer.status, 201, "the key was withdrawn while the VM was frozen");
+    let outcome = answer.headers.get("primroseplank-outcome").expect("an outcome");
+    assert_eq!(outcome, "not-run");
+    assert!(fleet::Fleet::calls(&fleet.desk).await?.is_empty(), "the desk began no call");
+    fleet.ready(0).await?;
+    let again = caller.send(fleet.address(0), "GET", "/v1/models", &[], "").await?;
+    assert_eq!(again.status, 401, "{}", again.text());
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_vm_is_replaced_and_the_others_go_on() -> proofs::Result<()> {
+    let mut fleet = fleet::Fleet::start(fleet::Config { vms: 3, runners: 1 }).await?;
+    let caller = fleet.caller();
+    fleet.vms[0].kill()?;
+    let body = fleet::chat(5, false, "after the kill");
+    for vm in [1, 2] {
+        let path = "/v1/chat/completions";
+        let answer = caller.send(fleet.address(vm), "POST", path, &[], &body).await?;
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+    fleet.vms[0] = fleet.start_vm("vm-1")?;
+    fleet.ready(0).await?;
+    wait::until("the new incarnation to serve", async || {
+        let path = "/v1/chat/completions";
+        let answer = caller.send(fleet.address(0), "POST", path, &[], &body).await.ok()?;
+        answer.status.is_success().then_some(())
+    })
+    .await
+}
+
+/// What the callers of a rolling restart saw.
+#[derive(Debug, Default)]
+struct Tally {
+    whole: atomic::AtomicU64,
+    failed: sync::Mutex<Vec<String>>,
+}
+
+impl Tally {
+    fn fail(&self, reason: String) {
+        self.failed.lock().expect("a lock").push(reason);
+    }
+}
+
+/// One balancer for all callers: the caller faces of the VMs that are ready.
+type Ready = sync::Arc<sync::RwLock<Vec<std::net::SocketAddr>>>;
+
+async fn call_on(caller: caller::Caller, ready: Ready, tally: sync::Arc<Tally>, worker: usize) {
+    let mut turn = worker;
+    loop {
+        let address = {
+            let ready = ready.read().expect("a lock");
+            let Some(address) = ready.get(turn % ready.len().max(1)) else {
+                return;
+            };
+            *address
+        };
+        turn += 1;
+        let prompt = format!("worker {worker}, turn {turn}");
+        let body = fleet::chat(20, true, &prompt);
+        match read(&caller, address, &body).await {
+            Ok(whole) if whole.is_done && whole.text == fleet::answer(20, &prompt) => {
+                tally.whole.fetch_add(1, atomic::Ordering::Relaxed);
+            }
+            Ok(whole) => tally.fail(format!("{address}: {whole:?}")),
+            Err(error) => tally.fail(format!("{address}: {error}")),
+        }
+    }
+}
+
+async fn read(
+    caller: &caller::Caller,
+    address: std::net::SocketAddr,
+    body: &str,
+) -> proofs::Result<caller::Whole> {
+    let stream = caller.stream(address, &[], body).await?;
+    if stream.status() != 200 {
+        let text = stream.raw().await?;
+        return Err(proofs::Error::new("call", &address, &text));
+    }
+    stream.whole().await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn rolling_restart_under_load_cuts_and_refuses_nothing() -> proofs::Result<()> {
+    let vms = 3;
+    let mut fleet = fleet::Fleet::start(fleet::Config { vms, runners: 2 }).await?;
+    let ready: Ready = sync::Arc::default();
+    *ready.write().expect("a lock") = (0..vms).map(|vm| fleet.address(vm)).collect();
+    let tally = sync::Arc::<Tally>::default();
+    let workers: Vec<_> = (0..6)
+        .map(|worker| {
+            let (ready, tally) = (sync::Arc::clone(&ready), sync::Arc::clone(&tally));
+            tokio::spawn(call_on(fleet.caller(), ready, tally, worker))
+        })
+        .collect();
+    for vm in 0..vms {
+        let address = fleet.address(vm);
+        fleet.vms[vm].terminate()?;
+        // The balancer looks at the readiness and takes the VM out.
+        fleet.not_ready(vm).await?;
+        ready.write().expect("a lock").retain(|other| *other != address);
+        assert_eq!(fleet.vms[vm].wait()?.code(), Some(0), "{}", fleet.vms[vm].log());
+        fleet.vms[vm] = fleet.start_vm(&format!("vm-{}", vm + 1))?;
+        fleet.ready(vm).await?;
+        ready.write().expect("a lock").push(fleet.address(vm));
+    }
+    let before = tally.whole.load(atomic::Ordering::Relaxed);
+    wait::until("calls through the new VMs", async || {
+        let now = tally.whole.load(atomic::Ordering::Relaxed);
+        (now >= before + 20).then_some(())
+    })
+    .await?;
+    ready.write().expect("a lock").clear();
+    for worker in workers {
+        worker.await.expect("a task");
+    }
+    let failed = tally.failed.lock().expect("a lock");
+    let whole = tally.whole.load(atomic::Ordering::Relaxed);
+    let first = failed.first();
+    assert!(failed.is_empty(), "{} failed, {whole} whole, the first: {first:?}", failed.len());
+    println!("{whole} calls were answered whole");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_without_calls_ends_soon_after_the_balancers_wait() -> proofs::Result<()> {
+    let mut fleet = fleet::Fleet::start(fleet::Config { vms: 2, runners: 1 }).await?;
+    let begun = time::Instant::now();
+    fleet.vms[1].terminate()?;
+    assert_eq!(fleet.vms[1].wait()?.code(), Some(0));
+    // The balancer's wait is 1 s, an idle connection is kept for 1 s.
+    assert!(begun.elapsed() < time::Duration::from_secs(15), "{:?}", begun.elapsed());
+    Ok(())
+}
