--- a/crates/node/src/system/force.rs
+++ b/crates/node/src/system/force.rs
@@ -3,8 +3,9 @@
 use std::{collections, sync, time};
 
 use platform::object;
+use rand::Rng as _;
 
-use crate::{Node, Output, count, event, force, system};
+use crate::{Node, Output, count, event, force, peer, system};
 
 /// A head whose objects are being fetched.
 #[derive(Clone, Debug, Default)]
@@ -75,20 +76,62 @@
     if is_unanswered || node.fetch.retry_at.is_some_and(|at| at <= now) {
         node.fetch.retry_at = None;
         pursue(node, now, out);
+        ask_peer(node, out);
     }
 }
 
+/// Sends a text that another VM lacks, if it is in force here.
+pub fn wanted(node: &Node, from: &ids::Vm, digest: ids::Digest, out: &mut Vec<Output>) {
+    let Some(text) = node.fetch.texts.get(&digest) else {
+        return;
+    };
+    let message = peer::Message::Text { text: sync::Arc::clone(text) };
+    out.push(Output::Peer { to: from.clone(), message });
+}
+
+/// Takes in a text that another VM sent; one that is not missing is dropped.
+pub fn text(node: &mut Node, now: ids::Time, text: &sync::Arc<str>, out: &mut Vec<Output>) {
+    let digest = ids::Digest::of(text.as_bytes());
+    if !missing(node).contains(&digest) {
+        return;
+    }
+    node.fetch.texts.insert(digest, sync::Arc::clone(text));
+    pursue(node, now, out);
+}
+
+/// Asks a member for what the object store does not give.
+///
+/// One member at a time is asked, at random, for the text of a bundle is
+/// large: asking all of them would multiply it by the size of the fleet.
+fn ask_peer(node: &mut Node, out: &mut Vec<Output>) {
+    let missing = missing(node);
+    let Some(head) = &node.fetch.head else {
+        return;
+    };
+    let others: Vec<_> = head.members.iter().filter(|row| row.vm != node.config.vm).collect();
+    if others.is_empty() {
+        return;
+    }
+    let chosen = node.rng.random_range(0..others.len());
+    for digest in missing {
+        let message = peer::Message::Want { digest };
+        out.push(Output::Peer { to: others[chosen].vm.clone(), message });
+    }
+}
+
+/// Objects of the head to be adopted whose texts are not here.
+fn missing(node: &Node) -> Vec<ids::Digest> {
+    let wanted = node.fetch.head.as_ref().map(|head| [head.bundle, head.amendments]);
+    let wanted = wanted.into_iter().flatten().flatten();
+    wanted.filter(|digest| !node.fetch.texts.contains_key(digest)).collect()
+}
+
 /// Fetches what is missing of the head to be adopted, or puts it in force.
 fn pursue(node: &mut Node, now: ids::Time, out: &mut Vec<Output>) {
     let Some(head) = node.fetch.head.clone() else {
         return;
     };
-    let wanted = [head.bundle, head.amendments];
-    let missing: Vec<_> = wanted
-        .into_iter()
-        .flatten()
-        .filter(|digest| !node.fetch.texts.contains_key(digest))
-        .collect();
+    let missing = missing(node);
     for digest in &missing {
         ask(node, now, *digest, out);
     }
