Head, freshness and fencing as a state machine

A view of the head that serves only while no newer head can be settled: a read of the head, a peer's relayed read, or a majority of the head's witnesses, each counted from when the question was asked. A head is settled once a majority of the witnesses of every earlier head knows it and the freshness time has passed, or as soon as all members have adopted it.

Ruled out: announcing a change to the witnesses before it is written. A change tried in an outage of the table service would leave a notice that nobody can resolve, and fence the whole fleet. Witnesses are told after the write instead, and the head names the witnesses of earlier heads that are still to be told.

--- a/crates/member/src/head.rs
+++ b/crates/member/src/head.rs
@@ -1,13 +1,13 @@
-//! The head row of the table service.
+//! The head: what is in force, and who serves.
 //!
-//! Every change of configuration, keys or membership is a change of this one
-//! row from version v to v+1 by compare-and-set. The row's version in the
-//! table service is the version of the configuration.
+//! Every change of configuration, keys or membership takes the head from
+//! version v to v+1 by one compare-and-set in the table service. The row's
+//! version there is the version of the head.
 
 use std::sync;
 
-/// Key of the head row.
-pub const KEY: &str = "head";
+/// Changes whose nonces the head remembers.
+pub const NONCES: usize = 16;
 
 /// A VM that serves.
 #[derive(
@@ -24,6 +24,35 @@
     pub peer: sync::Arc<str>,
 }
 
+impl Member {
+    /// Name and incarnation alone.
+    #[must_use]
+    pub fn seat(&self) -> Seat {
+        Seat {
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+}
+
+/// One incarnation of a VM.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+pub struct Seat {
+    /// The VM's name.
+    pub vm: ids::Vm,
+    /// Its incarnation.
+    pub incarnation: ids::Incarnation,
+}
+
+/// Witnesses of an earlier head, of which some have to know the present one.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Quorum {
+    /// How many of them.
+    pub needed: usize,
+    /// The witnesses.
+    pub of: Vec<Seat>,
+}
+
 /// What is in force, and who serves.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Head {
@@ -33,8 +62,106 @@
     pub bundle: Option<ids::Digest>,
     /// The amendments' object; none before the first was made.
     pub amendments: Option<ids::Digest>,
+    /// The key that the last change withdrew.
+    #[serde(default)]
+    pub withdrawn: Option<ids::Key>,
+    /// The VM that made the last change.
+    #[serde(default)]
+    pub author: Option<ids::Vm>,
+    /// Nonces of the last changes, the newest last, by which an author whose
+    /// answer was lost recognises its own change.
+    #[serde(default)]
+    pub nonces: Vec<u64>,
+    /// Witnesses of earlier heads that were not yet known to have learnt of a
+    /// later one when the last change was made.
+    #[serde(default)]
+    pub prior: Vec<Quorum>,
     /// The VMs that serve, in the order of their names.
+    #[serde(default)]
     pub members: Vec<Member>,
-    /// Names of the members that keep notices of pending changes.
+    /// Names of the members that vouch for the head while the table service
+    /// cannot be read.
+    #[serde(default)]
     pub witnesses: Vec<ids::Vm>,
 }
+
+impl Head {
+    /// The member with this name.
+    #[must_use]
+    pub fn member(&self, vm: &ids::Vm) -> Option<&Member> {
+        self.members.iter().find(|member| member.vm == *vm)
+    }
+
+    /// Whether this incarnation is a member.
+    #[must_use]
+    pub fn has(&self, seat: &Seat) -> bool {
+        let member = self.member(&seat.vm);
+        member.is_some_and(|member| member.incarnation == seat.incarnation)
+    }
+
+    /// The witnesses as incarnations.
+    #[must_use]
+    pub fn seats(&self) -> Vec<Seat> {
+        let members = self.witnesses.iter().filter_map(|vm| self.member(vm));
+        members.map(Member::seat).collect()
+    }
+
+    /// How many witnesses are a majority.
+    #[must_use]
+    pub const fn majority(&self) -> usize {
+        self.witnesses.len() / 2 + 1
+    }
+
+    /// The version that the change with this nonce made, if it is remembered.
+    #[must_use]
+    pub fn made_by(&self, nonce: u64) -> Option<ids::Version> {
+        let back = self.nonces.iter().rev().position(|known| *known == nonce)?;
+        let version = self.version.get().checked_sub(back as u64)?;
+        Some(ids::Version::new(version))
+    }
+
+    /// Adds or replaces a member and fills up the witnesses.
+    #[must_use]
+    pub fn with_member(mut self, member: Member, witnesses_max: usize) -> Self {
+        self.members.retain(|known| known.vm != member.vm);
+        self.members.push(member);
+        self.members.sort();
+        self.elect(witnesses_max);
+        self
+    }
+
+    /// Removes a member and fills up the witnesses.
+    #[must_use]
+    pub fn without_member(mut self, seat: &Seat, witnesses_max: usize) -> Self {
+        self.members.retain(|known| known.seat() != *seat);
+        self.elect(witnesses_max);
+        self
+    }
+
+    /// Keeps the witnesses that are members and fills up from the data centres
+    /// that have the fewest, so that losing one centre costs few witnesses.
+    fn elect(&mut self, witnesses_max: usize) {
+        let members = &self.members;
+        self.witnesses
+            .retain(|vm| members.iter().any(|member| member.vm == *vm));
+        while self.witnesses.len() < witnesses_max.min(self.members.len()) {
+            let Some(vm) = self.candidate() else { return };
+            self.witnesses.push(vm);
+        }
+        self.witnesses.sort();
+    }
+
+    fn candidate(&self) -> Option<ids::Vm> {
+        let free = self
+            .members
+            .iter()
+            .filter(|member| !self.witnesses.contains(&member.vm));
+        let chosen = free.min_by_key(|member| self.witnesses_in(&member.centre))?;
+        Some(chosen.vm.clone())
+    }
+
+    fn witnesses_in(&self, centre: &ids::Centre) -> usize {
+        let members = self.witnesses.iter().filter_map(|vm| self.member(vm));
+        members.filter(|member| member.centre == *centre).count()
+    }
+}
--- /dev/null
+++ b/crates/member/src/row.rs
@@ -0,0 +1,98 @@
+//! The head as rows of the table service.
+//!
+//! The members are kept in a row of their own that is written in the same
+//! transaction, so that both rows always have the same version. Polling reads
+//! only the small row; the members are read when its version has changed.
+
+use std::sync;
+
+use crate::head;
+
+/// Key of the small row.
+pub const HEAD: &str = "head";
+
+/// Key of the row with the members and witnesses.
+pub const ROSTER: &str = "roster";
+
+/// Who serves.
+#[derive(Debug, serde::Serialize, serde::Deserialize)]
+struct Roster {
+    prior: Vec<head::Quorum>,
+    members: Vec<head::Member>,
+    witnesses: Vec<ids::Vm>,
+}
+
+/// The transaction that makes `head` out of its predecessor.
+#[must_use]
+pub fn write(head: &head::Head) -> platform::table::Request {
+    let expect = head.version.get().checked_sub(1).filter(|base| *base > 0);
+    let expect = expect.map(ids::Version::new);
+    let roster = Roster {
+        prior: head.prior.clone(),
+        members: head.members.clone(),
+        witnesses: head.witnesses.clone(),
+    };
+    let small = head::Head {
+        prior: Vec::new(),
+        members: Vec::new(),
+        witnesses: Vec::new(),
+        ..head.clone()
+    };
+    let row = |key: &str, value: String| platform::table::Write {
+        key: key.into(),
+        expect,
+        value: Some(value.into()),
+    };
+    platform::table::Request::Write {
+        writes: vec![row(HEAD, encode(&small)), row(ROSTER, encode(&roster))],
+    }
+}
+
+/// The request that reads one of the rows.
+#[must_use]
+pub fn get(key: &str) -> platform::table::Request {
+    platform::table::Request::Get { key: key.into() }
+}
+
+/// Reads the small row; its members are still missing.
+#[must_use]
+pub fn head(row: &platform::table::Row) -> Option<head::Head> {
+    let head: head::Head = decode(&row.value)?;
+    Some(head::Head {
+        version: row.version,
+        ..head
+    })
+}
+
+/// Puts both rows together, unless they are of different versions.
+#[must_use]
+pub fn join(head: head::Head, roster: &platform::table::Row) -> Option<head::Head> {
+    if roster.version != head.version {
+        return None;
+    }
+    let roster: Roster = decode(&roster.value)?;
+    Some(head::Head {
+        prior: roster.prior,
+        members: roster.members,
+        witnesses: roster.witnesses,
+        ..head
+    })
+}
+
+/// The head as a refused transaction reports it.
+#[must_use]
+pub fn present(rows: &[platform::table::Conflict]) -> Option<head::Head> {
+    let find = |key: &str| {
+        let conflict = rows.iter().find(|conflict| &*conflict.key == key)?;
+        conflict.row.as_ref()
+    };
+    join(head(find(HEAD)?)?, find(ROSTER)?)
+}
+
+fn encode<T: serde::Serialize>(value: &T) -> String {
+    serde_json::to_string(value).unwrap_or_default()
+}
+
+fn decode<T: serde::de::DeserializeOwned>(text: &sync::Arc<str>) -> Option<T> {
+    serde_json::from_str(text).ok()
+}
--- /dev/null
+++ b/crates/member/src/view/learn.rs
@@ -0,0 +1,84 @@
+//! Learning, spreading and adopting heads.
+
+use super::View;
+use crate::{head, message, output};
+
+/// Up to this many members, an author tells each of them itself.
+const DIRECT_MEMBERS: usize = 16;
+
+impl View {
+    /// Takes a head that is newer than what was known; others are ignored.
+    pub(super) fn learn(
+        &mut self,
+        now: ids::Time,
+        head: head::Head,
+        out: &mut Vec<output::Output>,
+    ) {
+        if head.version <= self.version() {
+            return;
+        }
+        if let Some(key) = &head.withdrawn {
+            self.withdrawn.insert(head.version, key.clone());
+        }
+        self.vacant = false;
+        self.head_since = now;
+        self.next_chase = now;
+        self.previous = self.head.replace(head.clone());
+        self.spread(&head, out);
+        let me = &self.config.me.vm;
+        let others = head.members.iter().filter(|member| member.vm != *me);
+        out.push(output::Output::Members(others.cloned().collect()));
+        out.push(output::Output::Adopt(Box::new(head)));
+    }
+
+    /// Passes a new head on: its author to all of a small fleet and to the
+    /// witnesses of a large one, each VM of a large fleet to its children.
+    fn spread(&self, head: &head::Head, out: &mut Vec<output::Output>) {
+        let me = &self.config.me.vm;
+        let author = head.author.as_ref() == Some(me);
+        let mut to = Vec::new();
+        if author && head.members.len() <= DIRECT_MEMBERS {
+            let previous = self.previous.iter().flat_map(|head| &head.members);
+            to.extend(
+                previous
+                    .chain(&head.members)
+                    .map(|member| member.vm.clone()),
+            );
+        } else if author {
+            to.extend(head.witnesses.iter().cloned());
+        }
+        if head.members.len() > DIRECT_MEMBERS {
+            to.extend(super::tree::children(head, me, self.config.fanout));
+        }
+        to.sort();
+        to.dedup();
+        for vm in to.into_iter().filter(|vm| vm != me) {
+            let head = Box::new(head.clone());
+            let message = message::Message::Tell { head };
+            out.push(output::Output::Peer { to: vm, message });
+        }
+    }
+
+    /// Puts a head in force; an older one than that in force is ignored.
+    pub(super) fn adopt(&mut self, version: ids::Version, out: &mut Vec<output::Output>) {
+        let known = [self.head.as_ref(), self.previous.as_ref()];
+        let mut known = known.into_iter().flatten();
+        let Some(head) = known.find(|head| head.version == version) else {
+            return;
+        };
+        if version <= self.adopted_version() {
+            return;
+        }
+        let head = head.clone();
+        let evidence = self.evidence.filter(|evidence| evidence.version == version);
+        self.shown = evidence.map(|evidence| evidence.time);
+        self.withdrawn.retain(|withdrawn, _| *withdrawn > version);
+        let author = head.author.clone();
+        self.adopted = Some(head);
+        let now = self.last_input.unwrap_or_default();
+        if let Some(to) = author.filter(|vm| *vm != self.config.me.vm) {
+            let message = self.status(now, 0);
+            out.push(output::Output::Peer { to, message });
+        }
+    }
+}
--- /dev/null
+++ b/crates/member/src/view/tree.rs
@@ -0,0 +1,33 @@
+//! The tree along which large fleets pull and spread heads.
+//!
+//! The witnesses are its roots; the other members follow in the order of
+//! their names, so many to each.
+
+use crate::head;
+
+/// The members, the witnesses first.
+fn order(head: &head::Head) -> Vec<&ids::Vm> {
+    let names = head.members.iter().map(|member| &member.vm);
+    let others = names.filter(|vm| !head.witnesses.contains(vm));
+    head.witnesses.iter().chain(others).collect()
+}
+
+/// The member from which `vm` pulls; none for witnesses.
+pub(super) fn parent(head: &head::Head, vm: &ids::Vm, fanout: usize) -> Option<ids::Vm> {
+    let order = order(head);
+    let place = order.iter().position(|known| *known == vm)?;
+    let behind = place.checked_sub(head.witnesses.len())?;
+    let parent = order.get(behind / fanout)?;
+    Some((*parent).clone())
+}
+
+/// The members that pull from `vm`.
+pub(super) fn children(head: &head::Head, vm: &ids::Vm, fanout: usize) -> Vec<ids::Vm> {
+    let order = order(head);
+    let Some(place) = order.iter().position(|known| *known == vm) else {
+        return Vec::new();
+    };
+    let first = head.witnesses.len() + place * fanout;
+    let children = order.iter().skip(first).take(fanout);
+    children.map(|vm| (*vm).clone()).collect()
+}
--- /dev/null
+++ b/crates/member/tests/changes.rs
@@ -0,0 +1,201 @@
+//! Changes of the head by operators and by the VMs themselves.
+
+mod fleet;
+
+use fleet::{Fleet, Store};
+use member::Outcome;
+
+fn refused(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::Refused { .. })
+}
+
+fn in_force(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::InForce { .. })
+}
+
+#[test]
+fn a_change_is_in_force_everywhere_within_a_second() {
+    let mut fleet = Fleet::serving(5, 1);
+    let op = fleet.accept(1, "bundle");
+    let took = fleet.until(1_000, |fleet| fleet.outcomes.contains_key(&op));
+    println!("in force on 5 VMs after {took} ms");
+    let outcome = &fleet.outcomes[&op];
+    let fenced = Vec::new();
+    let version = fleet.head();
+    assert_eq!(*outcome, Outcome::InForce { version, fenced });
+}
+
+#[test]
+fn a_change_past_a_cut_off_vm_names_it_fenced() {
+    let mut fleet = Fleet::serving(5, 2);
+    fleet.isolate(4);
+    let op = fleet.withdraw(1, "k1");
+    fleet.until(5_000, |fleet| fleet.outcomes.contains_key(&op));
+    let fenced = vec![Fleet::name(4)];
+    let version = fleet.head();
+    assert_eq!(fleet.outcomes[&op], Outcome::InForce { version, fenced });
+    fleet.heal();
+    fleet.until(2_000, |fleet| fleet.count() == 5);
+}
+
+#[test]
+fn of_two_racing_operators_one_is_told_that_it_lost() {
+    for seed in 0..50 {
+        let mut fleet = Fleet::serving(5, seed);
+        let one = fleet.accept(0, "one");
+        let two = fleet.accept(1, "two");
+        fleet.until(5_000, |fleet| fleet.outcomes.len() == 2);
+        let (one, two) = (&fleet.outcomes[&one], &fleet.outcomes[&two]);
+        assert!(in_force(one) && refused(two) || refused(one) && in_force(two));
+    }
+}
+
+#[test]
+fn a_bundle_and_a_withdrawal_at_once_are_both_made() {
+    let mut fleet = Fleet::serving(5, 3);
+    let one = fleet.accept(0, "one");
+    let two = fleet.withdraw(1, "k1");
+    fleet.until(5_000, |fleet| fleet.outcomes.len() == 2);
+    assert!(in_force(&fleet.outcomes[&one]));
+    assert!(in_force(&fleet.outcomes[&two]));
+}
+
+#[test]
+fn a_lost_answer_is_resolved_by_reading() {
+    let mut fleet = Fleet::serving(5, 4);
+    fleet.store = Store::LosesAnswers;
+    let op = fleet.withdraw(0, "k1");
+    fleet.run(1_000);
+    assert!(!fleet.outcomes.contains_key(&op));
+    fleet.store = Store::Up;
+    fleet.until(1_000, |fleet| fleet.outcomes.contains_key(&op));
+    assert!(in_force(&fleet.outcomes[&op]));
+}
+
+#[test]
+fn a_lost_answer_is_found_under_a_later_change() {
+    let mut fleet = Fleet::serving(5, 5);
+    fleet.store = Store::LosesAnswers;
+    let op = fleet.accept(0, "one");
+    fleet.run(50);
+    fleet.vms[0].store_cut = true;
+    fleet.store = Store::Up;
+    fleet.run(700);
+    let later = fleet.accept(1, "two");
+    fleet.until(5_000, |fleet| fleet.outcomes.len() == 2);
+    assert!(in_force(&fleet.outcomes[&op]));
+    assert!(in_force(&fleet.outcomes[&later]));
+}
+
+#[test]
+fn in_an_outage_a_change_is_refused_and_stops_no_vm() {
+    let mut fleet = Fleet::serving(5, 6);
+    fleet.store = Store::Down;
+    let op = fleet.withdraw(0, "k1");
+    for _ in 0..300 {
+        fleet.run(100);
+        assert_eq!(fleet.count(), 5, "at {}", fleet.now);
+    }
+    assert!(refused(&fleet.outcomes[&op]));
+    fleet.heal();
+    fleet.run(1_000);
+    assert_eq!(fleet.head(), ids::Version::new(5));
+}
+
+#[test]
+fn an_author_that_dies_after_its_write_holds_nobody_up() {
+    let mut fleet = Fleet::serving(5, 7);
+    fleet.store = Store::LosesAnswers;
+    fleet.withdraw(0, "k1");
+    fleet.run(30);
+    fleet.kill(0);
+    fleet.store = Store::Down;
+    for _ in 0..300 {
+        fleet.run(100);
+        assert_eq!(fleet.count(), 4, "at {}", fleet.now);
+    }
+    fleet.heal();
+    let version = ids::Version::new(6);
+    fleet.until(6_000, |fleet| {
+        (1..5).all(|vm| fleet.vms[vm].settled == version && fleet.serves(vm))
+    });
+}
+
+#[test]
+fn a_change_that_a_majority_cannot_learn_is_not_called_accepted() {
+    let mut fleet = Fleet::serving(5, 8);
+    // Three VMs see neither the store nor the other two.
+    for vm in 0..3 {
+        fleet.vms[vm].store_cut = true;
+        fleet.cuts.extend([(vm, 3), (vm, 4), (3, vm), (4, vm)]);
+    }
+    fleet.run(5_000);
+    assert_eq!(fleet.count(), 5);
+    let op = fleet.withdraw(3, "k1");
+    fleet.run(20_000);
+    assert!(matches!(fleet.outcomes[&op], Outcome::Unknown { .. }));
+    assert_eq!(fleet.count(), 5);
+    fleet.heal();
+    let version = fleet.head();
+    fleet.until(6_000, |fleet| {
+        fleet.vms.iter().all(|vm| vm.settled == version)
+    });
+}
+
+#[test]
+fn members_that_the_platform_dropped_are_removed() {
+    let mut fleet = Fleet::serving(5, 9);
+    for vm in [1, 2] {
+        fleet.kill(vm);
+        fleet.vms[vm].listed = false;
+    }
+    for _ in 0..30 {
+        fleet.run(1_000);
+        fleet.list();
+    }
+    assert_eq!(fleet.head(), ids::Version::new(7));
+    let head = fleet.vms[0].view.as_ref().unwrap().head().unwrap();
+    assert_eq!(head.members.len(), 3);
+    assert_eq!(head.witnesses.len(), 3);
+}
+
+#[test]
+fn a_listed_member_that_is_silent_stays() {
+    let mut fleet = Fleet::serving(5, 10);
+    fleet.kill(1);
+    for _ in 0..30 {
+        fleet.run(1_000);
+        fleet.list();
+    }
+    assert_eq!(fleet.head(), ids::Version::new(5));
+}
+
+#[test]
+fn a_live_member_that_the_platform_forgot_stays() {
+    let mut fleet = Fleet::serving(5, 11);
+    fleet.vms[1].listed = false;
+    for _ in 0..30 {
+        fleet.run(1_000);
+        fleet.list();
+    }
+    assert_eq!(fleet.head(), ids::Version::new(5));
+}
+
+#[test]
+fn a_vm_leaves_and_comes_back() {
+    let mut fleet = Fleet::serving(5, 12);
+    fleet.stop(2);
+    fleet.until(2_000, |fleet| fleet.vms[2].left.is_some());
+    assert_eq!(fleet.head(), ids::Version::new(6));
+    fleet.until(1_000, |fleet| fleet.vms[0].settled == ids::Version::new(6));
+    fleet.start(2);
+    fleet.until(2_000, |fleet| fleet.count() == 5);
+}
+
+#[test]
+fn leaving_in_an_outage_ends() {
+    let mut fleet = Fleet::serving(5, 13);
+    fleet.store = Store::Down;
+    fleet.stop(2);
+    fleet.until(12_000, |fleet| fleet.vms[2].left.is_some());
+}
--- /dev/null
+++ b/crates/member/tests/fleet/mod.rs
@@ -0,0 +1,514 @@
+//! A few views over one table, with the faults that a schedule asks for.
+//!
+//! Time is virtual. Every VM has a clock of its own, with an offset and a rate.
+
+use std::{collections, fmt::Write as _, sync};
+
+use rand::{Rng as _, SeedableRng as _};
+
+pub const STEP: u64 = 10;
+const TICK: u64 = 50;
+
+pub enum Event {
+    Request(platform::table::Request),
+    Answer(platform::Result<platform::table::Answer>),
+    Peer(ids::Vm, ids::Incarnation, member::Message),
+    Adopt(ids::Version),
+}
+
+/// An event for or, if a request, of a VM.
+struct Due {
+    vm: usize,
+    incarnation: ids::Incarnation,
+    op: ids::Op,
+    event: Event,
+}
+
+pub struct Vm {
+    pub view: Option<member::View>,
+    pub incarnation: ids::Incarnation,
+    pub frozen: bool,
+    pub store_cut: bool,
+    pub listed: bool,
+    /// When it left.
+    pub left: Option<u64>,
+    pub settled: ids::Version,
+    /// Why it is not ready, as it last said.
+    pub unready: Option<member::Reason>,
+    held: Vec<Due>,
+    offset: u64,
+    /// Rate of the clock in 1/1000.
+    rate: u64,
+    in_force: ids::Version,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Store {
+    Up,
+    Down,
+    Slow,
+    LosesAnswers,
+}
+
+pub struct Fleet {
+    pub now: u64,
+    pub rng: rand::rngs::SmallRng,
+    pub vms: Vec<Vm>,
+    pub store: Store,
+    /// Directed links that are cut.
+    pub cuts: collections::BTreeSet<(usize, usize)>,
+    /// Lost messages, of 100.
+    pub loss: u32,
+    pub rows: collections::BTreeMap<String, platform::table::Row>,
+    pub outcomes: collections::BTreeMap<u64, member::Outcome>,
+    /// Keys withdrawn by each amendments object.
+    pub objects: collections::BTreeMap<ids::Digest, collections::BTreeSet<ids::Key>>,
+    withdrawals: collections::BTreeMap<u64, ids::Key>,
+    /// The object of each change that an operator asked for.
+    pub changes: collections::BTreeMap<u64, ids::Digest>,
+    /// The objects that the head ever named.
+    pub written: collections::BTreeSet<ids::Digest>,
+    pub withdrawn: collections::BTreeSet<ids::Key>,
+    pub reads: usize,
+    pub bytes: u64,
+    pub session: String,
+    pub lag: u64,
+    pub objects_up: bool,
+    pub proven: ids::Version,
+    events: collections::BTreeMap<(u64, u64), Due>,
+    sequence: u64,
+    ops: u64,
+}
+
+impl Fleet {
+    pub fn new(vms: usize, seed: u64) -> Self {
+        let mut fleet = Self {
+            now: 1_000,
+            rng: rand::rngs::SmallRng::seed_from_u64(seed),
+            vms: Vec::new(),
+            store: Store::Up,
+            cuts: collections::BTreeSet::new(),
+            loss: 0,
+            rows: collections::BTreeMap::new(),
+            outcomes: collections::BTreeMap::new(),
+            objects: collections::BTreeMap::new(),
+            withdrawals: collections::BTreeMap::new(),
+            changes: collections::BTreeMap::new(),
+            written: collections::BTreeSet::new(),
+            withdrawn: collections::BTreeSet::new(),
+            reads: 0,
+            bytes: 0,
+            session: String::new(),
+            lag: 5,
+            objects_up: true,
+            proven: ids::Version::default(),
+            events: collections::BTreeMap::new(),
+            sequence: 0,
+            ops: 0,
+        };
+        for vm in 0..vms {
+            let offset = fleet.rng.random_range(0..10_000_000);
+            let rate = fleet.rng.random_range(970..=1_030);
+            fleet.vms.push(Vm {
+                view: None,
+                incarnation: ids::Incarnation::new(0),
+                frozen: false,
+                store_cut: false,
+                listed: true,
+                left: None,
+                settled: ids::Version::default(),
+                unready: Some(member::Reason::Starting),
+                held: Vec::new(),
+                offset,
+                rate,
+                in_force: ids::Version::default(),
+            });
+            fleet.start(vm);
+        }
+        fleet
+    }
+
+    /// A fleet whose VMs all serve and whose head is settled.
+    pub fn serving(vms: usize, seed: u64) -> Self {
+        let mut fleet = Self::new(vms, seed);
+        fleet.until(30_000, |fleet| {
+            let version = fleet.rows.get("head").map(|row| row.version);
+            fleet.count() == vms && fleet.vms.iter().all(|vm| Some(vm.settled) == version)
+        });
+        fleet
+    }
+
+    pub fn name(vm: usize) -> ids::Vm {
+        format!("vm-{vm:03}").into()
+    }
+
+    pub fn local(&self, vm: usize) -> ids::Time {
+        let vm = &self.vms[vm];
+        ids::Time::from_millis(vm.offset + self.now * vm.rate / 1_000)
+    }
+
+    pub fn start(&mut self, vm: usize) {
+        let incarnation = ids::Incarnation::new(self.now + vm as u64);
+        let me = member::Member {
+            vm: Self::name(vm),
+            incarnation,
+            centre: ["a", "b", "c", "d"][vm % 4].into(),
+            peer: format!("10.0.0.{vm}:7000").into(),
+        };
+        let view = member::View::new(member::Config::new(me, 1));
+        let entry = &mut self.vms[vm];
+        entry.view = Some(view);
+        entry.incarnation = incarnation;
+        entry.frozen = false;
+        entry.left = None;
+        entry.held.clear();
+        entry.settled = ids::Version::default();
+        entry.in_force = ids::Version::default();
+    }
+
+    pub fn kill(&mut self, vm: usize) {
+        self.vms[vm].view = None;
+    }
+
+    pub fn isolate(&mut self, vm: usize) {
+        self.vms[vm].store_cut = true;
+        for other in 0..self.vms.len() {
+            self.cuts.insert((vm, other));
+            self.cuts.insert((other, vm));
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.store = Store::Up;
+        self.loss = 0;
+        self.objects_up = true;
+        self.cuts.clear();
+        for vm in 0..self.vms.len() {
+            self.vms[vm].store_cut = false;
+            self.vms[vm].frozen = false;
+        }
+    }
+
+    pub fn serves(&self, vm: usize) -> bool {
+        let view = self.vms[vm].view.as_ref();
+        view.is_some_and(|view| view.serves(self.local(vm)).is_ok())
+    }
+
+    pub fn count(&self) -> usize {
+        (0..self.vms.len()).filter(|vm| self.serves(*vm)).count()
+    }
+
+    pub fn head(&self) -> ids::Version {
+        self.rows["head"].version
+    }
+
+    /// Withdraws a key at a VM; the operation's number.
+    pub fn withdraw(&mut self, vm: usize, key: &str) -> u64 {
+        let key = ids::Key::from(key);
+        let head = self.vms[vm].view.as_ref().and_then(member::View::in_force);
+        let replaces = head.and_then(|head| head.amendments);
+        let base = replaces.and_then(|digest| self.objects.get(&digest));
+        let mut keys = base.cloned().unwrap_or_default();
+        keys.insert(key.clone());
+        let amendments = ids::Digest::of(format!("{keys:?} {}", self.ops).as_bytes());
+        self.objects.insert(amendments, keys);
+        let op = self.change(
+            vm,
+            member::Change::Amend {
+                amendments,
+                replaces,
+                withdrawn: Some(key.clone()),
+            },
+        );
+        self.withdrawals.insert(op, key);
+        op
+    }
+
+    /// Puts another bundle in force at a VM; the operation's number.
+    pub fn accept(&mut self, vm: usize, text: &str) -> u64 {
+        let head = self.vms[vm].view.as_ref().and_then(member::View::in_force);
+        let replaces = head.and_then(|head| head.bundle);
+        let bundle = ids::Digest::of(text.as_bytes());
+        self.change(vm, member::Change::Bundle { bundle, replaces })
+    }
+
+    fn change(&mut self, vm: usize, change: member::Change) -> u64 {
+        self.ops += 1;
+        let op = ids::Op::new(self.ops);
+        let (member::Change::Bundle { bundle: object, .. }
+        | member::Change::Amend {
+            amendments: object, ..
+        }) = change;
+        self.changes.insert(self.ops, object);
+        self.note(vm, &format!("change {op}"));
+        self.with(vm, |view, now, out| view.change(now, op, change, out));
+        self.ops
+    }
+
+    pub fn stop(&mut self, vm: usize) {
+        self.with(vm, member::View::stop);
+    }
+
+    /// Gives every VM the platform's list.
+    pub fn list(&mut self) {
+        let listed = (0..self.vms.len()).filter(|vm| self.vms[*vm].listed);
+        let entry = |vm| platform::vm::Entry {
+            name: Self::name(vm).to_string(),
+            state: platform::vm::State::Live,
+        };
+        let list: Vec<_> = listed.map(entry).collect();
+        for vm in 0..self.vms.len() {
+            if !self.vms[vm].frozen {
+                self.with(vm, |view, now, out| view.vms(now, &list, out));
+            }
+        }
+    }
+
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Runs until `done`, and says how many milliseconds it took.
+    #[track_caller]
+    pub fn until(&mut self, millis: u64, done: impl Fn(&Self) -> bool) -> u64 {
+        let start = self.now;
+        while !done(self) {
+            assert!(self.now < start + millis, "not within {millis} ms");
+            self.step();
+        }
+        self.now - start
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        while let Some(entry) = self.events.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let due = entry.remove();
+            self.deliver(due);
+        }
+        for vm in 0..self.vms.len() {
+            if self.vms[vm].frozen {
+                continue;
+            }
+            for due in std::mem::take(&mut self.vms[vm].held) {
+                self.deliver(due);
+            }
+            if (self.now / STEP + vm as u64).is_multiple_of(TICK / STEP) {
+                self.with(vm, member::View::tick);
+            }
+        }
+        self.check();
+    }
+
+    fn with(
+        &mut self,
+        vm: usize,
+        act: impl FnOnce(&mut member::View, ids::Time, &mut Vec<member::Output>),
+    ) {
+        let now = self.local(vm);
+        let mut out = Vec::new();
+        if let Some(view) = &mut self.vms[vm].view {
+            act(view, now, &mut out);
+        }
+        for output in out {
+            self.take(vm, output);
+        }
+    }
+
+    fn take(&mut self, vm: usize, output: member::Output) {
+        match output {
+            member::Output::Table { op, request } => {
+                let down = self.store == Store::Down || self.vms[vm].store_cut;
+                let event = if down {
+                    let kind = platform::fault::Kind::Refused;
+                    Event::Answer(Err(platform::Fault::new("ask", "table", kind, "down")))
+                } else {
+                    Event::Request(request)
+                };
+                self.post(vm, op, event);
+            }
+            member::Output::Peer { to, message } => {
+                let Some(to) = (0..self.vms.len()).find(|vm| Self::name(*vm) == to) else {
+                    return;
+                };
+                let lost = self.rng.random_range(0..100) < self.loss;
+                let frame = wire::Frame {
+                    incarnation: self.vms[vm].incarnation.get(),
+                    message: &message,
+                };
+                self.bytes += wire::encode(&frame).unwrap().len() as u64;
+                if !lost && !self.cuts.contains(&(vm, to)) {
+                    let incarnation = self.vms[vm].incarnation;
+                    let event = Event::Peer(Self::name(vm), incarnation, message);
+                    self.post(to, ids::Op::default(), event);
+                }
+            }
+            member::Output::Adopt(head) => {
+                if self.objects_up {
+                    self.post(vm, ids::Op::default(), Event::Adopt(head.version));
+                }
+            }
+            member::Output::Settled(version) => {
+                self.vms[vm].settled = version;
+                self.proven = self.proven.max(version);
+            }
+            member::Output::Changed { op, outcome } => {
+                self.note(vm, &format!("{op}: {outcome:?}"));
+                if let member::Outcome::InForce { version, .. } = &outcome {
+                    self.proven = self.proven.max(*version);
+                    self.withdrawn
+                        .extend(self.withdrawals.get(&op.get()).cloned());
+                }
+                self.outcomes.insert(op.get(), outcome);
+            }
+            member::Output::Serving { serving, reason } => {
+                self.vms[vm].unready = reason;
+                let reason = reason.map(|reason| reason.to_string()).unwrap_or_default();
+                self.note(vm, &format!("serving {serving} {reason}"));
+            }
+            member::Output::Left => {
+                self.vms[vm].left = Some(self.now);
+                self.note(vm, "left");
+                self.kill(vm);
+            }
+            member::Output::Members(_) | member::Output::Log(_) => {}
+        }
+    }
+
+    pub fn note(&mut self, vm: usize, text: &str) {
+        writeln!(self.session, "{:>6} {} {}", self.now, Self::name(vm), text).unwrap();
+    }
+
+    fn post(&mut self, vm: usize, op: ids::Op, event: Event) {
+        self.sequence += 1;
+        let slow = matches!(event, Event::Request(_)) && self.store == Store::Slow;
+        let slow = if slow {
+            self.rng.random_range(0..4_000)
+        } else {
+            0
+        };
+        let delay = self.rng.random_range(1..=self.lag) + slow;
+        let incarnation = self.vms[vm].incarnation;
+        let due = Due {
+            vm,
+            incarnation,
+            op,
+            event,
+        };
+        self.events.insert((self.now + delay, self.sequence), due);
+    }
+
+    fn deliver(&mut self, due: Due) {
+        let Due {
+            vm,
+            incarnation,
+            op,
+            event,
+        } = due;
+        if let Event::Request(request) = event {
+            let answer = self.execute(request);
+            let lost = self.store == Store::LosesAnswers || self.vms[vm].store_cut;
+            let kind = platform::fault::Kind::Unknown;
+            let lost = lost.then(|| platform::Fault::new("ask", "table", kind, "lost"));
+            let result = lost.map_or(Ok(answer), Err);
+            self.post(vm, op, Event::Answer(result));
+            return;
+        }
+        // A message is for whoever runs there; the rest is of one process.
+        let message = matches!(event, Event::Peer(..));
+        if !message && self.vms[vm].incarnation != incarnation {
+            return;
+        }
+        if self.vms[vm].frozen {
+            let incarnation = self.vms[vm].incarnation;
+            self.vms[vm].held.push(Due {
+                vm,
+                incarnation,
+                op,
+                event,
+            });
+            return;
+        }
+        match event {
+            Event::Answer(result) => {
+                self.with(vm, |view, now, out| view.table(now, op, result, out));
+            }
+            Event::Peer(from, incarnation, message) => self.with(vm, |view, now, out| {
+                view.peer(now, &from, incarnation, message, out);
+            }),
+            Event::Adopt(version) => {
+                self.with(vm, |view, now, out| view.adopted(now, version, out));
+            }
+            Event::Request(_) => {}
+        }
+    }
+
+    fn execute(&mut self, request: platform::table::Request) -> platform::table::Answer {
+        match request {
+            platform::table::Request::Get { key } => {
+                self.reads += 1;
+                platform::table::Answer::Row(self.rows.get(&*key).cloned())
+            }
+            platform::table::Request::Write { writes } => {
+                let version = |key: &str| self.rows.get(key).map(|row| row.version);
+                let clash = |write: &&platform::table::Write| version(&write.key) != write.expect;
+                let conflict = |write: &platform::table::Write| platform::table::Conflict {
+                    key: sync::Arc::clone(&write.key),
+                    row: self.rows.get(&*write.key).cloned(),
+                };
+                let rows: Vec<_> = writes.iter().filter(clash).map(conflict).collect();
+                if !rows.is_empty() {
+                    return platform::table::Answer::Conflict { rows };
+                }
+                for write in writes {
+                    let row = platform::table::Row {
+                        key: sync::Arc::clone(&write.key),
+                        version: write.expect.unwrap_or_default().next(),
+                        value: write.value.unwrap(),
+                    };
+                    let head = (&*row.key == "head").then(|| member::row::head(&row).unwrap());
+                    let objects = head.map(|head| [head.bundle, head.amendments]);
+                    self.written.extend(objects.into_iter().flatten().flatten());
+                    self.rows.insert(write.key.to_string(), row);
+                }
+                platform::table::Answer::Written
+            }
+            platform::table::Request::Scan { .. } => platform::table::Answer::Rows(Vec::new()),
+        }
+    }
+
+    /// What must hold at every moment, frozen VMs included.
+    fn check(&mut self) {
+        for vm in 0..self.vms.len() {
+            let serves = self.serves(vm);
+            let Some(view) = &self.vms[vm].view else {
+                continue;
+            };
+            let Some(head) = view.in_force() else {
+                continue;
+            };
+            let version = head.version;
+            assert!(
+                version >= self.vms[vm].in_force,
+                "vm {vm} reverted to {version}"
+            );
+            let proven = self.proven;
+            let trail = &self.session;
+            assert!(
+                !serves || version >= proven,
+                "vm {vm} serves under {version} after {proven} was in force\n{trail}"
+            );
+            let object = head.amendments.and_then(|digest| self.objects.get(&digest));
+            let refused = |key: &ids::Key| object.is_some_and(|keys| keys.contains(key));
+            let admits = |key: &&ids::Key| serves && !refused(key) && !view.withdrawn(key);
+            let admitted = self.withdrawn.iter().find(admits);
+            assert_eq!(admitted, None, "vm {vm} admits a withdrawn key\n{trail}");
+            self.vms[vm].in_force = version;
+        }
+    }
+}
