--- a/crates/member/src/config.rs
+++ b/crates/member/src/config.rs
@@ -34,12 +34,12 @@
     pub const fn new(me: crate::Member, seed: u64) -> Self {
         Self {
             me,
-            fresh_for: time::Duration::from_millis(3_000),
+            fresh_for: time::Duration::from_secs(3),
             margin: time::Duration::from_millis(300),
             read_every: time::Duration::from_millis(500),
             retry_every: time::Duration::from_millis(200),
-            write_for: time::Duration::from_millis(5_000),
-            gone_after: time::Duration::from_millis(10_000),
+            write_for: time::Duration::from_secs(5),
+            gone_after: time::Duration::from_secs(10),
             witnesses_max: 9,
             fanout: 6,
             seed,
--- a/crates/member/src/row.rs
+++ b/crates/member/src/row.rs
@@ -15,8 +15,7 @@
 pub const ROSTER: &str = "roster";
 
 /// Who serves.
-#[derive(Debug)]
-#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Debug, serde::Serialize, serde::Deserialize)]
 struct Roster {
     prior: Vec<head::Quorum>,
     members: Vec<head::Member>,
@@ -59,7 +58,10 @@
 #[must_use]
 pub fn head(row: &platform::table::Row) -> Option<head::Head> {
     let head: head::Head = decode(&row.value)?;
-    Some(head::Head { version: row.version, ..head })
+    Some(head::Head {
+        version: row.version,
+        ..head
+    })
 }
 
 /// Puts both rows together, unless they are of different versions.
--- a/crates/member/src/view/dump.rs
+++ b/crates/member/src/view/dump.rs
@@ -6,8 +6,7 @@
 use crate::{head, output};
 
 /// The state of a view, for operators.
-#[derive(Clone, Debug)]
-#[derive(serde::Serialize)]
+#[derive(Clone, Debug, serde::Serialize)]
 pub struct Dump {
     /// The newest head that is known.
     pub head: Option<head::Head>,
@@ -30,8 +29,7 @@
 }
 
 /// What is known of another VM.
-#[derive(Clone, Debug)]
-#[derive(serde::Serialize)]
+#[derive(Clone, Debug, serde::Serialize)]
 pub struct Peer {
     /// Its incarnation.
     pub incarnation: ids::Incarnation,
@@ -58,7 +56,9 @@
             (vm.clone(), peer)
         });
         let unlisted = self.unlisted.iter();
-        let evidence = self.evidence.filter(|known| known.version == self.version());
+        let evidence = self
+            .evidence
+            .filter(|known| known.version == self.version());
         Dump {
             head: self.head.clone(),
             in_force: self.adopted_version(),
@@ -67,7 +67,9 @@
             age_ms: evidence.map(|known| millis(known.time)),
             table_answers: self.store_up,
             peers: peers.collect(),
-            unlisted_ms: unlisted.map(|(vm, since)| (vm.clone(), millis(*since))).collect(),
+            unlisted_ms: unlisted
+                .map(|(vm, since)| (vm.clone(), millis(*since)))
+                .collect(),
             changes: self.queue.len() + self.waiting.len() + usize::from(self.proposal.is_some()),
         }
     }
--- a/crates/member/src/view/fresh.rs
+++ b/crates/member/src/view/fresh.rs
@@ -14,7 +14,9 @@
             return;
         }
         self.next_refresh = now + self.config.read_every;
-        let old = self.age(now).is_none_or(|age| age > self.config.fresh_for / 2);
+        let old = self
+            .age(now)
+            .is_none_or(|age| age > self.config.fresh_for / 2);
         if !self.is_member() || self.is_witness() || old {
             self.read(now, out);
         }
@@ -43,8 +45,9 @@
             let others = head.witnesses.iter().filter(|vm| !read && *vm != me);
             return others.cloned().collect();
         }
-        let mut sources: Vec<_> =
-            super::tree::parent(head, me, self.config.fanout).into_iter().collect();
+        let mut sources: Vec<_> = super::tree::parent(head, me, self.config.fanout)
+            .into_iter()
+            .collect();
         if old && !head.witnesses.is_empty() {
             let chosen = self.rng.random_range(0..head.witnesses.len());
             sources.push(head.witnesses[chosen].clone());
@@ -54,7 +57,10 @@
 
     /// Reads the head.
     pub(super) fn read(&mut self, now: ids::Time, out: &mut Vec<output::Output>) {
-        let read = Read { sent: now, head: None };
+        let read = Read {
+            sent: now,
+            head: None,
+        };
         self.request_read(read, row::HEAD, out);
     }
 
@@ -76,7 +82,11 @@
         let up = result.is_ok();
         if up != self.store_up {
             self.store_up = up;
-            let state = if up { "answers again" } else { "does not answer" };
+            let state = if up {
+                "answers again"
+            } else {
+                "does not answer"
+            };
             out.push(output::Output::Log(format!("table service {state}")));
         }
         let Ok(platform::table::Answer::Row(row)) = result else {
@@ -84,7 +94,7 @@
         };
         match (read.head, row) {
             (None, None) => self.vacant = self.head.is_none(),
-            (None, Some(row)) => self.take_small(now, read.sent, &row, out),
+            (None, Some(row)) => self.take_small(read.sent, &row, out),
             (Some(small), Some(row)) => match row::join(small, &row) {
                 Some(head) => {
                     let version = head.version;
@@ -99,7 +109,6 @@
 
     fn take_small(
         &mut self,
-        now: ids::Time,
         sent: ids::Time,
         row: &platform::table::Row,
         out: &mut Vec<output::Output>,
@@ -112,8 +121,10 @@
             out.push(output::Output::Log("the head row cannot be read".into()));
             return;
         };
-        let read = Read { sent, head: Some(small) };
-        let _ = now;
+        let read = Read {
+            sent,
+            head: Some(small),
+        };
         self.request_read(read, row::ROSTER, out);
     }
 
@@ -126,7 +137,10 @@
         let number = self.last_ask;
         let version = self.version();
         let message = message::Message::Ask { number, version };
-        let ask = Ask { to: to.clone(), sent: now };
+        let ask = Ask {
+            to: to.clone(),
+            sent: now,
+        };
         self.asks.insert(number, ask);
         out.push(output::Output::Peer { to, message });
     }
@@ -165,7 +179,13 @@
             message::Message::Ask { number, version } => {
                 self.reply(now, from, number, version, out);
             }
-            message::Message::Reply { number, version, adopted, settled, age } => {
+            message::Message::Reply {
+                number,
+                version,
+                adopted,
+                settled,
+                age,
+            } => {
                 self.settled_elsewhere(settled, out);
                 self.take_reply(from, (number, version, adopted), age);
                 self.teach(from, version, out);
@@ -188,7 +208,7 @@
         version: ids::Version,
         out: &mut Vec<output::Output>,
     ) {
-        if self.woken.is_some() || self.resigned {
+        if self.woken.is_some() || !self.stage.vouches() {
             return;
         }
         self.vouch(now);
@@ -261,7 +281,7 @@
     /// The moment at which a witness knew no newer head.
     fn vote(&self, now: ids::Time, head: &head::Head, seat: &head::Seat) -> Option<ids::Time> {
         if *seat == self.config.me.seat() {
-            let able = self.woken.is_none() && !self.resigned;
+            let able = self.woken.is_none() && self.stage.vouches();
             return able.then_some(now);
         }
         let peer = self.peers.get(&seat.vm)?;
@@ -274,7 +294,11 @@
         if self.woken.is_some_and(|woken| time >= woken) {
             self.woken = None;
         }
-        if self.adopted.as_ref().is_some_and(|head| head.version == version) {
+        if self
+            .adopted
+            .as_ref()
+            .is_some_and(|head| head.version == version)
+        {
             self.shown = self.shown.max(Some(time));
         }
         let known = self.evidence.map(|known| (known.version, known.time));
--- a/crates/member/src/view/learn.rs
+++ b/crates/member/src/view/learn.rs
@@ -24,7 +24,6 @@
         self.head_since = now;
         self.next_chase = now;
         self.previous = self.head.replace(head.clone());
-        self.unlisted.retain(|vm, _| head.member(vm).is_some());
         self.spread(&head, out);
         let me = &self.config.me.vm;
         let others = head.members.iter().filter(|member| member.vm != *me);
@@ -40,7 +39,11 @@
         let mut to = Vec::new();
         if author && head.members.len() <= DIRECT_MEMBERS {
             let previous = self.previous.iter().flat_map(|head| &head.members);
-            to.extend(previous.chain(&head.members).map(|member| member.vm.clone()));
+            to.extend(
+                previous
+                    .chain(&head.members)
+                    .map(|member| member.vm.clone()),
+            );
         } else if author {
             to.extend(head.witnesses.iter().cloned());
         }
--- a/crates/member/src/view/propose.rs
+++ b/crates/member/src/view/propose.rs
@@ -2,7 +2,7 @@
 
 use rand::Rng as _;
 
-use super::{View, settle};
+use super::{Stage, View, settle};
 use crate::{change, head, output, row};
 
 /// Most changes of operators that wait.
@@ -48,7 +48,7 @@
     ) {
         let reason = if self.head.is_none() {
             "this VM has not read the head yet"
-        } else if self.leaving.is_some() {
+        } else if self.stage != Stage::Active {
             "this VM is leaving"
         } else if self.queue.len() >= QUEUE_MAX {
             "too many changes wait"
@@ -70,11 +70,16 @@
 
     /// Whether leaving is complete or has been tried for long enough.
     fn depart(&mut self, now: ids::Time, out: &mut Vec<output::Output>) {
-        let Some(since) = self.leaving else { return };
-        let absent = self.proposal.is_none() && !self.is_member();
-        let overdue = now.since(since) >= self.config.write_for;
-        if !self.left && (absent || overdue) {
-            self.left = true;
+        let Some(since) = self.stage.since() else {
+            return;
+        };
+        for (op, _) in std::mem::take(&mut self.queue) {
+            refuse(op, "this VM is leaving".into(), out);
+        }
+        let absent = self.proposal.is_none() && !self.is_member() && self.waiting.is_empty();
+        let overdue = now.since(since) >= self.config.write_for * 2;
+        if absent || overdue {
+            self.stage = Stage::Left;
             out.push(output::Output::Left);
         }
     }
@@ -96,14 +101,15 @@
                     until,
                 });
             }
-            Err(reason) => self.fail(&aim, reason, out),
+            Err(reason) => fail(&aim, reason, out),
         }
     }
 
     /// What to propose next.
     fn aim(&mut self, now: ids::Time) -> Option<Aim> {
-        if self.leaving.is_some() {
-            return (self.is_member() && !self.left).then_some(Aim::Leave);
+        if self.stage != Stage::Active {
+            let leaving = self.stage.since().is_some() && self.is_member();
+            return leaving.then_some(Aim::Leave);
         }
         if let Some((op, change)) = self.queue.pop_front() {
             return Some(Aim::Change(op, change));
@@ -131,11 +137,19 @@
     /// of them proposes.
     fn removable(&self, now: ids::Time) -> Option<head::Seat> {
         let head = self.head.as_ref().filter(|_| self.is_member())?;
-        let live = head.members.iter().filter(|member| !self.gone(now, &member.vm));
-        let rank = live.take_while(|member| member.vm != self.config.me.vm).count();
+        let live = head
+            .members
+            .iter()
+            .filter(|member| !self.gone(now, &member.vm));
+        let rank = live
+            .take_while(|member| member.vm != self.config.me.vm)
+            .count();
         let rank = u32::try_from(rank).unwrap_or(u32::MAX);
         let wait = self.config.gone_after + self.config.read_every.saturating_mul(rank);
-        let mut members = head.members.iter().filter(|member| self.gone(now, &member.vm));
+        let mut members = head
+            .members
+            .iter()
+            .filter(|member| self.gone(now, &member.vm));
         let due = members.find(|member| {
             let since = self.unlisted.get(&member.vm);
             since.is_some_and(|since| now.since(*since) >= wait)
@@ -167,7 +181,10 @@
             Aim::Remove(seat) => next = next.without_member(seat, max),
             Aim::Change(_, change) if change.fits(base) => change.apply(&mut next),
             Aim::Change(..) => {
-                return Err(format!("another change was made first, version {}", base.version));
+                return Err(format!(
+                    "another change was made first, version {}",
+                    base.version
+                ));
             }
         }
         Ok(next)
@@ -183,9 +200,14 @@
             prior.extend(base.prior.iter().filter(open).cloned());
         }
         if !base.witnesses.is_empty() {
-            let mut quorum = head::Quorum { needed: base.majority(), of: base.seats() };
+            let mut quorum = head::Quorum {
+                needed: base.majority(),
+                of: base.seats(),
+            };
             let all = quorum.of.len();
-            quorum.of.retain(|seat| !leaving || *seat != self.config.me.seat());
+            quorum
+                .of
+                .retain(|seat| !leaving || *seat != self.config.me.seat());
             quorum.needed = quorum.needed.saturating_sub(all - quorum.of.len());
             prior.push(quorum);
         }
@@ -200,7 +222,7 @@
             return;
         };
         if now >= proposal.until {
-            self.expire(&proposal, out);
+            expire(&proposal, out);
             return;
         }
         if now >= proposal.retry_at {
@@ -208,7 +230,9 @@
             let request = row::write(&proposal.next);
             proposal.sent.push((op, now));
             proposal.retry_at = now + self.config.retry_every * RESEND_INTERVALS;
-            self.resigned |= matches!(proposal.aim, Aim::Leave);
+            if let (Aim::Leave, Some(since)) = (&proposal.aim, self.stage.since()) {
+                self.stage = Stage::Resigned(since);
+            }
             out.push(output::Output::Table { op, request });
         }
         self.proposal = Some(proposal);
@@ -225,14 +249,14 @@
             return;
         };
         if let Some(version) = head.made_by(proposal.nonce) {
-            self.made(now, proposal, version, out);
+            self.made(now, &proposal.aim, version, out);
             return;
         }
         let passed = head.version.get() - proposal.next.version.get();
         let remembered = passed < head.nonces.len() as u64;
         if !remembered && !proposal.sent.is_empty() {
             proposal.uncertain = true;
-            self.expire(&proposal, out);
+            expire(&proposal, out);
             return;
         }
         match self.successor(now, &head, &proposal.aim, proposal.nonce) {
@@ -244,7 +268,7 @@
                 self.proposal = Some(proposal);
             }
             Ok(_) => {}
-            Err(reason) => self.fail(&proposal.aim, reason, out),
+            Err(reason) => fail(&proposal.aim, reason, out),
         }
     }
 
@@ -273,7 +297,7 @@
         &mut self,
         now: ids::Time,
         op: ids::Op,
-        result: platform::Result<platform::table::Answer>,
+        result: &platform::Result<platform::table::Answer>,
         out: &mut Vec<output::Output>,
     ) {
         let Some(proposal) = &mut self.proposal else {
@@ -293,7 +317,7 @@
             }
             Ok(platform::table::Answer::Conflict { rows }) => {
                 proposal.retry_at = soon;
-                match row::present(&rows) {
+                match row::present(rows) {
                     Some(head) => {
                         let version = head.version;
                         self.learn(now, head, out);
@@ -318,39 +342,43 @@
     fn made(
         &mut self,
         now: ids::Time,
-        proposal: Proposal,
+        aim: &Aim,
         version: ids::Version,
         out: &mut Vec<output::Output>,
     ) {
-        match proposal.aim {
+        match aim {
             Aim::Change(op, _) => {
                 let wait = self.fencing_time() * 2 + self.config.write_for;
-                self.waiting.push(settle::Waiting { op, version, until: now + wait });
+                self.waiting.push(settle::Waiting {
+                    op: *op,
+                    version,
+                    until: now + wait,
+                });
             }
             Aim::Leave => self.depart(now, out),
             Aim::Join | Aim::Remove(_) => {}
         }
     }
+}
 
-    /// Ends a proposal that was not written in time.
-    fn expire(&mut self, proposal: &Proposal, out: &mut Vec<output::Output>) {
-        let Aim::Change(op, _) = proposal.aim else {
-            return;
-        };
-        // Writes that were refused have been struck from the list.
-        if proposal.sent.is_empty() && !proposal.uncertain {
-            refuse(op, "the table service cannot be reached".into(), out);
-            return;
-        }
-        let reason = "the table service did not say whether the change was written".into();
-        let outcome = change::Outcome::Unknown { reason };
-        out.push(output::Output::Changed { op, outcome });
+/// Ends a proposal that was not written in time.
+fn expire(proposal: &Proposal, out: &mut Vec<output::Output>) {
+    let Aim::Change(op, _) = proposal.aim else {
+        return;
+    };
+    // Writes that were refused have been struck from the list.
+    if proposal.sent.is_empty() && !proposal.uncertain {
+        refuse(op, "the table service cannot be reached".into(), out);
+        return;
     }
+    let reason = "the table service did not say whether the change was written".into();
+    let outcome = change::Outcome::Unknown { reason };
+    out.push(output::Output::Changed { op, outcome });
+}
 
-    fn fail(&mut self, aim: &Aim, reason: String, out: &mut Vec<output::Output>) {
-        if let Aim::Change(op, _) = aim {
-            refuse(*op, reason, out);
-        }
+fn fail(aim: &Aim, reason: String, out: &mut Vec<output::Output>) {
+    if let Aim::Change(op, _) = aim {
+        refuse(*op, reason, out);
     }
 }
 
--- a/crates/member/src/view/settle.rs
+++ b/crates/member/src/view/settle.rs
@@ -17,7 +17,7 @@
 const CHASE_MAX: usize = 16;
 
 /// After this long, other witnesses than the author see a head settled.
-const AUTHOR_PATIENCE: time::Duration = time::Duration::from_millis(1_000);
+const AUTHOR_PATIENCE: time::Duration = time::Duration::from_secs(1);
 
 /// A change that was written and is not settled.
 #[derive(Clone, Debug)]
@@ -41,7 +41,12 @@
         }
         let wait = self.fencing_time();
         let ripe = |(_, since): &(_, &ids::Time)| now.since(**since) >= wait;
-        let timed = self.confirmed.iter().filter(ripe).map(|(version, _)| *version).max();
+        let timed = self
+            .confirmed
+            .iter()
+            .filter(ripe)
+            .map(|(version, _)| *version)
+            .max();
         let adopted = self.adopted_by_all(head).then_some(version);
         if let Some(version) = timed.max(adopted) {
             self.settled_elsewhere(version, out);
@@ -120,7 +125,7 @@
 
     fn has_adopted(&self, seat: &head::Seat, head: &head::Head) -> bool {
         if *seat == self.config.me.seat() {
-            return self.adopted_version() >= head.version || !head.has(seat);
+            return self.stage != super::Stage::Active || self.adopted_version() >= head.version;
         }
         let left = head.author.as_ref() == Some(&seat.vm) && head.member(&seat.vm).is_none();
         let peer = self.peers.get(&seat.vm);
@@ -147,9 +152,16 @@
         missing.sort();
         missing.dedup();
         let hurry = now.since(self.head_since) < self.config.fresh_for;
-        let wait = if hurry { self.config.retry_every } else { self.config.read_every };
+        let wait = if hurry {
+            self.config.retry_every
+        } else {
+            self.config.read_every
+        };
         self.next_chase = now + wait;
-        for vm in missing.into_iter().choose_multiple(&mut self.rng, CHASE_MAX) {
+        for vm in missing
+            .into_iter()
+            .choose_multiple(&mut self.rng, CHASE_MAX)
+        {
             self.ask(now, vm, out);
         }
     }
