--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -25,7 +25,8 @@
 /// Commands that need a VM talk to the operator face of any of them; all VMs are alike and every
 /// change holds for the whole fleet. With several --vm the next one is tried if one can not be
 /// reached.
-#[derive(Clone, Debug, clap::Parser)]
+#[derive(Clone, Debug)]
+#[derive(clap::Parser)]
 #[command(name = "primroseplank", version, after_help = EXIT_CODES)]
 pub struct Line {
     /// What to do.
@@ -40,7 +41,8 @@
 }
 
 /// Which VM to talk to, and how.
-#[derive(Clone, Debug, clap::Args)]
+#[derive(Clone, Debug)]
+#[derive(clap::Args)]
 #[command(next_help_heading = "Connection")]
 pub struct Remote {
     /// Address of a VM's operator face: IP number and port; may be given more than once.
@@ -64,7 +66,8 @@
 }
 
 /// What to do.
-#[derive(Clone, Debug, clap::Subcommand)]
+#[derive(Clone, Debug)]
+#[derive(clap::Subcommand)]
 pub enum Command {
     /// Check a bundle: every fault with its line, the memory sum, the loads of a rollout.
     Check {
@@ -151,7 +154,8 @@
 }
 
 /// What to do with signers.
-#[derive(Clone, Debug, clap::Subcommand)]
+#[derive(Clone, Debug)]
+#[derive(clap::Subcommand)]
 pub enum Signer {
     /// Make a signing key and print the line for the settings of the VMs.
     ///
@@ -167,7 +171,8 @@
 }
 
 /// What to do with keys.
-#[derive(Clone, Debug, clap::Subcommand)]
+#[derive(Clone, Debug)]
+#[derive(clap::Subcommand)]
 pub enum Key {
     /// Make a key for an account and show it, once.
     ///
--- a/crates/cli/src/command/history.rs
+++ b/crates/cli/src/command/history.rs
@@ -8,7 +8,8 @@
 use crate::{client, done, error};
 
 /// A version and what it changed.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 struct Line {
     version: ids::Version,
     changes: Vec<String>,
--- a/crates/cli/src/command/key.rs
+++ b/crates/cli/src/command/key.rs
@@ -11,7 +11,8 @@
 const ID_BYTES: usize = 4;
 
 /// A key in the list.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 struct Entry {
     account: ids::Account,
     id: ids::Key,
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -31,7 +31,8 @@
 }
 
 /// {step} ({peer}): {reason}
-#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub struct Error {
     kind: Kind,
     step: String,
--- a/crates/member/src/change.rs
+++ b/crates/member/src/change.rs
@@ -1,7 +1,8 @@
 //! Changes of the head that operators ask for.
 
 /// A change whose objects have been stored.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Change {
     /// Another bundle.
@@ -36,11 +37,7 @@
     pub(crate) fn apply(&self, head: &mut crate::Head) {
         match self {
             Self::Bundle { bundle, .. } => head.bundle = Some(*bundle),
-            Self::Amend {
-                amendments,
-                withdrawn,
-                ..
-            } => {
+            Self::Amend { amendments, withdrawn, .. } => {
                 head.amendments = Some(*amendments);
                 head.withdrawn.clone_from(withdrawn);
             }
@@ -49,7 +46,8 @@
 }
 
 /// How a change ended.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Outcome {
     /// No VM serves under an older head any more.
--- a/crates/member/src/head.rs
+++ b/crates/member/src/head.rs
@@ -27,15 +27,13 @@
     /// Name and incarnation alone.
     #[must_use]
     pub fn seat(&self) -> Seat {
-        Seat {
-            vm: self.vm.clone(),
-            incarnation: self.incarnation,
-        }
+        Seat { vm: self.vm.clone(), incarnation: self.incarnation }
     }
 }
 
 /// One incarnation of a VM.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Seat {
     /// The VM's name.
     pub vm: ids::Vm,
@@ -44,7 +42,8 @@
 }
 
 /// Witnesses of an earlier head, of which some have to know the present one.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Quorum {
     /// How many of them.
     pub needed: usize,
@@ -142,8 +141,7 @@
     /// that have the fewest, so that losing one centre costs few witnesses.
     fn elect(&mut self, witnesses_max: usize) {
         let members = &self.members;
-        self.witnesses
-            .retain(|vm| members.iter().any(|member| member.vm == *vm));
+        self.witnesses.retain(|vm| members.iter().any(|member| member.vm == *vm));
         while self.witnesses.len() < witnesses_max.min(self.members.len()) {
             let Some(vm) = self.candidate() else { return };
             self.witnesses.push(vm);
@@ -152,10 +150,7 @@
     }
 
     fn candidate(&self) -> Option<ids::Vm> {
-        let free = self
-            .members
-            .iter()
-            .filter(|member| !self.witnesses.contains(&member.vm));
+        let free = self.members.iter().filter(|member| !self.witnesses.contains(&member.vm));
         let chosen = free.min_by_key(|member| self.witnesses_in(&member.centre))?;
         Some(chosen.vm.clone())
     }
--- a/crates/member/src/message.rs
+++ b/crates/member/src/message.rs
@@ -4,7 +4,8 @@
 ///
 /// Field names are one letter on the wire, for these messages are most of a
 /// VM's control traffic.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Message {
     /// Asks how recent the receiver's knowledge of the head is.
     #[serde(rename = "a")]
--- a/crates/member/src/output.rs
+++ b/crates/member/src/output.rs
@@ -1,7 +1,8 @@
 //! What a [`crate::View`] asks for.
 
 /// What is to be done.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Output {
     /// Ask the table service and give the answer to [`crate::View::table`].
@@ -46,9 +47,8 @@
 }
 
 /// Why a VM does not serve.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize, displaydoc::Display,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize, displaydoc::Display)]
 #[serde(rename_all = "kebab-case")]
 pub enum Reason {
     /// no head is in force here yet
--- a/crates/member/src/row.rs
+++ b/crates/member/src/row.rs
@@ -15,7 +15,8 @@
 pub const ROSTER: &str = "roster";
 
 /// Who serves.
-#[derive(Debug, serde::Serialize, serde::Deserialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
 struct Roster {
     prior: Vec<head::Quorum>,
     members: Vec<head::Member>,
@@ -58,10 +59,7 @@
 #[must_use]
 pub fn head(row: &platform::table::Row) -> Option<head::Head> {
     let head: head::Head = decode(&row.value)?;
-    Some(head::Head {
-        version: row.version,
-        ..head
-    })
+    Some(head::Head { version: row.version, ..head })
 }
 
 /// Puts both rows together, unless they are of different versions.
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -325,9 +325,7 @@
 
     /// Notices when the process was stopped for long.
     fn begin(&mut self, now: ids::Time, out: &mut Vec<output::Output>) {
-        let paused = self
-            .last_input
-            .is_some_and(|last| now.since(last) >= self.config.fresh_for);
+        let paused = self.last_input.is_some_and(|last| now.since(last) >= self.config.fresh_for);
         if paused {
             self.woken = Some(now);
             out.push(output::Output::Log("was paused; looks again".into()));
@@ -345,18 +343,12 @@
             return;
         }
         self.serving = reason.is_none();
-        out.push(output::Output::Serving {
-            serving: self.serving,
-            reason,
-        });
+        out.push(output::Output::Serving { serving: self.serving, reason });
     }
 
     /// The newest version known; zero if none.
     fn version(&self) -> ids::Version {
-        self.head
-            .as_ref()
-            .map(|head| head.version)
-            .unwrap_or_default()
+        self.head.as_ref().map(|head| head.version).unwrap_or_default()
     }
 
     /// The version in force here; zero if none.
--- a/crates/member/src/view/dump.rs
+++ b/crates/member/src/view/dump.rs
@@ -6,7 +6,8 @@
 use crate::{head, output};
 
 /// The state of a view, for operators.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 pub struct Dump {
     /// The newest head that is known.
     pub head: Option<head::Head>,
@@ -29,7 +30,8 @@
 }
 
 /// What is known of another VM.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 pub struct Peer {
     /// Its incarnation.
     pub incarnation: ids::Incarnation,
@@ -56,9 +58,7 @@
             (vm.clone(), peer)
         });
         let unlisted = self.unlisted.iter();
-        let evidence = self
-            .evidence
-            .filter(|known| known.version == self.version());
+        let evidence = self.evidence.filter(|known| known.version == self.version());
         Dump {
             head: self.head.clone(),
             in_force: self.adopted_version(),
@@ -67,9 +67,7 @@
             age_ms: evidence.map(|known| millis(known.time)),
             table_answers: self.store_up,
             peers: peers.collect(),
-            unlisted_ms: unlisted
-                .map(|(vm, since)| (vm.clone(), millis(*since)))
-                .collect(),
+            unlisted_ms: unlisted.map(|(vm, since)| (vm.clone(), millis(*since))).collect(),
             changes: self.queue.len() + self.waiting.len() + usize::from(self.proposal.is_some()),
         }
     }
--- a/crates/member/src/view/fresh.rs
+++ b/crates/member/src/view/fresh.rs
@@ -14,9 +14,7 @@
             return;
         }
         self.next_refresh = now + self.config.read_every;
-        let old = self
-            .age(now)
-            .is_none_or(|age| age > self.config.fresh_for / 2);
+        let old = self.age(now).is_none_or(|age| age > self.config.fresh_for / 2);
         if !self.is_member() || self.is_witness() || old {
             self.read(now, out);
         }
@@ -45,9 +43,8 @@
             let others = head.witnesses.iter().filter(|vm| !read && *vm != me);
             return others.cloned().collect();
         }
-        let mut sources: Vec<_> = super::tree::parent(head, me, self.config.fanout)
-            .into_iter()
-            .collect();
+        let mut sources: Vec<_> =
+            super::tree::parent(head, me, self.config.fanout).into_iter().collect();
         if old && !head.witnesses.is_empty() {
             let chosen = self.rng.random_range(0..head.witnesses.len());
             sources.push(head.witnesses[chosen].clone());
@@ -57,10 +54,7 @@
 
     /// Reads the head.
     pub(super) fn read(&mut self, now: ids::Time, out: &mut Vec<output::Output>) {
-        let read = Read {
-            sent: now,
-            head: None,
-        };
+        let read = Read { sent: now, head: None };
         self.request_read(read, row::HEAD, out);
     }
 
@@ -82,11 +76,7 @@
         let up = result.is_ok();
         if up != self.store_up {
             self.store_up = up;
-            let state = if up {
-                "answers again"
-            } else {
-                "does not answer"
-            };
+            let state = if up { "answers again" } else { "does not answer" };
             out.push(output::Output::Log(format!("table service {state}")));
         }
         let Ok(platform::table::Answer::Row(row)) = result else {
@@ -121,10 +111,7 @@
             out.push(output::Output::Log("the head row cannot be read".into()));
             return;
         };
-        let read = Read {
-            sent,
-            head: Some(small),
-        };
+        let read = Read { sent, head: Some(small) };
         self.request_read(read, row::ROSTER, out);
     }
 
@@ -137,10 +124,7 @@
         let number = self.last_ask;
         let version = self.version();
         let message = message::Message::Ask { number, version };
-        let ask = Ask {
-            to: to.clone(),
-            sent: now,
-        };
+        let ask = Ask { to: to.clone(), sent: now };
         self.asks.insert(number, ask);
         out.push(output::Output::Peer { to, message });
     }
@@ -179,13 +163,7 @@
             message::Message::Ask { number, version } => {
                 self.reply(now, from, number, version, out);
             }
-            message::Message::Reply {
-                number,
-                version,
-                adopted,
-                settled,
-                age,
-            } => {
+            message::Message::Reply { number, version, adopted, settled, age } => {
                 self.settled_elsewhere(settled, out);
                 self.take_reply(from, (number, version, adopted), age);
                 self.teach(from, version, out);
@@ -294,11 +272,7 @@
         if self.woken.is_some_and(|woken| time >= woken) {
             self.woken = None;
         }
-        if self
-            .adopted
-            .as_ref()
-            .is_some_and(|head| head.version == version)
-        {
+        if self.adopted.as_ref().is_some_and(|head| head.version == version) {
             self.shown = self.shown.max(Some(time));
         }
         let known = self.evidence.map(|known| (known.version, known.time));
--- a/crates/member/src/view/learn.rs
+++ b/crates/member/src/view/learn.rs
@@ -39,11 +39,7 @@
         let mut to = Vec::new();
         if author && head.members.len() <= DIRECT_MEMBERS {
             let previous = self.previous.iter().flat_map(|head| &head.members);
-            to.extend(
-                previous
-                    .chain(&head.members)
-                    .map(|member| member.vm.clone()),
-            );
+            to.extend(previous.chain(&head.members).map(|member| member.vm.clone()));
         } else if author {
             to.extend(head.witnesses.iter().cloned());
         }
--- a/crates/member/src/view/propose.rs
+++ b/crates/member/src/view/propose.rs
@@ -137,19 +137,11 @@
     /// of them proposes.
     fn removable(&self, now: ids::Time) -> Option<head::Seat> {
         let head = self.head.as_ref().filter(|_| self.is_member())?;
-        let live = head
-            .members
-            .iter()
-            .filter(|member| !self.gone(now, &member.vm));
-        let rank = live
-            .take_while(|member| member.vm != self.config.me.vm)
-            .count();
+        let live = head.members.iter().filter(|member| !self.gone(now, &member.vm));
+        let rank = live.take_while(|member| member.vm != self.config.me.vm).count();
         let rank = u32::try_from(rank).unwrap_or(u32::MAX);
         let wait = self.config.gone_after + self.config.read_every.saturating_mul(rank);
-        let mut members = head
-            .members
-            .iter()
-            .filter(|member| self.gone(now, &member.vm));
+        let mut members = head.members.iter().filter(|member| self.gone(now, &member.vm));
         let due = members.find(|member| {
             let since = self.unlisted.get(&member.vm);
             since.is_some_and(|since| now.since(*since) >= wait)
@@ -181,10 +173,7 @@
             Aim::Remove(seat) => next = next.without_member(seat, max),
             Aim::Change(_, change) if change.fits(base) => change.apply(&mut next),
             Aim::Change(..) => {
-                return Err(format!(
-                    "another change was made first, version {}",
-                    base.version
-                ));
+                return Err(format!("another change was made first, version {}", base.version));
             }
         }
         Ok(next)
@@ -200,14 +189,9 @@
             prior.extend(base.prior.iter().filter(open).cloned());
         }
         if !base.witnesses.is_empty() {
-            let mut quorum = head::Quorum {
-                needed: base.majority(),
-                of: base.seats(),
-            };
+            let mut quorum = head::Quorum { needed: base.majority(), of: base.seats() };
             let all = quorum.of.len();
-            quorum
-                .of
-                .retain(|seat| !leaving || *seat != self.config.me.seat());
+            quorum.of.retain(|seat| !leaving || *seat != self.config.me.seat());
             quorum.needed = quorum.needed.saturating_sub(all - quorum.of.len());
             prior.push(quorum);
         }
@@ -349,11 +333,7 @@
         match aim {
             Aim::Change(op, _) => {
                 let wait = self.fencing_time() * 2 + self.config.write_for;
-                self.waiting.push(settle::Waiting {
-                    op: *op,
-                    version,
-                    until: now + wait,
-                });
+                self.waiting.push(settle::Waiting { op: *op, version, until: now + wait });
             }
             Aim::Leave => self.depart(now, out),
             Aim::Join | Aim::Remove(_) => {}
--- a/crates/member/src/view/settle.rs
+++ b/crates/member/src/view/settle.rs
@@ -41,12 +41,7 @@
         }
         let wait = self.fencing_time();
         let ripe = |(_, since): &(_, &ids::Time)| now.since(**since) >= wait;
-        let timed = self
-            .confirmed
-            .iter()
-            .filter(ripe)
-            .map(|(version, _)| *version)
-            .max();
+        let timed = self.confirmed.iter().filter(ripe).map(|(version, _)| *version).max();
         let adopted = self.adopted_by_all(head).then_some(version);
         if let Some(version) = timed.max(adopted) {
             self.settled_elsewhere(version, out);
@@ -152,16 +147,9 @@
         missing.sort();
         missing.dedup();
         let hurry = now.since(self.head_since) < self.config.fresh_for;
-        let wait = if hurry {
-            self.config.retry_every
-        } else {
-            self.config.read_every
-        };
+        let wait = if hurry { self.config.retry_every } else { self.config.read_every };
         self.next_chase = now + wait;
-        for vm in missing
-            .into_iter()
-            .choose_multiple(&mut self.rng, CHASE_MAX)
-        {
+        for vm in missing.into_iter().choose_multiple(&mut self.rng, CHASE_MAX) {
             self.ask(now, vm, out);
         }
     }
--- a/crates/member/tests/changes.rs
+++ b/crates/member/tests/changes.rs
@@ -137,9 +137,7 @@
     assert_eq!(fleet.count(), 5);
     fleet.heal();
     let version = fleet.head();
-    fleet.until(6_000, |fleet| {
-        fleet.vms.iter().all(|vm| vm.settled == version)
-    });
+    fleet.until(6_000, |fleet| fleet.vms.iter().all(|vm| vm.settled == version));
 }
 
 #[test]
--- a/crates/member/tests/fleet/mod.rs
+++ b/crates/member/tests/fleet/mod.rs
@@ -214,11 +214,7 @@
         self.objects.insert(amendments, keys);
         let op = self.change(
             vm,
-            member::Change::Amend {
-                amendments,
-                replaces,
-                withdrawn: Some(key.clone()),
-            },
+            member::Change::Amend { amendments, replaces, withdrawn: Some(key.clone()) },
         );
         self.withdrawals.insert(op, key);
         op
@@ -236,9 +232,7 @@
         self.ops += 1;
         let op = ids::Op::new(self.ops);
         let (member::Change::Bundle { bundle: object, .. }
-        | member::Change::Amend {
-            amendments: object, ..
-        }) = change;
+        | member::Change::Amend { amendments: object, .. }) = change;
         self.changes.insert(self.ops, object);
         self.note(vm, &format!("change {op}"));
         self.with(vm, |view, now, out| view.change(now, op, change, out));
@@ -337,10 +331,8 @@
                     return;
                 };
                 let lost = self.rng.random_range(0..100) < self.loss;
-                let frame = wire::Frame {
-                    incarnation: self.vms[vm].incarnation.get(),
-                    message: &message,
-                };
+                let frame =
+                    wire::Frame { incarnation: self.vms[vm].incarnation.get(), message: &message };
                 self.bytes += wire::encode(&frame).unwrap().len() as u64;
                 if !lost && !self.cuts.contains(&(vm, to)) {
                     let incarnation = self.vms[vm].incarnation;
@@ -361,8 +353,7 @@
                 self.note(vm, &format!("{op}: {outcome:?}"));
                 if let member::Outcome::InForce { version, .. } = &outcome {
                     self.proven = self.proven.max(*version);
-                    self.withdrawn
-                        .extend(self.withdrawals.get(&op.get()).cloned());
+                    self.withdrawn.extend(self.withdrawals.get(&op.get()).cloned());
                 }
                 self.outcomes.insert(op.get(), outcome);
             }
@@ -387,29 +378,15 @@
     fn post(&mut self, vm: usize, op: ids::Op, event: Event) {
         self.sequence += 1;
         let slow = matches!(event, Event::Request(_)) && self.store == Store::Slow;
-        let slow = if slow {
-            self.rng.random_range(0..4_000)
-        } else {
-            0
-        };
+        let slow = if slow { self.rng.random_range(0..4_000) } else { 0 };
         let delay = self.rng.random_range(1..=self.lag) + slow;
         let incarnation = self.vms[vm].incarnation;
-        let due = Due {
-            vm,
-            incarnation,
-            op,
-            event,
-        };
+        let due = Due { vm, incarnation, op, event };
         self.events.insert((self.now + delay, self.sequence), due);
     }
 
     fn deliver(&mut self, due: Due) {
-        let Due {
-            vm,
-            incarnation,
-            op,
-            event,
-        } = due;
+        let Due { vm, incarnation, op, event } = due;
         if let Event::Request(request) = event {
             let answer = self.execute(request);
             let lost = self.store == Store::LosesAnswers || self.vms[vm].store_cut;
@@ -426,12 +403,7 @@
         }
         if self.vms[vm].frozen {
             let incarnation = self.vms[vm].incarnation;
-            self.vms[vm].held.push(Due {
-                vm,
-                incarnation,
-                op,
-                event,
-            });
+            self.vms[vm].held.push(Due { vm, incarnation, op, event });
             return;
         }
         match event {
@@ -493,10 +465,7 @@
                 continue;
             };
             let version = head.version;
-            assert!(
-                version >= self.vms[vm].in_force,
-                "vm {vm} reverted to {version}"
-            );
+            assert!(version >= self.vms[vm].in_force, "vm {vm} reverted to {version}");
             let proven = self.proven;
             let trail = &self.session;
             assert!(
--- a/crates/member/tests/freshness.rs
+++ b/crates/member/tests/freshness.rs
@@ -107,10 +107,7 @@
     assert_eq!(fleet.head(), ids::Version::new(8), "they were not removed");
     let op = fleet.withdraw(4, "k1");
     fleet.until(10_000, |fleet| fleet.outcomes.contains_key(&op));
-    assert!(matches!(
-        fleet.outcomes[&op],
-        member::Outcome::InForce { .. }
-    ));
+    assert!(matches!(fleet.outcomes[&op], member::Outcome::InForce { .. }));
     for vm in 0..3 {
         fleet.vms[vm].frozen = false;
         fleet.vms[vm].store_cut = true;
@@ -135,10 +132,7 @@
     fleet.until(5_000, |fleet| fleet.count() == 5);
     let op = fleet.withdraw(0, "k1");
     fleet.until(5_000, |fleet| fleet.outcomes.contains_key(&op));
-    assert!(matches!(
-        fleet.outcomes[&op],
-        member::Outcome::InForce { .. }
-    ));
+    assert!(matches!(fleet.outcomes[&op], member::Outcome::InForce { .. }));
 }
 
 #[test]
--- a/crates/member/tests/schedules.rs
+++ b/crates/member/tests/schedules.rs
@@ -96,8 +96,5 @@
 fn nothing_older_serves_under_random_faults() {
     let generator = quickcheck::Gen::from_size_and_seed(100, SEED);
     println!("seed {SEED}");
-    quickcheck::QuickCheck::new()
-        .rng(generator)
-        .tests(60)
-        .quickcheck(survives as fn(u64) -> bool);
+    quickcheck::QuickCheck::new().rng(generator).tests(60).quickcheck(survives as fn(u64) -> bool);
 }
--- a/crates/proofs/src/error.rs
+++ b/crates/proofs/src/error.rs
@@ -4,7 +4,8 @@
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
 /// {step} of {peer}: {reason}
-#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub struct Error {
     step: &'static str,
     peer: String,
