--- a/crates/member/src/view/fresh.rs
+++ b/crates/member/src/view/fresh.rs
@@ -84,7 +84,7 @@
         };
         match (read.head, row) {
             (None, None) => self.vacant = self.head.is_none(),
-            (None, Some(row)) => self.take_small(now, read.sent, &row, out),
+            (None, Some(row)) => self.take_small(read.sent, &row, out),
             (Some(small), Some(row)) => match row::join(small, &row) {
                 Some(head) => {
                     let version = head.version;
@@ -99,7 +99,6 @@
 
     fn take_small(
         &mut self,
-        now: ids::Time,
         sent: ids::Time,
         row: &platform::table::Row,
         out: &mut Vec<output::Output>,
@@ -113,7 +112,6 @@
             return;
         };
         let read = Read { sent, head: Some(small) };
-        let _ = now;
         self.request_read(read, row::ROSTER, out);
     }
 
@@ -188,7 +186,7 @@
         version: ids::Version,
         out: &mut Vec<output::Output>,
     ) {
-        if self.woken.is_some() || self.resigned {
+        if self.woken.is_some() || !self.stage.vouches() {
             return;
         }
         self.vouch(now);
@@ -261,7 +259,7 @@
     /// The moment at which a witness knew no newer head.
     fn vote(&self, now: ids::Time, head: &head::Head, seat: &head::Seat) -> Option<ids::Time> {
         if *seat == self.config.me.seat() {
-            let able = self.woken.is_none() && !self.resigned;
+            let able = self.woken.is_none() && self.stage.vouches();
             return able.then_some(now);
         }
         let peer = self.peers.get(&seat.vm)?;
--- a/crates/member/src/view/learn.rs
+++ b/crates/member/src/view/learn.rs
@@ -24,7 +24,6 @@
         self.head_since = now;
         self.next_chase = now;
         self.previous = self.head.replace(head.clone());
-        self.unlisted.retain(|vm, _| head.member(vm).is_some());
         self.spread(&head, out);
         let me = &self.config.me.vm;
         let others = head.members.iter().filter(|member| member.vm != *me);
--- a/crates/member/src/view/settle.rs
+++ b/crates/member/src/view/settle.rs
@@ -17,7 +17,7 @@
 const CHASE_MAX: usize = 16;
 
 /// After this long, other witnesses than the author see a head settled.
-const AUTHOR_PATIENCE: time::Duration = time::Duration::from_millis(1_000);
+const AUTHOR_PATIENCE: time::Duration = time::Duration::from_secs(1);
 
 /// A change that was written and is not settled.
 #[derive(Clone, Debug)]
@@ -120,7 +120,7 @@
 
     fn has_adopted(&self, seat: &head::Seat, head: &head::Head) -> bool {
         if *seat == self.config.me.seat() {
-            return self.adopted_version() >= head.version || !head.has(seat);
+            return self.stage != super::Stage::Active || self.adopted_version() >= head.version;
         }
         let left = head.author.as_ref() == Some(&seat.vm) && head.member(&seat.vm).is_none();
         let peer = self.peers.get(&seat.vm);
