member: what was shown for an older head goes on to count for a newer one

Cause: on adopting a head a VM dropped all evidence for the one before, and the author of the change, asked at once, does not vouch while it leaves. So each VM that left in a planned stop fenced all others until their next read. Ruled out: losing the notice (the head had been told), objects to fetch. Why it is safe: if v was the newest at t, nothing newer than v+1 was there at t, so t counts for v+1; a VM that knows only v+1 still stops fresh_for after t.

--- a/crates/member/src/view/learn.rs
+++ b/crates/member/src/view/learn.rs
@@ -66,8 +66,10 @@
             return;
         }
         let head = head.clone();
-        let evidence = self.evidence.filter(|evidence| evidence.version == version);
-        self.shown = evidence.map(|evidence| evidence.time);
+        // At the moment when an older head was the newest, nothing newer than
+        // this one was there either, so what was shown for it goes on to count.
+        let evidence = self.evidence.filter(|evidence| evidence.version <= version);
+        self.shown = self.shown.max(evidence.map(|evidence| evidence.time));
         self.withdrawn.retain(|withdrawn, _| *withdrawn > version);
         let author = head.author.clone();
         self.adopted = Some(head);
