--- a/crates/daemon/src/caller/mod.rs
+++ b/crates/daemon/src/caller/mod.rs
@@ -11,7 +11,7 @@
 use node::call;
 use xitca_web::{App, WebContext, http::WebResponse, service::fn_service};
 
-use crate::{calls, error, inbox, ready, server, settings};
+use crate::{body, calls, error, inbox, ready, server, settings};
 
 /// Largest head of a request, in bytes.
 const HEAD_BYTES: usize = 64 * 1024;
@@ -186,7 +186,7 @@
     let mut response = match served {
         Ok(response) => response,
         Err(problem) => {
-            request::discard(std::mem::take(context.body_get_mut())).await;
+            body::discard(context.body_get_mut()).await;
             reply::problem(&problem)
         }
     };
--- a/crates/daemon/src/caller/request.rs
+++ b/crates/daemon/src/caller/request.rs
@@ -1,13 +1,11 @@
 //! Reading a request: credentials, headers, body, digest.
 
-use std::{pin, sync, time};
+use std::{sync, time};
 
-use bytes::BytesMut;
 use http::header;
 use node::call;
-use xitca_web::body::{Body as _, Frame, RequestBody};
 
-use crate::{caller::problem, calls};
+use crate::{body, caller::problem, calls};
 
 /// Names the stream that a caller goes on with.
 pub const STREAM: &str = "primroseplank-stream";
@@ -21,11 +19,6 @@
 /// Longest path with query of a call of a plain service, in bytes.
 const PATH_BYTES: usize = 8 * 1024;
 
-/// Most bytes of a refused body that are read, beyond the limit on bodies.
-const DISCARD_BYTES: usize = 32 * 1024 * 1024;
-/// Longest time for which a refused body is read.
-const DISCARD_TIME: time::Duration = time::Duration::from_secs(2);
-
 /// Headers that stay between the caller and the VM: credentials, and those
 /// that concern one connection or that the VM sets itself.
 const PRIVATE_HEADERS: [&str; 25] = [
@@ -182,54 +175,18 @@
 ) -> problem::Result<bytes::Bytes> {
     let declared = context.req().headers().get(header::CONTENT_LENGTH);
     let declared = declared.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
-    let body = std::mem::take(context.body_get_mut());
+    let body = context.body_get_mut();
     if declared.is_some_and(|length| length > limit) {
-        discard(body).await;
         return Err(too_large(limit));
     }
-    tokio::time::timeout(longest, read(body, limit)).await.unwrap_or_else(|_elapsed| {
-        Err(problem::Problem::new(problem::Code::RequestTimeout, "the body did not arrive in time"))
-    })
-}
-
-async fn read(mut body: RequestBody, limit: usize) -> problem::Result<bytes::Bytes> {
-    let mut buffer = BytesMut::new();
-    while let Some(frame) = next_frame(&mut body).await {
-        let frame =
-            frame.map_err(|cause| problem::Problem::bad(format!("reading the body: {cause}")))?;
-        let Frame::Data(data) = frame else {
-            continue;
-        };
-        if buffer.len() + data.len() > limit {
-            discard(body).await;
-            return Err(too_large(limit));
-        }
-        buffer.extend_from_slice(&data);
-    }
-    Ok(buffer.freeze())
-}
-
-async fn next_frame(
-    body: &mut RequestBody,
-) -> Option<Result<Frame<bytes::Bytes>, xitca_web::error::BodyError>> {
-    std::future::poll_fn(|cx| pin::Pin::new(&mut *body).poll_frame(cx)).await
-}
-
-/// Reads the rest of a body that is refused, within bounds. A connection that
-/// is closed with unread bytes is reset, and the caller loses the error.
-pub async fn discard(mut body: RequestBody) {
-    let discarding = async {
-        let mut left = DISCARD_BYTES;
-        while let Some(Ok(frame)) = next_frame(&mut body).await {
-            let length = frame.data_ref().map_or(0, bytes::Bytes::len);
-            let Some(rest) = left.checked_sub(length) else {
-                return;
-            };
-            left = rest;
-        }
-    };
-    if tokio::time::timeout(DISCARD_TIME, discarding).await.is_err() {
-        tracing::debug!("a refused body did not end in time");
+    match tokio::time::timeout(longest, body::read(body, limit)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(body::Error::TooLarge)) => Err(too_large(limit)),
+        Ok(Err(cause)) => Err(problem::Problem::bad(format!("reading the body: {cause}"))),
+        Err(_elapsed) => Err(problem::Problem::new(
+            problem::Code::RequestTimeout,
+            "the body did not arrive in time",
+        )),
     }
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,11 +7,13 @@
 //!
 //! * [`settings`] reads and checks the settings file;
 //! * [`caller`] is the face towards callers, [`calls`] the table of open calls;
+//! * [`body`] reads request bodies within bounds;
 //! * [`operator`] is the face towards operators, [`ready`] what the balancer sees;
 //! * [`peer`] are the connections with other VMs;
 //! * [`client`] talks to targets and to the platform;
 //! * [`process`] starts all of it and stops it gracefully.
 
+pub mod body;
 pub mod caller;
 pub mod calls;
 pub mod client;
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -1,23 +1,20 @@
 //! The operator face: accepting and amending, status, dump, metrics, health.
 
-use std::{collections, convert, net, pin, sync, time};
+use std::{collections, convert, net, sync, time};
 
 use metrics_exporter_prometheus as prometheus;
 use node::operator;
 use tokio::sync::oneshot;
-use xitca_web::{
-    App, WebContext,
-    body::{Body as _, ResponseBody},
-    http::WebResponse,
-    service::fn_service,
-};
+use xitca_web::{App, WebContext, body::ResponseBody, http::WebResponse, service::fn_service};
 
-use crate::{credential, error, inbox, ready, server, settings};
+use crate::{body, credential, error, inbox, ready, server, settings};
 
 /// Area of the shell's own operations, in the highest byte of their number.
 const AREA: u64 = 6 << 56;
 /// Largest document or change, in bytes.
 const BODY_BYTES: usize = 4 * 1024 * 1024;
+/// Longest time for a document or a change to arrive.
+const BODY_TIME: time::Duration = time::Duration::from_secs(30);
 /// Threads that serve operators.
 const THREADS: usize = 1;
 
@@ -116,6 +113,7 @@
         "/readyz" => readiness(context.state()),
         _ => guarded(&mut context).await,
     };
+    body::discard(context.body_get_mut()).await;
     Ok(response)
 }
 
@@ -146,7 +144,8 @@
         ("POST", "/v1/amend") => amend(context).await,
         _ => refused(
             http::StatusCode::NOT_FOUND,
-            "try GET /state, /metrics, /v1/status, /v1/bundle, /v1/amendments, or POST /v1/accept, /v1/amend",
+            "try GET /state, /metrics, /v1/status, /v1/bundle, /v1/amendments, \
+             or POST /v1/accept, /v1/amend",
         ),
     }
 }
@@ -164,7 +163,7 @@
             );
         }
     };
-    match body(context).await {
+    match text_body(context).await {
         Ok(document) => {
             let document = document.into();
             ask(context.state(), operator::Request::Accept { document, replaces }).await
@@ -174,7 +173,7 @@
 }
 
 async fn amend(context: &mut Context<'_>) -> WebResponse {
-    let body = match body(context).await {
+    let body = match text_body(context).await {
         Ok(body) => body,
         Err(response) => return response,
     };
@@ -187,25 +186,26 @@
     }
 }
 
-async fn body(context: &mut Context<'_>) -> Result<String, WebResponse> {
-    let mut buffer = Vec::new();
-    let mut body = std::mem::take(context.body_get_mut());
-    while let Some(frame) = std::future::poll_fn(|cx| pin::Pin::new(&mut body).poll_frame(cx)).await
-    {
-        let Ok(frame) = frame else {
-            return Err(refused(http::StatusCode::BAD_REQUEST, "the body broke off"));
-        };
-        if let xitca_web::body::Frame::Data(data) = frame {
-            buffer.extend_from_slice(&data);
-        }
-        if buffer.len() > BODY_BYTES {
+async fn text_body(context: &mut Context<'_>) -> Result<String, WebResponse> {
+    let reading = body::read(context.body_get_mut(), BODY_BYTES);
+    let body = match tokio::time::timeout(BODY_TIME, reading).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(body::Error::TooLarge)) => {
             return Err(refused(
                 http::StatusCode::PAYLOAD_TOO_LARGE,
                 &format!("a body may have {BODY_BYTES} bytes at most"),
             ));
         }
-    }
-    String::from_utf8(buffer)
+        Ok(Err(cause)) => {
+            let reason = format!("reading the body: {cause}");
+            return Err(refused(http::StatusCode::BAD_REQUEST, &reason));
+        }
+        Err(_elapsed) => {
+            let reason = "the body did not arrive in time";
+            return Err(refused(http::StatusCode::REQUEST_TIMEOUT, reason));
+        }
+    };
+    String::from_utf8(body.into())
         .map_err(|_cause| refused(http::StatusCode::BAD_REQUEST, "the body is no UTF-8 text"))
 }
 
--- a/crates/daemon/tests/decode.rs
+++ b/crates/daemon/tests/decode.rs
@@ -1,5 +1,7 @@
 //! Decoding of what others send: never a panic, and the same for every cut.
 
+#![expect(clippy::needless_pass_by_value, reason = "quickcheck gives its inputs by value")]
+
 use daemon::{caller::chat, client::event_stream};
 
 const TESTS: u64 = 2_000;
@@ -29,10 +31,10 @@
 #[test]
 fn events_do_not_depend_on_how_the_bytes_are_cut() {
     fn property(texts: Vec<(u64, String)>, cut: usize) -> bool {
-        let stream: String = texts
-            .iter()
-            .map(|(id, text)| format!("id: {id}\ndata: {}\n\n", text.replace(['\r', '\n'], " ")))
-            .collect();
+        let event = |(id, text): &(u64, String)| {
+            format!("id: {id}\ndata: {}\n\n", text.replace(['\r', '\n'], " "))
+        };
+        let stream = texts.iter().map(event).collect::<Vec<String>>().concat();
         let cut = if stream.is_empty() { 0 } else { cut % stream.len() };
         let (before, after) = stream.as_bytes().split_at(cut);
         let whole = events(&[stream.as_bytes()]).expect("events");
--- a/crates/proofs/tests/stop.rs
+++ b/crates/proofs/tests/stop.rs
@@ -124,7 +124,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn rolling_restart_under_load_cuts_and_refuses_nothing() -> proofs::Result<()> {
-    let vms = 3;
+    let vms = 5;
     let mut fleet = fleet::Fleet::start(fleet::Config { vms, runners: 2 }).await?;
     let ready: Ready = sync::Arc::default();
     *ready.write().expect("a lock") = (0..vms).map(|vm| fleet.address(vm)).collect();
