--- a/crates/node/benches/step.rs
+++ b/crates/node/benches/step.rs
@@ -37,12 +37,13 @@
     }
     text.push_str("runners:\n");
     for runner in 0..runners {
-        let line = "centre: north, accelerators: 8, memory_mib: 640000, address: '127.0.0.1:1'";
-        writeln!(text, "  - {{name: runner-{runner}, {line}}}").unwrap();
+        let line = "centre: north, accelerators: 8, memory_mib: 640000";
+        let address = format!("'127.0.0.1:{}'", 1_000 + runner);
+        writeln!(text, "  - {{name: runner-{runner}, address: {address}, {line}}}").unwrap();
     }
     let digest = presented().digest;
-    text.push_str("accounts:\n  - {name: mayors, class: paid, rate: 900000000, ");
-    writeln!(text, "burst: 900000000, keys: [{{id: bench, digest: '{digest}'}}]}}").unwrap();
+    text.push_str("accounts:\n  - {name: mayors, class: paid, rate: 100000000, ");
+    writeln!(text, "burst: 100000000, keys: [{{id: bench, digest: '{digest}'}}]}}").unwrap();
     text.push_str("weights: {loads_per_second: 100, loads_at_once: 100}\n");
     text
 }
@@ -70,6 +71,7 @@
         scene.run(2_000);
         let request = operator::Request::Accept { document, replaces: None };
         scene.step([Input::Operator { op: ids::Op::new(1), request }]);
+        scene.assert_not_refused();
         scene.run(10_000);
         for runner in 0..runners {
             scene.step([report(runner, models, runners)]);
@@ -78,6 +80,14 @@
         scene
     }
 
+    fn assert_not_refused(&self) {
+        let refused = self.outputs.iter().find_map(|output| match output {
+            Output::Operator { reply: operator::Reply::Refused { reason }, .. } => Some(reason),
+            _ => None,
+        });
+        assert_eq!(refused, None, "the bundle of the benchmark is refused");
+    }
+
     /// Writes a head in which all members are entered.
     fn found(&mut self, config: &node::Config, members: usize) {
         let mut head = member::Head { version: ids::Version::new(1), ..member::Head::default() };
@@ -99,25 +109,30 @@
 
     /// Steps and answers the platform's part at once.
     fn step(&mut self, inputs: impl IntoIterator<Item = Input>) {
+        let now = ids::Time::from_millis(self.now);
         self.outputs.clear();
-        self.node.step(ids::Time::from_millis(self.now), inputs, &mut self.outputs);
-        let mut answers = Vec::new();
-        for output in &self.outputs {
-            match output {
-                Output::Table { op, request } => {
-                    let result = Ok(self.table.answer(request));
-                    answers.push(Input::Table { op: *op, result });
-                }
-                Output::Object { op, request } => {
-                    let result = Ok(self.objects.answer(request));
-                    answers.push(Input::Object { op: *op, result });
-                }
-                _ => {}
-            }
+        self.node.step(now, inputs, &mut self.outputs);
+        let mut answers = self.answers(0);
+        while !answers.is_empty() {
+            let seen = self.outputs.len();
+            self.node.step(now, answers, &mut self.outputs);
+            answers = self.answers(seen);
         }
-        let mut more = Vec::new();
-        self.node.step(ids::Time::from_millis(self.now), answers, &mut more);
-        self.outputs.append(&mut more);
+    }
+
+    /// Answers of the platform to the outputs from number `from` on.
+    fn answers(&mut self, from: usize) -> Vec<Input> {
+        let Self { outputs, table, objects, .. } = self;
+        let answers = outputs[from..].iter().filter_map(|output| match output {
+            Output::Table { op, request } => {
+                Some(Input::Table { op: *op, result: Ok(table.answer(request)) })
+            }
+            Output::Object { op, request } => {
+                Some(Input::Object { op: *op, result: Ok(objects.answer(request)) })
+            }
+            _ => None,
+        });
+        answers.collect()
     }
 
     fn arrive(&mut self) -> Option<ids::Attempt> {
@@ -145,6 +160,7 @@
     }
 
     fn call(&mut self) {
+        self.now += 2;
         let Some(attempt) = self.arrive() else {
             panic!("the call was not sent: {:?}", self.outputs);
         };
