--- /dev/null
+++ b/crates/plan/src/planner.rs
@@ -0,0 +1,797 @@
+//! The planner: tables of runners and operations, and the systems over them.
+
+use std::{collections, mem, sync, time};
+
+use bundle::format;
+use platform::table;
+
+use crate::{
+    config::Config,
+    demand,
+    ledger::{self, Ledger, Resident, Sender, State},
+    pace, place,
+    scene::{Item, Scene, Site, Step},
+    view::{Name, Scale, Seen, View},
+};
+
+/// Area of the planner in the highest byte of operation numbers.
+const AREA: u64 = 3 << 56;
+/// Rows that are read at once.
+const PAGE: usize = 200;
+/// Copies of each model where memory allows.
+const COPIES_WANTED: usize = 2;
+
+/// What the planner wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Ask the table service.
+    Table {
+        /// The operation, to be named in the answer.
+        op: ids::Op,
+        /// What to ask.
+        request: table::Request,
+    },
+    /// Send an order to a runner, now or not at all.
+    Order {
+        /// The operation, to be named in the reply.
+        op: ids::Op,
+        /// The runner.
+        target: ids::Target,
+        /// The order.
+        order: engine::Order,
+    },
+    /// A change of state worth a log line.
+    Log {
+        /// The runner or item that it is about.
+        peer: String,
+        /// What changed.
+        text: String,
+    },
+}
+
+/// A request to the table service that awaits its answer.
+#[derive(Debug)]
+enum Asked {
+    Scan {
+        started: ids::Time,
+        seen: collections::BTreeSet<ids::Target>,
+    },
+    Get {
+        target: ids::Target,
+        at: ids::Time,
+    },
+    Write {
+        rows: Vec<(ids::Target, Ledger)>,
+        at: ids::Time,
+    },
+}
+
+/// An order that awaits its reply.
+#[derive(Debug)]
+struct Ordered {
+    target: ids::Target,
+    name: Name,
+    fence: ids::Fence,
+}
+
+/// When rows are read.
+#[derive(Debug, Default)]
+struct Scan {
+    busy: bool,
+    done: Option<ids::Time>,
+}
+
+/// Keeps what the bundle declares resident on the runners.
+///
+/// Every VM has a planner. It learns from the runners' reports what is ready.
+/// The one whose turn it is ([`Planner::is_leader`]) reads the ledger and
+/// decides; any other only settles the orders that it has sent before.
+#[derive(Debug)]
+pub struct Planner {
+    config: Config,
+    bundle: Option<format::Bundle>,
+    adopted: Option<ids::Time>,
+    members: Vec<Sender>,
+    leads: bool,
+    drained: collections::BTreeSet<ids::Target>,
+    leaving: collections::BTreeSet<ids::Target>,
+    views: collections::BTreeMap<ids::Target, View>,
+    asked: collections::BTreeMap<ids::Op, Asked>,
+    ordered: collections::BTreeMap<ids::Op, Ordered>,
+    demand: demand::Demand,
+    pace: Option<pace::Pace>,
+    scan: Scan,
+    next: u64,
+}
+
+impl Planner {
+    /// A planner that knows nothing yet.
+    #[must_use]
+    pub fn new(config: Config) -> Self {
+        Self {
+            config,
+            bundle: None,
+            adopted: None,
+            members: Vec::new(),
+            leads: false,
+            drained: collections::BTreeSet::new(),
+            leaving: collections::BTreeSet::new(),
+            views: collections::BTreeMap::new(),
+            asked: collections::BTreeMap::new(),
+            ordered: collections::BTreeMap::new(),
+            demand: demand::Demand::default(),
+            pace: None,
+            scan: Scan::default(),
+            next: 0,
+        }
+    }
+
+    /// Takes in the bundle, members and drained targets that are in force.
+    pub fn adopt(
+        &mut self,
+        now: ids::Time,
+        bundle: &format::Bundle,
+        members: &[Sender],
+        drained: &collections::BTreeSet<ids::Target>,
+    ) {
+        self.adopted.get_or_insert(now);
+        self.bundle = Some(bundle.clone());
+        self.members = members.to_vec();
+        self.drained.clone_from(drained);
+        let mut known = mem::take(&mut self.views);
+        for runner in &bundle.runners {
+            let view = known.remove(&runner.name).unwrap_or_default();
+            self.views.insert(runner.name.clone(), view);
+        }
+        let led = mem::replace(&mut self.leads, leads(members, &self.config.me));
+        if self.leads && !led {
+            self.scan.done = None;
+            self.pace = Some(pace::Pace::new(now));
+        }
+    }
+
+    /// Whether it is this planner's turn to decide.
+    ///
+    /// All members agree on it once they have the same members. Where they
+    /// differ for a while, compare-and-set on the rows keeps decisions safe.
+    #[must_use]
+    pub const fn is_leader(&self) -> bool {
+        self.leads
+    }
+
+    /// Notes whether the platform or a peer says that a runner is leaving.
+    pub fn leave(&mut self, target: &ids::Target, leaving: bool) {
+        if leaving {
+            self.leaving.insert(target.clone());
+        } else {
+            self.leaving.remove(target);
+        }
+    }
+
+    /// Takes in a report that answers a question sent at `asked`.
+    pub fn report(
+        &mut self,
+        now: ids::Time,
+        target: &ids::Target,
+        asked: ids::Time,
+        report: &engine::Report,
+    ) {
+        let Some(view) = self.views.get_mut(target) else {
+            return;
+        };
+        let taken = ids::Time::from_millis(asked.as_millis().saturating_sub(report.age_ms));
+        let newer = view.seen.as_ref().is_none_or(|seen| seen.taken <= taken);
+        if newer {
+            view.seen = Some(Seen {
+                report: report.clone(),
+                taken,
+                received: now,
+            });
+        }
+    }
+
+    /// Counts tokens that callers of this VM ask of `MODEL` or `MODEL:ADAPTER`.
+    pub fn demand(&mut self, now: ids::Time, item: &sync::Arc<str>, tokens: u64) {
+        let model = item.split(':').next().unwrap_or(item);
+        self.demand.add(now, &model.into(), tokens);
+    }
+
+    /// Takes in the reply to an order.
+    pub fn order(&mut self, now: ids::Time, op: ids::Op, reply: engine::order::Reply) {
+        let Some(ordered) = self.ordered.remove(&op) else {
+            return;
+        };
+        let hold = time::Duration::from_millis(self.config.hold_ms);
+        if let Some(view) = self.views.get_mut(&ordered.target) {
+            view.reply(now, &ordered.name, ordered.fence, reply, hold);
+        }
+    }
+
+    /// Takes in an answer of the table service.
+    pub fn table(
+        &mut self,
+        now: ids::Time,
+        op: ids::Op,
+        result: platform::Result<table::Answer>,
+        out: &mut Vec<Output>,
+    ) {
+        match (self.asked.remove(&op), result) {
+            (Some(Asked::Scan { started, seen }), result) => {
+                self.scanned(now, started, seen, result, out);
+            }
+            (Some(Asked::Get { target, at }), result) => self.got(now, &target, at, result),
+            (Some(Asked::Write { rows, at }), result) => self.wrote(now, rows, at, result),
+            (None, _) => return,
+        }
+        self.send_orders(now, out);
+    }
+
+    /// Runs the systems: reads rows, sends orders, weighs reports, decides.
+    pub fn tick(&mut self, now: ids::Time, out: &mut Vec<Output>) {
+        self.read_rows(now, out);
+        self.send_orders(now, out);
+        let mut drafts = self.drafts(now);
+        let mut links = Vec::new();
+        if self.may_decide(now) {
+            self.decide(now, &mut drafts, &mut links, out);
+        }
+        self.write(now, drafts, &links, out);
+    }
+
+    /// Runners with a ready copy of `MODEL` or `MODEL:ADAPTER` that is fit for
+    /// new work.
+    ///
+    /// A drained runner is fit only while no other has a copy.
+    #[must_use]
+    pub fn ready(&self, now: ids::Time, item: &str) -> Vec<&ids::Target> {
+        let (open, drained): (Vec<_>, Vec<_>) = self
+            .views
+            .iter()
+            .filter(|(target, view)| self.serves(now, target, view, item))
+            .map(|(target, _)| target)
+            .partition(|target| !self.drained.contains(*target));
+        if open.is_empty() { drained } else { open }
+    }
+
+    /// The declared items that have no ready copy.
+    #[must_use]
+    pub fn unreachable(&self, now: ids::Time) -> Vec<sync::Arc<str>> {
+        let items = self
+            .bundle
+            .iter()
+            .flat_map(|bundle| Item::all(bundle, |_| 0));
+        items
+            .map(|item| item.name)
+            .filter(|item| self.ready(now, item).is_empty())
+            .collect()
+    }
+
+    /// Every runner with the items that it is fit to serve now.
+    #[must_use]
+    pub fn offers(
+        &self,
+        now: ids::Time,
+    ) -> collections::BTreeMap<ids::Target, collections::BTreeSet<sync::Arc<str>>> {
+        let targets = self.views.keys().cloned();
+        let mut offers: collections::BTreeMap<_, collections::BTreeSet<_>> = targets
+            .map(|target| (target, collections::BTreeSet::new()))
+            .collect();
+        let items = self
+            .bundle
+            .iter()
+            .flat_map(|bundle| Item::all(bundle, |_| 0));
+        for item in items {
+            for target in self.ready(now, &item.name) {
+                let offered = offers.entry(target.clone()).or_default();
+                offered.insert(sync::Arc::clone(&item.name));
+            }
+        }
+        offers
+    }
+
+    /// The rows as this planner knows them, for the dump.
+    pub fn rows(&self) -> impl Iterator<Item = (&ids::Target, &Ledger)> {
+        self.views
+            .iter()
+            .map(|(target, view)| (target, &view.ledger))
+    }
+
+    fn serves(&self, now: ids::Time, target: &ids::Target, view: &View, item: &str) -> bool {
+        let Some(seen) = self.fresh(now, view) else {
+            return false;
+        };
+        if seen.report.leaving || self.leaving.contains(target) {
+            return false;
+        }
+        let going = |name: &str, version: &str| {
+            let row = view.ledger.get(name, version);
+            self.leads && row.is_some_and(|resident| resident.state == State::Unloading)
+        };
+        let base = item.split_once(':').map(|(model, _)| model);
+        let ready = |name: &str| {
+            let mut residents = seen.report.residents.iter();
+            residents.any(|each| {
+                *each.item == *name
+                    && each.state == engine::report::State::Ready
+                    && !going(name, &each.version)
+            })
+        };
+        ready(item) && base.is_none_or(ready)
+    }
+
+    fn fresh<'a>(&self, now: ids::Time, view: &'a View) -> Option<&'a Seen> {
+        let silence = time::Duration::from_millis(self.config.silence_ms);
+        let seen = view.seen.as_ref()?;
+        (now.since(seen.received) <= silence).then_some(seen)
+    }
+
+    const fn op(&mut self) -> ids::Op {
+        self.next += 1;
+        ids::Op::new(AREA | self.next)
+    }
+
+    fn ask(&mut self, asked: Asked, request: table::Request, out: &mut Vec<Output>) -> ids::Op {
+        let op = self.op();
+        self.asked.insert(op, asked);
+        out.push(Output::Table { op, request });
+        op
+    }
+
+    fn read_rows(&mut self, now: ids::Time, out: &mut Vec<Output>) {
+        let wait = time::Duration::from_millis(self.config.scan_ms);
+        let due = self.scan.done.is_none_or(|done| now.since(done) >= wait);
+        if self.leads && due && !self.scan.busy {
+            self.scan_from(now, collections::BTreeSet::new(), None, out);
+        }
+        let doubtful: Vec<_> = self
+            .views
+            .iter()
+            .filter(|(_, view)| !view.known && view.busy.is_none() && view.version.is_some())
+            .map(|(target, _)| target.clone())
+            .collect();
+        for target in doubtful {
+            let request = table::Request::Get {
+                key: Ledger::key(&target),
+            };
+            let asked = Asked::Get {
+                target: target.clone(),
+                at: now,
+            };
+            let op = self.ask(asked, request, out);
+            if let Some(view) = self.views.get_mut(&target) {
+                view.busy = Some(op);
+            }
+        }
+    }
+
+    fn scan_from(
+        &mut self,
+        started: ids::Time,
+        seen: collections::BTreeSet<ids::Target>,
+        after: Option<sync::Arc<str>>,
+        out: &mut Vec<Output>,
+    ) {
+        self.scan.busy = true;
+        let request = table::Request::Scan {
+            prefix: ledger::PREFIX.into(),
+            after,
+            limit: PAGE,
+        };
+        self.ask(Asked::Scan { started, seen }, request, out);
+    }
+
+    fn scanned(
+        &mut self,
+        now: ids::Time,
+        started: ids::Time,
+        mut seen: collections::BTreeSet<ids::Target>,
+        result: platform::Result<table::Answer>,
+        out: &mut Vec<Output>,
+    ) {
+        self.scan.busy = false;
+        let Ok(table::Answer::Rows(rows)) = result else {
+            return;
+        };
+        let last = rows.last().map(|row| sync::Arc::clone(&row.key));
+        let full = rows.len() >= PAGE;
+        for row in rows {
+            let target = ids::Target::from(&row.key[ledger::PREFIX.len()..]);
+            self.learn(now, started, &target, Some(&row));
+            seen.insert(target);
+        }
+        if full {
+            return self.scan_from(started, seen, last, out);
+        }
+        self.scan.done = Some(started);
+        let missing: Vec<_> = self
+            .views
+            .keys()
+            .filter(|name| !seen.contains(*name))
+            .cloned()
+            .collect();
+        for target in missing {
+            self.learn(now, started, &target, None);
+        }
+    }
+
+    /// Takes in a row that was asked for at `asked`, unless it is older than what is known.
+    fn learn(
+        &mut self,
+        now: ids::Time,
+        asked: ids::Time,
+        target: &ids::Target,
+        row: Option<&table::Row>,
+    ) {
+        let Some(view) = self.views.get_mut(target) else {
+            return;
+        };
+        let version = row.map(|row| row.version);
+        if view.busy.is_some() || version < view.version {
+            return;
+        }
+        let read = row.map_or_else(|| Ok(Ledger::default()), |row| Ledger::read(&row.value));
+        match read {
+            Ok(ledger) => view.learn(now, asked, version, ledger),
+            Err(_) => view.known = false,
+        }
+    }
+
+    fn got(
+        &mut self,
+        now: ids::Time,
+        target: &ids::Target,
+        at: ids::Time,
+        result: platform::Result<table::Answer>,
+    ) {
+        if let Some(view) = self.views.get_mut(target) {
+            view.busy = None;
+        }
+        if let Ok(table::Answer::Row(row)) = result {
+            self.learn(now, at, target, row.as_ref());
+        }
+    }
+
+    fn wrote(
+        &mut self,
+        now: ids::Time,
+        rows: Vec<(ids::Target, Ledger)>,
+        at: ids::Time,
+        result: platform::Result<table::Answer>,
+    ) {
+        for (target, _) in &rows {
+            if let Some(view) = self.views.get_mut(target) {
+                view.busy = None;
+            }
+        }
+        match result {
+            Ok(table::Answer::Written) => {
+                for (target, ledger) in rows {
+                    if let Some(view) = self.views.get_mut(&target) {
+                        let version = view.version.unwrap_or_default().next();
+                        view.learn(now, at, Some(version), ledger);
+                    }
+                }
+            }
+            Err(fault) if fault.kind == platform::Kind::Refused => {}
+            _ => {
+                for (target, _) in &rows {
+                    if let Some(view) = self.views.get_mut(target) {
+                        view.doubt();
+                    }
+                }
+            }
+        }
+    }
+
+    fn scale<'a>(&'a self, now: ids::Time, target: &ids::Target) -> Scale<'a> {
+        let runners = self.bundle.iter().flat_map(|bundle| &bundle.runners);
+        let mut same = runners.filter(|runner| runner.name == *target);
+        Scale {
+            now,
+            config: &self.config,
+            members: &self.members,
+            fencing: same.next().is_some_and(|runner| runner.fencing),
+        }
+    }
+
+    /// Sends the orders of rows that were confirmed a moment ago.
+    fn send_orders(&mut self, now: ids::Time, out: &mut Vec<Output>) {
+        if !self.members.contains(&self.config.me) {
+            return;
+        }
+        let confirm = time::Duration::from_millis(self.config.confirm_ms);
+        let mut views = mem::take(&mut self.views);
+        for (target, view) in &mut views {
+            if !view.is_settled() || !view.has_order_of(&self.config.me) {
+                continue;
+            }
+            let scale = self.scale(now, target);
+            if !view.has_due(&scale) {
+                continue;
+            }
+            if now.since(view.confirmed) > confirm {
+                view.doubt();
+                continue;
+            }
+            for order in view.due(&scale) {
+                let op = self.op();
+                let ordered = Ordered {
+                    target: target.clone(),
+                    name: (
+                        sync::Arc::clone(&order.item),
+                        sync::Arc::clone(&order.version),
+                    ),
+                    fence: order.fence,
+                };
+                self.ordered.insert(op, ordered);
+                out.push(Output::Order {
+                    op,
+                    target: target.clone(),
+                    order,
+                });
+            }
+        }
+        self.views = views;
+    }
+
+    /// The rows that may be changed now, as they should be after the reports.
+    fn drafts(&mut self, now: ids::Time) -> collections::BTreeMap<ids::Target, Ledger> {
+        let mut views = mem::take(&mut self.views);
+        let mut drafts = collections::BTreeMap::new();
+        for (target, view) in &mut views {
+            let scale = self.scale(now, target);
+            view.note_left(&scale);
+            let concerned = self.leads || view.has_order_of(&self.config.me);
+            if concerned && view.is_settled() {
+                drafts.insert(target.clone(), view.judged(&scale));
+            }
+        }
+        self.views = views;
+        drafts
+    }
+
+    fn may_decide(&self, now: ids::Time) -> bool {
+        let Some(adopted) = self.adopted else {
+            return false;
+        };
+        let grace = time::Duration::from_millis(self.config.grace_ms);
+        let heard = self.views.values().all(|view| view.seen.is_some());
+        self.leads && self.scan.done.is_some() && (heard || now.since(adopted) >= grace)
+    }
+
+    /// Decides what to load and unload, and enters it into the drafts.
+    ///
+    /// `links` gets pairs of rows that must change together: one that loses a
+    /// copy, and one that keeps its own.
+    fn decide(
+        &mut self,
+        now: ids::Time,
+        drafts: &mut collections::BTreeMap<ids::Target, Ledger>,
+        links: &mut Vec<(ids::Target, ids::Target)>,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(mut scene) = self.scene(now, drafts) else {
+            return;
+        };
+        let mut allowance = self.allowance(now, &scene);
+        let models = allowance.models;
+        place::decide(&mut scene, &mut allowance);
+        if let Some(pace) = &mut self.pace
+            && allowance.models < models
+        {
+            pace.spend();
+        }
+        for step in scene.steps {
+            self.enter(now, step, drafts, links, out);
+        }
+    }
+
+    fn scene(
+        &self,
+        now: ids::Time,
+        drafts: &collections::BTreeMap<ids::Target, Ledger>,
+    ) -> Option<Scene> {
+        let bundle = self.bundle.as_ref()?;
+        let items = Item::all(bundle, |model| self.copies_wanted(now, model));
+        let mut sites = collections::BTreeMap::new();
+        for runner in &bundle.runners {
+            let view = self.views.get(&runner.name)?;
+            let site = self.site(now, runner, view, drafts.get(&runner.name));
+            sites.insert(runner.name.clone(), site);
+        }
+        Some(Scene {
+            items,
+            sites,
+            steps: Vec::new(),
+        })
+    }
+
+    fn site(
+        &self,
+        now: ids::Time,
+        runner: &format::Runner,
+        view: &View,
+        draft: Option<&Ledger>,
+    ) -> Site {
+        let seen = self.fresh(now, view);
+        let leaving = seen.is_some_and(|seen| seen.report.leaving);
+        let closed =
+            leaving || self.leaving.contains(&runner.name) || self.drained.contains(&runner.name);
+        // A row is first written from a report: until then nothing is placed there.
+        let founded = view.version.is_some();
+        Site {
+            centre: runner.centre.clone(),
+            memory_mib: runner.memory_mib,
+            alive: seen.is_some(),
+            open: !closed,
+            settled: draft.is_some() && founded,
+            residents: draft.unwrap_or(&view.ledger).residents.clone(),
+            held: view.held(now),
+        }
+    }
+
+    fn copies_wanted(&self, now: ids::Time, model: &str) -> usize {
+        let rate = self.demand.rate(now, model) * self.members.len() as f64;
+        let copies = (rate / self.config.copy_tokens).ceil().max(0.0);
+        let most = self.views.len();
+        (0..most)
+            .find(|count| *count as f64 >= copies)
+            .unwrap_or(most)
+            .max(COPIES_WANTED)
+    }
+
+    /// Loads that may begin now, over all VMs: only the leader begins any.
+    fn allowance(&mut self, now: ids::Time, scene: &Scene) -> place::Allowance {
+        let none = place::Allowance {
+            models: 0,
+            adapters: 0,
+        };
+        let Some(weights) = self.bundle.as_ref().map(|bundle| &bundle.weights) else {
+            return none;
+        };
+        let coming = |adapters: bool| {
+            let residents = scene.sites.values().flat_map(|site| &site.residents);
+            residents
+                .filter(|each| matches!(each.state, State::Reserved | State::Loading))
+                .filter(|each| each.item.contains(':') == adapters)
+                .count()
+        };
+        let models_left = (weights.loads_at_once as usize).saturating_sub(coming(false));
+        let adapters_left = (weights.adapters_at_once as usize).saturating_sub(coming(true));
+        let pace = self.pace.get_or_insert_with(|| pace::Pace::new(now));
+        let paced = pace.allows(now, weights.loads_per_second);
+        place::Allowance {
+            models: if paced { models_left.min(1) } else { 0 },
+            adapters: adapters_left,
+        }
+    }
+
+    fn enter(
+        &self,
+        now: ids::Time,
+        step: Step,
+        drafts: &mut collections::BTreeMap<ids::Target, Ledger>,
+        links: &mut Vec<(ids::Target, ids::Target)>,
+        out: &mut Vec<Output>,
+    ) {
+        let (Step::Load { target, .. } | Step::Unload { target, .. }) = &step;
+        let (Some(draft), Some(view)) = (drafts.get_mut(target), self.views.get(target)) else {
+            return;
+        };
+        let order = Some(view.order_of(&self.scale(now, target)));
+        let target = target.clone();
+        let text = match step {
+            Step::Load {
+                item,
+                version,
+                memory_mib,
+                ..
+            } => {
+                let mut resident = Resident::new(&item, &version, State::Reserved, memory_mib);
+                resident.order = order;
+                draft.residents.push(resident);
+                format!("reserve {memory_mib} MiB for {item}@{version}")
+            }
+            Step::Unload {
+                item,
+                version,
+                keepers,
+                ..
+            } => {
+                if let Some(resident) = draft.get_mut(&item, &version) {
+                    resident.state = State::Unloading;
+                    resident.order = order;
+                }
+                links.extend(keepers.into_iter().map(|keeper| (target.clone(), keeper)));
+                format!("unload {item}@{version}")
+            }
+        };
+        out.push(Output::Log {
+            peer: target.to_string(),
+            text,
+        });
+    }
+
+    /// Writes the drafts that differ from their rows, linked ones in one transaction.
+    fn write(
+        &mut self,
+        now: ids::Time,
+        mut drafts: collections::BTreeMap<ids::Target, Ledger>,
+        links: &[(ids::Target, ids::Target)],
+        out: &mut Vec<Output>,
+    ) {
+        let changed: Vec<_> = drafts
+            .iter()
+            .filter(|(target, draft)| self.is_changed(target, draft))
+            .map(|(target, _)| target.clone())
+            .collect();
+        for target in changed {
+            let group = linked(&target, links);
+            let rows: Vec<_> = group
+                .into_iter()
+                .filter_map(|name| drafts.remove_entry(&name))
+                .collect();
+            if !rows.is_empty() {
+                self.write_rows(now, rows, out);
+            }
+        }
+    }
+
+    fn is_changed(&self, target: &ids::Target, draft: &Ledger) -> bool {
+        let Some(view) = self.views.get(target) else {
+            return false;
+        };
+        let founds = view.version.is_none() && view.is_founded_by_report();
+        founds || (view.version.is_some() && view.ledger != *draft)
+    }
+
+    fn write_rows(
+        &mut self,
+        now: ids::Time,
+        rows: Vec<(ids::Target, Ledger)>,
+        out: &mut Vec<Output>,
+    ) {
+        let writes = rows
+            .iter()
+            .map(|(target, ledger)| table::Write {
+                key: Ledger::key(target),
+                expect: self.views.get(target).and_then(|view| view.version),
+                value: Some(ledger.text()),
+            })
+            .collect();
+        let targets: Vec<_> = rows.iter().map(|(target, _)| target.clone()).collect();
+        let asked = Asked::Write { rows, at: now };
+        let op = self.ask(asked, table::Request::Write { writes }, out);
+        for target in targets {
+            if let Some(view) = self.views.get_mut(&target) {
+                view.busy = Some(op);
+            }
+        }
+    }
+}
+
+/// Whether `me` ranks first among the members.
+fn leads(members: &[Sender], me: &Sender) -> bool {
+    let rank = |each: &&Sender| xxhash_rust::xxh3::xxh3_64(each.vm.as_str().as_bytes());
+    members.iter().max_by_key(rank) == Some(me)
+}
+
+/// The rows that must change together with that of `target`.
+fn linked(
+    target: &ids::Target,
+    links: &[(ids::Target, ids::Target)],
+) -> collections::BTreeSet<ids::Target> {
+    let mut group = collections::BTreeSet::from([target.clone()]);
+    loop {
+        let before = group.len();
+        for (one, other) in links {
+            if group.contains(one) || group.contains(other) {
+                group.insert(one.clone());
+                group.insert(other.clone());
+            }
+        }
+        if group.len() == before {
+            return group;
+        }
+    }
+}
--- /dev/null
+++ b/crates/plan/tests/planner.rs
@@ -0,0 +1,263 @@
+//! The planner against fake runners: memory, reachability, pace.
+
+mod world;
+
+use std::fmt::Write as _;
+
+use rand::Rng as _;
+use world::{Faults, World};
+
+/// A bundle of `models` models of 12 GiB, two adapters each, and `runners` runners.
+fn bundle(runners: usize, memory_mib: u64, models: usize, fencing: bool) -> bundle::Bundle {
+    let mut text = String::from(
+        "
+format: 1
+deployment: demo
+centres: [north, south]
+accounts: []
+weights: {loads_per_second: 2.0, loads_at_once: 3}
+",
+    );
+    text.push_str("runners:\n");
+    for number in 0..runners {
+        let centre = if number % 2 == 0 { "north" } else { "south" };
+        writeln!(
+            text,
+            "  - {{name: r{number}, centre: {centre}, address: '127.0.0.1:1', accelerators: 1, \
+             memory_mib: {memory_mib}, fencing: {fencing}}}"
+        )
+        .unwrap();
+    }
+    text.push_str("models:\n");
+    for number in 0..models {
+        writeln!(
+            text,
+            "  - {{name: m{number}, version: v1, memory_mib: 10000, kv_floor_mib: 2000}}"
+        )
+        .unwrap();
+    }
+    text.push_str("adapters:\n");
+    for number in 0..models {
+        for adapter in ["a", "b"] {
+            writeln!(
+                text,
+                "  - {{name: {adapter}, model: m{number}, version: v1, memory_mib: 100}}"
+            )
+            .unwrap();
+        }
+    }
+    bundle::read(&text).unwrap()
+}
+
+fn settle(world: &mut World, millis: u64) {
+    world.run(millis);
+    assert_eq!(world.wrongs, Vec::<String>::new());
+    assert_eq!(world.unsettled(), Vec::<String>::new());
+}
+
+#[test]
+fn everything_declared_is_loaded_with_second_copies_elsewhere() {
+    let mut world = World::new(1, bundle(4, 40_000, 5, true), 1);
+    settle(&mut world, 30_000);
+    for item in world.items() {
+        let served: Vec<_> = world
+            .runners
+            .iter()
+            .filter(|(_, runner)| runner.serves(&item))
+            .collect();
+        assert!(served.len() >= 2, "{item}: {}", served.len());
+        let ready = world.leader().unwrap().ready(world.now, &item);
+        assert_eq!(ready.len(), served.len(), "{item}");
+    }
+    assert!(world.leader().unwrap().unreachable(world.now).is_empty());
+}
+
+#[test]
+fn loads_begin_at_the_pace_of_the_weight_store() {
+    let mut world = World::new(1, bundle(4, 40_000, 6, true), 3);
+    settle(&mut world, 30_000);
+    for window in world.loads.windows(5) {
+        let passed = window[4].since(window[0]).as_millis();
+        assert!(
+            passed + 300 >= 2_000,
+            "five loads within {passed} ms at two a second"
+        );
+    }
+}
+
+#[test]
+fn what_runners_hold_at_first_is_kept() {
+    let mut world = World::new(1, bundle(3, 40_000, 2, true), 1);
+    let runner = world.runners.get_mut(&target(0)).unwrap();
+    runner.preload("m0", "v1", 12_000);
+    runner.preload("gone", "v1", 20_000);
+    settle(&mut world, 30_000);
+    assert!(world.runners[&target(0)].has_ready("m0", "v1"));
+    assert!(
+        !world.runners[&target(0)].has_ready("gone", "v1"),
+        "not declared"
+    );
+}
+
+#[test]
+fn a_new_version_is_ready_before_the_old_one_goes() {
+    for fencing in [true, false] {
+        let mut world = World::new(1, bundle(3, 26_000, 4, fencing), 1);
+        settle(&mut world, 30_000);
+        for model in &mut world.bundle.models {
+            model.version = "v2".into();
+        }
+        for adapter in &mut world.bundle.adapters {
+            adapter.version = "v2".into();
+        }
+        world.adopt_all();
+        settle(&mut world, 120_000);
+    }
+}
+
+#[test]
+fn a_drained_runner_serves_until_others_have_its_models() {
+    let mut world = World::new(1, bundle(3, 26_000, 3, true), 1);
+    settle(&mut world, 20_000);
+    world.drained.insert("r0".into());
+    world.adopt_all();
+    for _ in 0..300 {
+        world.step();
+        for item in world.items() {
+            assert!(
+                !world.leader().unwrap().ready(world.now, &item).is_empty(),
+                "{item}"
+            );
+        }
+    }
+    settle(&mut world, 1_000);
+    for item in world.items() {
+        let ready = world.leader().unwrap().ready(world.now, &item);
+        assert!(!ready.contains(&&target(0)), "{item}");
+    }
+}
+
+#[test]
+fn models_of_a_dead_runner_come_up_elsewhere() {
+    let mut world = World::new(1, bundle(4, 40_000, 5, false), 2);
+    settle(&mut world, 30_000);
+    world.runners.get_mut(&target(1)).unwrap().die();
+    settle(&mut world, 30_000 + world::ORDER_DELAY_MS);
+    for item in world.items() {
+        assert!(world.is_served(&item), "{item}");
+    }
+    world.runners.get_mut(&target(1)).unwrap().alive = true;
+    settle(&mut world, 30_000);
+}
+
+#[test]
+fn copies_follow_demand_and_give_way_to_what_is_lost() {
+    let mut world = World::new(1, bundle(4, 26_000, 4, true), 1);
+    settle(&mut world, 20_000);
+    for _ in 0..400 {
+        let now = world.now;
+        world.vms[0].planner.demand(now, &"m0".into(), 1_200);
+        world.step();
+    }
+    let copies = |world: &World, item: &str| {
+        world
+            .runners
+            .values()
+            .filter(|runner| runner.serves(item))
+            .count()
+    };
+    assert!(copies(&world, "m0") >= 3, "{}", copies(&world, "m0"));
+    let mut more = bundle(4, 26_000, 6, true);
+    std::mem::swap(&mut world.bundle, &mut more);
+    world.adopt_all();
+    settle(&mut world, 60_000);
+}
+
+/// A whole life under faults: rollouts, restarts, two leaders, late and lost messages.
+fn life(seed: u64, fencing: bool) -> World {
+    let mut world = World::new(seed, bundle(4, 40_000, 5, fencing), 3);
+    world.faults = Faults {
+        lost: 50,
+        answer_lost: 50,
+        late: 50,
+    };
+    let mut version = 1;
+    for _ in 0..12 {
+        let pause = world.rng.random_range(2_000..15_000);
+        world.run(pause);
+        match world.rng.random_range(0..6) {
+            0 | 1 => {
+                version += 1;
+                let model = world.rng.random_range(0..5);
+                world.bundle.models[model].version = format!("v{version}").into();
+                world.adopt_all();
+            }
+            2 => {
+                version += 1;
+                let adapter = world.rng.random_range(0..10);
+                world.bundle.adapters[adapter].version = format!("v{version}").into();
+                world.adopt_all();
+            }
+            3 => {
+                let vm = world.rng.random_range(0..3);
+                world.restart(vm);
+            }
+            4 => two_leaders(&mut world),
+            _ => {
+                let drained = world.rng.random_range(0..4);
+                world.drained.clear();
+                world.drained.insert(format!("r{drained}").into());
+                world.adopt_all();
+            }
+        }
+    }
+    world.faults = Faults::default();
+    world.drained.clear();
+    world.adopt_all();
+    world.run(120_000);
+    world
+}
+
+/// Lets every VM believe for a while that it is the one to decide.
+fn two_leaders(world: &mut World) {
+    for vm in 0..world.vms.len() {
+        let alone = vec![world.vms[vm].sender.clone()];
+        world.adopt(vm, &alone);
+    }
+    let pause = world.rng.random_range(1_000..10_000);
+    world.run(pause);
+    world.adopt_all();
+}
+
+fn holds(seed: u64, fencing: bool) -> quickcheck::TestResult {
+    let world = life(seed, fencing);
+    if !world.wrongs.is_empty() {
+        return quickcheck::TestResult::error(format!("seed {seed}: {:?}", world.wrongs));
+    }
+    let unsettled = world.unsettled();
+    if !unsettled.is_empty() {
+        return quickcheck::TestResult::error(format!("seed {seed}: {unsettled:?}"));
+    }
+    quickcheck::TestResult::passed()
+}
+
+/// Number of lives in each test.
+const LIVES: u64 = 60;
+
+#[test]
+fn memory_and_reach_hold_with_runners_that_check_fencing_tokens() {
+    quickcheck::QuickCheck::new()
+        .tests(LIVES)
+        .quickcheck((|seed: u64| holds(seed, true)) as fn(u64) -> quickcheck::TestResult);
+}
+
+#[test]
+fn memory_and_reach_hold_with_runners_that_check_nothing() {
+    quickcheck::QuickCheck::new()
+        .tests(LIVES)
+        .quickcheck((|seed: u64| holds(seed, false)) as fn(u64) -> quickcheck::TestResult);
+}
+
+fn target(number: usize) -> ids::Target {
+    format!("r{number}").into()
+}
--- /dev/null
+++ b/crates/plan/tests/world/mod.rs
@@ -0,0 +1,503 @@
+//! A table service, runners that add up their memory, and planners, in virtual time.
+
+pub mod runner;
+
+use std::{collections, sync, time};
+
+use platform::table;
+use rand::{Rng as _, SeedableRng as _};
+
+/// Time between two steps of the world, in ms.
+pub const STEP_MS: u64 = 100;
+/// Time between two polls of a runner, in ms.
+const POLL_MS: u64 = 500;
+/// Time after which a lost answer is reported as unknown, in ms.
+const TIMEOUT_MS: u64 = 1_000;
+/// Longest way of an order, in ms; with the planner's confirmation it stays
+/// within the delay that the planners are told.
+const ORDER_WAY_MS: u64 = 2_500;
+/// Longest time from the decision to send an order to its effect, in ms.
+pub const ORDER_DELAY_MS: u64 = 4_000;
+
+/// Chances of faults, in thousandths.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// A request, order or poll is lost.
+    pub lost: u32,
+    /// It takes effect, but the answer is lost.
+    pub answer_lost: u32,
+    /// It is very late, and reported as unknown before it takes effect.
+    pub late: u32,
+}
+
+enum Event {
+    Request {
+        vm: usize,
+        op: ids::Op,
+        request: table::Request,
+        answered: bool,
+    },
+    Answer {
+        vm: usize,
+        op: ids::Op,
+        result: platform::Result<table::Answer>,
+    },
+    Order {
+        vm: usize,
+        op: ids::Op,
+        target: ids::Target,
+        order: engine::Order,
+        answered: bool,
+    },
+    Reply {
+        vm: usize,
+        op: ids::Op,
+        reply: engine::order::Reply,
+    },
+    Report {
+        vm: usize,
+        target: ids::Target,
+        asked: ids::Time,
+        report: engine::Report,
+    },
+}
+
+/// One VM's planner and where it stands.
+pub struct Vm {
+    pub planner: plan::Planner,
+    pub sender: plan::ledger::Sender,
+    pub running: bool,
+}
+
+pub struct World {
+    pub now: ids::Time,
+    pub rng: rand::rngs::SmallRng,
+    pub faults: Faults,
+    pub runners: collections::BTreeMap<ids::Target, runner::Runner>,
+    pub vms: Vec<Vm>,
+    pub bundle: bundle::Bundle,
+    pub drained: collections::BTreeSet<ids::Target>,
+    rows: collections::BTreeMap<sync::Arc<str>, (ids::Version, sync::Arc<str>)>,
+    events: collections::BTreeMap<(u64, u64), Event>,
+    number: u64,
+    /// Items that have been reachable before.
+    reached: collections::BTreeSet<String>,
+    /// What went wrong, in the order seen.
+    pub wrongs: Vec<String>,
+    /// When each load of a model began at a runner.
+    pub loads: Vec<ids::Time>,
+    /// Whether a moment without a copy is a fault.
+    pub judge_reach: bool,
+}
+
+pub fn config(sender: &plan::ledger::Sender) -> plan::Config {
+    plan::Config {
+        order_delay_ms: ORDER_DELAY_MS,
+        confirm_ms: 1_000,
+        scan_ms: 2_000,
+        ..plan::Config::new(sender.clone())
+    }
+}
+
+impl World {
+    pub fn new(seed: u64, bundle: bundle::Bundle, vms: usize) -> Self {
+        let runners = bundle.runners.iter();
+        let runners = runners
+            .map(|each| (each.name.clone(), runner::Runner::new(each)))
+            .collect();
+        let mut world = Self {
+            now: ids::Time::from_millis(10_000),
+            rng: rand::rngs::SmallRng::seed_from_u64(seed),
+            faults: Faults::default(),
+            runners,
+            vms: Vec::new(),
+            bundle,
+            drained: collections::BTreeSet::new(),
+            rows: collections::BTreeMap::new(),
+            events: collections::BTreeMap::new(),
+            number: 0,
+            reached: collections::BTreeSet::new(),
+            wrongs: Vec::new(),
+            loads: Vec::new(),
+            judge_reach: true,
+        };
+        for number in 0..vms {
+            let sender = plan::ledger::Sender {
+                vm: format!("vm-{number}").into(),
+                incarnation: ids::Incarnation::new(1),
+            };
+            let planner = plan::Planner::new(config(&sender));
+            world.vms.push(Vm {
+                planner,
+                sender,
+                running: true,
+            });
+        }
+        world.adopt_all();
+        world
+    }
+
+    /// The VMs that are running, as members.
+    pub fn members(&self) -> Vec<plan::ledger::Sender> {
+        let running = self.vms.iter().filter(|vm| vm.running);
+        running.map(|vm| vm.sender.clone()).collect()
+    }
+
+    pub fn adopt(&mut self, vm: usize, members: &[plan::ledger::Sender]) {
+        let vm = &mut self.vms[vm];
+        vm.planner
+            .adopt(self.now, &self.bundle, members, &self.drained);
+    }
+
+    pub fn adopt_all(&mut self) {
+        let members = self.members();
+        for vm in 0..self.vms.len() {
+            self.adopt(vm, &members);
+        }
+    }
+
+    /// Kills a VM's process and starts a new incarnation.
+    pub fn restart(&mut self, vm: usize) {
+        let vm = &mut self.vms[vm];
+        vm.sender.incarnation = vm.sender.incarnation.next();
+        vm.planner = plan::Planner::new(config(&vm.sender));
+        let number = self.vms.iter().position(|each| !each.running);
+        assert!(number.is_none(), "only running VMs are restarted");
+        self.adopt_all();
+    }
+
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + time::Duration::from_millis(millis);
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    pub fn leader(&self) -> Option<&plan::Planner> {
+        let running = self.vms.iter().filter(|vm| vm.running);
+        running
+            .map(|vm| &vm.planner)
+            .find(|planner| planner.is_leader())
+    }
+
+    pub fn step(&mut self) {
+        self.now = self.now + time::Duration::from_millis(STEP_MS);
+        for runner in self.runners.values_mut() {
+            runner.step(self.now);
+        }
+        self.deliver();
+        if self.now.as_millis() % POLL_MS == 0 {
+            self.poll();
+        }
+        for vm in 0..self.vms.len() {
+            if self.vms[vm].running {
+                let mut out = Vec::new();
+                self.vms[vm].planner.tick(self.now, &mut out);
+                self.send(vm, out);
+            }
+        }
+        self.judge();
+    }
+
+    fn chance(&mut self, permille: u32) -> bool {
+        self.rng.random_range(0..1_000) < permille
+    }
+
+    fn later(&mut self, millis: u64, event: Event) {
+        self.number += 1;
+        let at = self.now.as_millis() + millis;
+        self.events.insert((at, self.number), event);
+    }
+
+    fn send(&mut self, vm: usize, out: Vec<plan::Output>) {
+        for output in out {
+            match output {
+                plan::Output::Table { op, request } => self.send_request(vm, op, request),
+                plan::Output::Order { op, target, order } => self.send_order(vm, op, target, order),
+                plan::Output::Log { .. } => {}
+            }
+        }
+    }
+
+    fn send_request(&mut self, vm: usize, op: ids::Op, request: table::Request) {
+        let lost = self.chance(self.faults.lost);
+        let answered = !self.chance(self.faults.answer_lost);
+        let late = self.chance(self.faults.late);
+        if lost || late || !answered {
+            let fault = platform::Fault::new("table", "table", platform::Kind::Unknown, "lost");
+            self.later(
+                TIMEOUT_MS,
+                Event::Answer {
+                    vm,
+                    op,
+                    result: Err(fault),
+                },
+            );
+        }
+        if !lost {
+            let way = if late {
+                TIMEOUT_MS + self.rng.random_range(0..3_000)
+            } else {
+                self.rng.random_range(1..200)
+            };
+            let answered = answered && !late;
+            self.later(
+                way,
+                Event::Request {
+                    vm,
+                    op,
+                    request,
+                    answered,
+                },
+            );
+        }
+    }
+
+    fn send_order(&mut self, vm: usize, op: ids::Op, target: ids::Target, order: engine::Order) {
+        let lost = self.chance(self.faults.lost);
+        let answered = !self.chance(self.faults.answer_lost);
+        let late = self.chance(self.faults.late);
+        if lost || late || !answered {
+            let reply = engine::order::Reply::Unknown;
+            self.later(TIMEOUT_MS, Event::Reply { vm, op, reply });
+        }
+        if !lost {
+            let way = if late {
+                self.rng.random_range(TIMEOUT_MS..ORDER_WAY_MS)
+            } else {
+                self.rng.random_range(1..200)
+            };
+            let answered = answered && !late;
+            self.later(
+                way,
+                Event::Order {
+                    vm,
+                    op,
+                    target,
+                    order,
+                    answered,
+                },
+            );
+        }
+    }
+
+    fn poll(&mut self) {
+        let targets: Vec<_> = self.runners.keys().cloned().collect();
+        for vm in 0..self.vms.len() {
+            for target in &targets {
+                let lost = self.chance(self.faults.lost);
+                let (there, back) = (self.rng.random_range(1..80), self.rng.random_range(1..80));
+                let lag = self.rng.random_range(0..500);
+                let asked = self.now;
+                let Some(report) = self.runners[target].report(self.now, lag) else {
+                    continue;
+                };
+                if !lost {
+                    let report = engine::Report {
+                        age_ms: lag,
+                        ..report
+                    };
+                    let event = Event::Report {
+                        vm,
+                        target: target.clone(),
+                        asked,
+                        report,
+                    };
+                    self.later(there + back, event);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some(first) = self.events.first_entry() {
+            if first.key().0 > self.now.as_millis() {
+                break;
+            }
+            let event = first.remove();
+            self.take(event);
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        let mut out = Vec::new();
+        match event {
+            Event::Request {
+                vm,
+                op,
+                request,
+                answered,
+            } => {
+                let answer = self.serve(&request);
+                if answered {
+                    let way = self.rng.random_range(1..100);
+                    self.later(
+                        way,
+                        Event::Answer {
+                            vm,
+                            op,
+                            result: Ok(answer),
+                        },
+                    );
+                }
+                return;
+            }
+            Event::Order {
+                vm,
+                op,
+                target,
+                order,
+                answered,
+            } => {
+                let runner = self.runners.get_mut(&target).unwrap();
+                let reply = runner.order(self.now, &order);
+                let began = reply == engine::order::Reply::Taken
+                    && order.action == engine::order::Action::Load
+                    && !order.item.contains(':');
+                if began {
+                    self.loads.push(self.now);
+                }
+                if answered {
+                    let way = self.rng.random_range(1..100);
+                    self.later(way, Event::Reply { vm, op, reply });
+                }
+                return;
+            }
+            Event::Answer { vm, op, result } => {
+                if self.vms[vm].running {
+                    self.vms[vm].planner.table(self.now, op, result, &mut out);
+                }
+                self.send(vm, out);
+            }
+            Event::Reply { vm, op, reply } => {
+                if self.vms[vm].running {
+                    self.vms[vm].planner.order(self.now, op, reply);
+                }
+            }
+            Event::Report {
+                vm,
+                target,
+                asked,
+                report,
+            } => {
+                if self.vms[vm].running {
+                    self.vms[vm]
+                        .planner
+                        .report(self.now, &target, asked, &report);
+                }
+            }
+        }
+    }
+
+    fn serve(&mut self, request: &table::Request) -> table::Answer {
+        match request {
+            table::Request::Get { key } => table::Answer::Row(self.row(key)),
+            table::Request::Scan {
+                prefix,
+                after,
+                limit,
+            } => {
+                let keys = self.rows.keys().filter(|key| key.starts_with(&**prefix));
+                let keys = keys.filter(|key| after.as_ref().is_none_or(|after| *key > after));
+                let rows = keys.take(*limit).filter_map(|key| self.row(key)).collect();
+                table::Answer::Rows(rows)
+            }
+            table::Request::Write { writes } => {
+                let fits = |write: &&table::Write| {
+                    self.rows.get(&write.key).map(|(version, _)| *version) == write.expect
+                };
+                if !writes.iter().all(|write| fits(&write)) {
+                    return table::Answer::Conflict { rows: Vec::new() };
+                }
+                for write in writes {
+                    let version = write.expect.unwrap_or_default().next();
+                    let value = write.value.clone().unwrap();
+                    self.rows
+                        .insert(sync::Arc::clone(&write.key), (version, value));
+                }
+                table::Answer::Written
+            }
+        }
+    }
+
+    fn row(&self, key: &sync::Arc<str>) -> Option<table::Row> {
+        let (version, value) = self.rows.get(key)?;
+        Some(table::Row {
+            key: sync::Arc::clone(key),
+            version: *version,
+            value: sync::Arc::clone(value),
+        })
+    }
+
+    /// The names of all declared items.
+    pub fn items(&self) -> Vec<String> {
+        let models = self
+            .bundle
+            .models
+            .iter()
+            .map(|model| model.name.to_string());
+        let adapters = self.bundle.adapters.iter();
+        models
+            .chain(adapters.map(|each| format!("{}:{}", each.model, each.name)))
+            .collect()
+    }
+
+    /// Whether a runner serves `item`, whatever anybody thinks.
+    pub fn is_served(&self, item: &str) -> bool {
+        self.runners.values().any(|runner| runner.serves(item))
+    }
+
+    fn judge(&mut self) {
+        for (name, runner) in &self.runners {
+            if runner.used_mib() > runner.memory_mib {
+                let used = runner.used_mib();
+                self.wrongs
+                    .push(format!("{}: {name} uses {used} MiB", self.now));
+            }
+        }
+        if !self.judge_reach {
+            return;
+        }
+        for item in self.items() {
+            if self.is_served(&item) {
+                self.reached.insert(item);
+            } else if self.reached.contains(&item) {
+                self.wrongs
+                    .push(format!("{}: nothing serves {item}", self.now));
+            }
+        }
+    }
+
+    /// What has not settled as the bundle says.
+    pub fn unsettled(&self) -> Vec<String> {
+        let mut found = Vec::new();
+        for model in &self.bundle.models {
+            let name = model.name.as_str();
+            let ready = self.runners.iter().filter(|(target, runner)| {
+                !self.drained.contains(*target) && runner.has_ready(name, &model.version)
+            });
+            if ready.count() < model.copies as usize {
+                found.push(format!("{name}@{} has too few copies", model.version));
+            }
+        }
+        for adapter in &self.bundle.adapters {
+            let name = format!("{}:{}", adapter.model, adapter.name);
+            let ready = self
+                .runners
+                .values()
+                .any(|runner| runner.has_ready(&name, &adapter.version) && runner.serves(&name));
+            if !ready {
+                found.push(format!("{name}@{} has no copy", adapter.version));
+            }
+        }
+        for (key, (_, text)) in &self.rows {
+            let ledger = plan::ledger::Ledger::read(text).unwrap();
+            for each in ledger.residents {
+                if each.state != plan::ledger::State::Ready {
+                    found.push(format!("{key}: {} still {:?}", each.item, each.state));
+                }
+            }
+        }
+        found
+    }
+}
