--- a/crates/plan/src/config.rs
+++ b/crates/plan/src/config.rs
@@ -20,6 +20,9 @@
     /// Time between two readings of all rows, in ms.
     #[serde(default = "scan")]
     pub scan_ms: u64,
+    /// Time between two decisions, in ms.
+    #[serde(default = "decide")]
+    pub decide_ms: u64,
     /// Time without a report after which a runner counts as lost, in ms.
     #[serde(default = "silence")]
     pub silence_ms: u64,
@@ -44,6 +47,7 @@
             retry_ms: retry(),
             confirm_ms: confirm(),
             scan_ms: scan(),
+            decide_ms: decide(),
             silence_ms: silence(),
             grace_ms: grace(),
             hold_ms: hold(),
@@ -68,6 +72,10 @@
     5_000
 }
 
+const fn decide() -> u64 {
+    200
+}
+
 const fn silence() -> u64 {
     5_000
 }
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -17,6 +17,22 @@
     pub(crate) adapters: usize,
 }
 
+impl Allowance {
+    const fn left(self, kind: Kind) -> usize {
+        match kind {
+            Kind::Model => self.models,
+            Kind::Adapter => self.adapters,
+        }
+    }
+
+    const fn spend(&mut self, kind: Kind) {
+        match kind {
+            Kind::Model => self.models -= 1,
+            Kind::Adapter => self.adapters -= 1,
+        }
+    }
+}
+
 /// How urgently a copy is needed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Need {
@@ -26,20 +42,41 @@
     Outdated,
     /// The bundle asks for more copies.
     Least,
+    /// Demand asks for more copies.
+    Demanded,
     /// More copies would serve better.
     Wanted,
     /// There are enough.
     None,
 }
 
+/// What kind of item is placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Model,
+    Adapter,
+}
+
+impl Kind {
+    const fn of(item: &Item) -> Self {
+        if item.base.is_some() {
+            Self::Adapter
+        } else {
+            Self::Model
+        }
+    }
+}
+
 /// Decides the next steps in `scene`.
 pub(crate) fn decide(scene: &mut Scene, allowance: &mut Allowance) {
     drop_undeclared(scene);
-    let urgent = place(scene, allowance, Need::Least);
+    let mut settled = place(scene, allowance, Kind::Model, Need::Least);
+    settled &= place(scene, allowance, Kind::Adapter, Need::Least);
     drop_replaced(scene);
-    if urgent {
-        place(scene, allowance, Need::Wanted);
+    if settled {
+        place(scene, allowance, Kind::Model, Need::Wanted);
     }
+    place(scene, allowance, Kind::Adapter, Need::Wanted);
 }
 
 fn need(scene: &Scene, item: &Item) -> Need {
@@ -50,28 +87,28 @@
     match coming {
         0 => Need::Outdated,
         some if some < item.least => Need::Least,
-        some if some < item.wanted => Need::Wanted,
+        some if some < item.needed() => Need::Demanded,
+        some if some < item.wanted() => Need::Wanted,
         _ => Need::None,
     }
 }
 
-/// Places what is needed at least as urgently as `limit`; whether all found a place.
-fn place(scene: &mut Scene, allowance: &mut Allowance, limit: Need) -> bool {
-    let mut all = true;
-    for is_adapter in [false, true] {
-        let mut needs: Vec<(Need, Item)> = scene
-            .items
-            .iter()
-            .filter(|item| item.base.is_some() == is_adapter)
-            .map(|item| (need(scene, item), item.clone()))
-            .filter(|(need, _)| *need <= limit)
-            .collect();
-        needs.sort_by_key(|(need, item)| (*need, cmp::Reverse(item.memory_mib)));
-        for (_, item) in needs {
-            all &= place_copies(scene, allowance, limit, &item);
-        }
+/// Places what is needed at least as urgently as `limit`; whether nothing
+/// urgent is left without a place.
+fn place(scene: &mut Scene, allowance: &mut Allowance, kind: Kind, limit: Need) -> bool {
+    let mut needs: Vec<(Need, Item)> = scene
+        .items
+        .iter()
+        .filter(|item| Kind::of(item) == kind)
+        .map(|item| (need(scene, item), item.clone()))
+        .filter(|(need, _)| *need <= limit)
+        .collect();
+    needs.sort_by_key(|(need, item)| (*need, cmp::Reverse(item.memory_mib)));
+    let mut settled = true;
+    for (_, item) in needs {
+        settled &= place_copies(scene, allowance, limit, &item);
     }
-    all
+    settled
 }
 
 /// Places copies of one item; whether no urgent one lacks a place.
@@ -81,21 +118,17 @@
         if need > limit {
             return true;
         }
-        let left = if item.base.is_some() {
-            &mut allowance.adapters
-        } else {
-            &mut allowance.models
-        };
-        if *left == 0 {
-            return need >= Need::Wanted;
+        let kind = Kind::of(item);
+        if allowance.left(kind) == 0 {
+            return need >= Need::Demanded;
         }
         let Some(target) = best_site(scene, item) else {
-            if need < Need::Wanted {
-                make_room(scene, item);
+            if need < Need::Wanted || kind == Kind::Model {
+                make_room(scene, item, need);
             }
-            return need >= Need::Wanted || !can_ever_fit(scene, item);
+            return need >= Need::Demanded || !can_ever_fit(scene, item);
         };
-        *left -= 1;
+        allowance.spend(kind);
         scene.load(&target, item);
     }
 }
@@ -103,16 +136,12 @@
 /// Whether there is a runner at all that an urgent copy waits for.
 fn can_ever_fit(scene: &Scene, item: &Item) -> bool {
     let mut sites = scene.sites.values();
-    sites.any(|site| is_suitable(site, item) && site.memory_mib >= item.memory_mib)
+    sites.any(|site| is_suitable(scene, site, item) && site.memory_mib >= item.memory_mib)
 }
 
-fn is_suitable(site: &Site, item: &Item) -> bool {
-    let beside = item
-        .base
-        .as_ref()
-        .is_none_or(|base| site.ready(base).is_some());
+fn is_suitable(scene: &Scene, site: &Site, item: &Item) -> bool {
     site.serves()
-        && beside
+        && scene.hosts(site, item)
         && !site.has(&item.name, &item.version)
         && !site.held.contains(&item.name)
 }
@@ -130,7 +159,7 @@
     scene
         .sites
         .iter()
-        .filter(|(_, site)| site.settled && is_suitable(site, item))
+        .filter(|(_, site)| site.settled && is_suitable(scene, site, item))
         .filter(|(_, site)| site.free_mib() >= item.memory_mib)
         .min_by_key(|(_, site)| rank(site))
         .map(|(target, _)| target.clone())
@@ -155,8 +184,9 @@
 
 /// Unloads surplus copies at the runner where the least has to go to make
 /// room for `item`, unless room is already being made somewhere.
-fn make_room(scene: &mut Scene, item: &Item) {
-    let fitting = |site: &Site| is_suitable(site, item) && site.memory_mib >= item.memory_mib;
+fn make_room(scene: &mut Scene, item: &Item, need: Need) {
+    let fitting =
+        |site: &Site| is_suitable(scene, site, item) && site.memory_mib >= item.memory_mib;
     let mut sites = scene.sites.values().filter(|site| fitting(site));
     if sites.any(|site| site.free_mib() + site.leaving_mib() >= item.memory_mib) {
         return;
@@ -166,7 +196,9 @@
         .iter()
         .filter(|(_, site)| site.settled && fitting(site));
     let best = plans
-        .filter_map(|(target, site)| Some((target.clone(), room_at(scene, target, site, item)?)))
+        .filter_map(|(target, site)| {
+            Some((target.clone(), room_at(scene, target, site, item, need)?))
+        })
         .min_by_key(|(_, going)| going.iter().map(|each| each.memory_mib).sum::<u64>());
     let Some((target, going)) = best else {
         return;
@@ -177,43 +209,70 @@
 }
 
 /// The surplus copies that would have to go from a runner to make room for `item`.
-fn room_at(scene: &Scene, target: &ids::Target, site: &Site, item: &Item) -> Option<Vec<Surplus>> {
+fn room_at(
+    scene: &Scene,
+    target: &ids::Target,
+    site: &Site,
+    item: &Item,
+    need: Need,
+) -> Option<Vec<Surplus>> {
     let missing = item
         .memory_mib
         .saturating_sub(site.free_mib() + site.leaving_mib());
     let mut groups: Vec<Vec<Surplus>> = site
         .residents
         .iter()
-        .filter(|each| each.state == State::Ready && each.item != item.name)
+        .filter(|each| each.state == State::Ready)
         .filter(|each| item.base.as_ref() != Some(&each.item))
-        .filter_map(|each| surplus(scene, target, &each.item, &each.version))
+        .filter_map(|each| surplus(scene, target, (&each.item, &each.version), Rule::Room(need)))
         .collect();
-    groups.sort_by_key(|group| group.iter().map(|each| each.memory_mib).sum::<u64>());
+    let memory = |group: &Vec<Surplus>| group.iter().map(|each| each.memory_mib).sum::<u64>();
+    groups.sort_by_key(memory);
+    if let Some(enough) = groups.iter().position(|group| memory(group) >= missing) {
+        return Some(groups.swap_remove(enough));
+    }
     let mut going: Vec<Surplus> = Vec::new();
-    let mut freed = 0;
-    for group in groups {
-        if freed >= missing {
-            break;
+    for each in groups.into_iter().rev().flatten() {
+        let known = |one: &Surplus| one.item == each.item && one.version == each.version;
+        if memory(&going) < missing && !going.iter().any(known) {
+            going.push(each);
         }
-        for each in group {
-            let known = going
-                .iter()
-                .any(|one| one.item == each.item && one.version == each.version);
-            if !known {
-                freed += each.memory_mib;
-                going.push(each);
-            }
+    }
+    (memory(&going) >= missing).then_some(going)
+}
+
+/// By which rule copies are dispensable.
+#[derive(Clone, Copy)]
+enum Rule {
+    /// Old versions whose replacement serves.
+    Replaced,
+    /// Copies that may make room for something that is needed so urgently.
+    Room(Need),
+}
+
+impl Rule {
+    /// Copies of `item` that other runners must keep.
+    fn keep(self, item: &Item) -> usize {
+        match self {
+            Self::Replaced | Self::Room(Need::Lost | Need::Outdated | Need::Least) => item.least,
+            Self::Room(_) if item.base.is_some() => item.least,
+            Self::Room(Need::Demanded) => item.needed(),
+            Self::Room(Need::Wanted | Need::None) => item.wanted(),
         }
     }
-    (freed >= missing).then_some(going)
 }
 
 /// The copy of `name` at `target` with all that goes with it, if other
 /// runners keep enough copies of each.
-fn surplus(scene: &Scene, target: &ids::Target, name: &str, version: &str) -> Option<Vec<Surplus>> {
+fn surplus(
+    scene: &Scene,
+    target: &ids::Target,
+    (name, version): (&str, &str),
+    rule: Rule,
+) -> Option<Vec<Surplus>> {
     let item = scene.item(name)?;
     let site = scene.sites.get(target)?;
-    let mut going = vec![surplus_copy(scene, target, item, version)?];
+    let mut going = vec![surplus_copy(scene, target, (item, version), rule)?];
     let same_model = |each: &&crate::ledger::Resident| *each.item == *name;
     let versions = site
         .residents
@@ -228,7 +287,7 @@
                 .filter(|each| each.item == adapter.name)
             {
                 if each.state == State::Ready {
-                    going.push(surplus_copy(scene, target, adapter, &each.version)?);
+                    going.push(surplus_copy(scene, target, (adapter, &each.version), rule)?);
                 }
             }
         }
@@ -239,8 +298,8 @@
 fn surplus_copy(
     scene: &Scene,
     target: &ids::Target,
-    item: &Item,
-    version: &str,
+    (item, version): (&Item, &str),
+    rule: Rule,
 ) -> Option<Surplus> {
     let resident = scene
         .sites
@@ -248,7 +307,7 @@
         .residents
         .iter()
         .find(|each| each.item == item.name && *each.version == *version)?;
-    let keepers = keepers(scene, target, item, version)?;
+    let keepers = keepers(scene, target, (item, version), rule)?;
     Some(Surplus {
         item: sync::Arc::clone(&resident.item),
         version: sync::Arc::clone(&resident.version),
@@ -259,32 +318,34 @@
 
 /// Runners whose copies make the copy of `version` at `target` dispensable.
 ///
-/// One of them serves the bundle's version. Old versions count for the rest
-/// only while an old version is replaced.
+/// An old version counts as much as the bundle's when an old copy goes, but a
+/// replaced copy goes only when the bundle's version serves.
 fn keepers(
     scene: &Scene,
     target: &ids::Target,
-    item: &Item,
-    version: &str,
+    (item, version): (&Item, &str),
+    rule: Rule,
 ) -> Option<Vec<ids::Target>> {
-    let mut found = Vec::new();
-    let current = scene.serving(item, &item.version);
     let others = |(other, site): &(&ids::Target, &Site)| *other != target && site.settled;
-    found.extend(current.filter(others).map(|(other, _)| other.clone()));
-    if found.is_empty() {
+    let current = scene.serving(item, &item.version).filter(others);
+    let mut found: Vec<_> = current.map(|(other, _)| other.clone()).collect();
+    if found.is_empty() && matches!(rule, Rule::Replaced) {
         return None;
     }
     if *version != *item.version {
         let old = scene.serving(item, version).filter(others);
         let more: Vec<_> = old.map(|(other, _)| other.clone()).collect();
-        found.extend(
-            more.into_iter()
-                .filter(|other| !found.contains(other))
-                .collect::<Vec<_>>(),
-        );
+        let more: Vec<_> = more
+            .into_iter()
+            .filter(|other| !found.contains(other))
+            .collect();
+        found.extend(more);
     }
-    found.truncate(item.least);
-    (found.len() >= item.least).then_some(found)
+    let keep = rule.keep(item);
+    (found.len() >= keep).then(|| {
+        found.truncate(keep);
+        found
+    })
 }
 
 /// Unloads what the bundle does not have, adapters with their models.
@@ -354,7 +415,7 @@
             keepers: Vec::new(),
         }]);
     }
-    surplus(scene, target, name, version)
+    surplus(scene, target, (name, version), Rule::Replaced)
 }
 
 fn name_of(resident: &crate::ledger::Resident) -> (sync::Arc<str>, sync::Arc<str>) {
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -18,8 +18,6 @@
 const AREA: u64 = 3 << 56;
 /// Rows that are read at once.
 const PAGE: usize = 200;
-/// Copies of each model where memory allows.
-const COPIES_WANTED: usize = 2;
 
 /// What the planner wants done.
 #[derive(Clone, Debug, PartialEq)]
@@ -101,6 +99,7 @@
     demand: demand::Demand,
     pace: Option<pace::Pace>,
     scan: Scan,
+    decided: Option<ids::Time>,
     next: u64,
 }
 
@@ -122,6 +121,7 @@
             demand: demand::Demand::default(),
             pace: None,
             scan: Scan::default(),
+            decided: None,
             next: 0,
         }
     }
@@ -233,6 +233,7 @@
         let mut drafts = self.drafts(now);
         let mut links = Vec::new();
         if self.may_decide(now) {
+            self.decided = Some(now);
             self.decide(now, &mut drafts, &mut links, out);
         }
         self.write(now, drafts, &links, out);
@@ -476,6 +477,7 @@
             _ => {
                 for (target, _) in &rows {
                     if let Some(view) = self.views.get_mut(target) {
+                        view.in_doubt = true;
                         view.doubt();
                     }
                 }
@@ -541,7 +543,7 @@
         for (target, view) in &mut views {
             let scale = self.scale(now, target);
             view.note_left(&scale);
-            let concerned = self.leads || view.has_order_of(&self.config.me);
+            let concerned = self.leads || view.in_doubt || view.has_order_of(&self.config.me);
             if concerned && view.is_settled() {
                 drafts.insert(target.clone(), view.judged(&scale));
             }
@@ -556,7 +558,11 @@
         };
         let grace = time::Duration::from_millis(self.config.grace_ms);
         let heard = self.views.values().all(|view| view.seen.is_some());
-        self.leads && self.scan.done.is_some() && (heard || now.since(adopted) >= grace)
+        let pause = time::Duration::from_millis(self.config.decide_ms);
+        let due = self
+            .decided
+            .is_none_or(|decided| now.since(decided) >= pause);
+        due && self.leads && self.scan.done.is_some() && (heard || now.since(adopted) >= grace)
     }
 
     /// Decides what to load and unload, and enters it into the drafts.
@@ -592,7 +598,7 @@
         drafts: &collections::BTreeMap<ids::Target, Ledger>,
     ) -> Option<Scene> {
         let bundle = self.bundle.as_ref()?;
-        let items = Item::all(bundle, |model| self.copies_wanted(now, model));
+        let items = Item::all(bundle, |model| self.copies_demanded(now, model));
         let mut sites = collections::BTreeMap::new();
         for runner in &bundle.runners {
             let view = self.views.get(&runner.name)?;
@@ -630,14 +636,13 @@
         }
     }
 
-    fn copies_wanted(&self, now: ids::Time, model: &str) -> usize {
+    fn copies_demanded(&self, now: ids::Time, model: &str) -> usize {
         let rate = self.demand.rate(now, model) * self.members.len() as f64;
         let copies = (rate / self.config.copy_tokens).ceil().max(0.0);
         let most = self.views.len();
         (0..most)
             .find(|count| *count as f64 >= copies)
             .unwrap_or(most)
-            .max(COPIES_WANTED)
     }
 
     /// Loads that may begin now, over all VMs: only the leader begins any.
@@ -742,7 +747,7 @@
             return false;
         };
         let founds = view.version.is_none() && view.is_founded_by_report();
-        founds || (view.version.is_some() && view.ledger != *draft)
+        founds || (view.version.is_some() && (view.in_doubt || view.ledger != *draft))
     }
 
     fn write_rows(
--- a/crates/plan/src/scene.rs
+++ b/crates/plan/src/scene.rs
@@ -17,13 +17,16 @@
     pub(crate) memory_mib: u64,
     /// Ready copies that there must be.
     pub(crate) least: usize,
-    /// Ready copies that there should be where memory allows.
-    pub(crate) wanted: usize,
+    /// Ready copies that demand asks for.
+    pub(crate) demanded: usize,
 }
 
+/// Copies of each model where memory allows.
+const COPIES_WANTED: usize = 2;
+
 impl Item {
-    /// The models and then the adapters of `bundle`; `wanted` tells the copies of a model.
-    pub(crate) fn all(bundle: &format::Bundle, wanted: impl Fn(&str) -> usize) -> Vec<Self> {
+    /// The models and then the adapters of `bundle`; `demanded` tells the copies that demand asks for.
+    pub(crate) fn all(bundle: &format::Bundle, demanded: impl Fn(&str) -> usize) -> Vec<Self> {
         let models = bundle.models.iter().map(|model| {
             let least = usize::try_from(model.copies.max(1)).unwrap_or(usize::MAX);
             Self {
@@ -32,7 +35,7 @@
                 version: sync::Arc::clone(&model.version),
                 memory_mib: model.memory_mib + model.kv_floor_mib,
                 least,
-                wanted: least.max(wanted(model.name.as_str())),
+                demanded: demanded(model.name.as_str()),
             }
         });
         let adapters = bundle.adapters.iter().map(|adapter| Self {
@@ -41,10 +44,24 @@
             version: sync::Arc::clone(&adapter.version),
             memory_mib: adapter.memory_mib,
             least: 1,
-            wanted: usize::MAX,
+            demanded: 0,
         });
         models.chain(adapters).collect()
     }
+
+    /// Copies that the bundle or demand asks for.
+    pub(crate) fn needed(&self) -> usize {
+        self.least.max(self.demanded)
+    }
+
+    /// Copies that there should be where memory allows: adapters beside every
+    /// copy of their model.
+    pub(crate) fn wanted(&self) -> usize {
+        if self.base.is_some() {
+            return usize::MAX;
+        }
+        self.needed().max(COPIES_WANTED)
+    }
 }
 
 /// A runner.
@@ -166,6 +183,7 @@
         let counts = |site: &&Site| {
             let mut all = site.residents.iter();
             site.serves()
+                && self.hosts(site, item)
                 && all.any(|each| {
                     each.item == item.name
                         && each.version == item.version
@@ -175,6 +193,21 @@
         self.sites.values().filter(counts).count()
     }
 
+    /// Whether a runner is a place for `item`: for adapters, whether it has the
+    /// model, in the bundle's version once that serves anywhere.
+    pub(crate) fn hosts(&self, site: &Site, item: &Item) -> bool {
+        let Some(base) = &item.base else {
+            return true;
+        };
+        let Some(model) = self.item(base) else {
+            return false;
+        };
+        if self.serving(model, &model.version).next().is_some() {
+            return site.has_ready(base, &model.version);
+        }
+        site.ready(base).is_some()
+    }
+
     /// Whether any version is ready anywhere.
     pub(crate) fn is_reachable(&self, item: &Item) -> bool {
         let mut alive = self.sites.values().filter(|site| site.alive);
--- a/crates/plan/src/view.rs
+++ b/crates/plan/src/view.rs
@@ -53,6 +53,8 @@
     pub(crate) busy: Option<ids::Op>,
     pub(crate) ledger: Ledger,
     pub(crate) seen: Option<Seen>,
+    /// Whether a write to this version of the row may still take effect.
+    pub(crate) in_doubt: bool,
     /// When the row's version was first known.
     learned: ids::Time,
     locals: collections::BTreeMap<Name, Local>,
@@ -105,6 +107,7 @@
         if self.known && self.version == version {
             return;
         }
+        self.in_doubt &= self.version == version;
         self.known = true;
         self.version = version;
         self.learned = now;
