--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -33,6 +33,7 @@
 mod pace;
 mod place;
 mod planner;
+mod rows;
 mod scene;
 mod view;
 
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -8,16 +8,15 @@
 use crate::{
     config::Config,
     demand,
-    ledger::{self, Ledger, Resident, Sender, State},
+    ledger::{Ledger, Resident, Sender, State},
     pace, place,
+    rows::{Asked, Scan},
     scene::{Item, Scene, Site, Step},
     view::{Name, Scale, Seen, View},
 };
 
 /// Area of the planner in the highest byte of operation numbers.
 const AREA: u64 = 3 << 56;
-/// Rows that are read at once.
-const PAGE: usize = 200;
 
 /// What the planner wants done.
 #[derive(Clone, Debug, PartialEq)]
@@ -47,23 +46,6 @@
     },
 }
 
-/// A request to the table service that awaits its answer.
-#[derive(Debug)]
-enum Asked {
-    Scan {
-        started: ids::Time,
-        seen: collections::BTreeSet<ids::Target>,
-    },
-    Get {
-        target: ids::Target,
-        at: ids::Time,
-    },
-    Write {
-        rows: Vec<(ids::Target, Ledger)>,
-        at: ids::Time,
-    },
-}
-
 /// An order that awaits its reply.
 #[derive(Debug)]
 struct Ordered {
@@ -72,13 +54,6 @@
     fence: ids::Fence,
 }
 
-/// When rows are read.
-#[derive(Debug, Default)]
-struct Scan {
-    busy: bool,
-    done: Option<ids::Time>,
-}
-
 /// Keeps what the bundle declares resident on the runners.
 ///
 /// Every VM has a planner. It learns from the runners' reports what is ready.
@@ -86,19 +61,19 @@
 /// decides; any other only settles the orders that it has sent before.
 #[derive(Debug)]
 pub struct Planner {
-    config: Config,
+    pub(crate) config: Config,
     bundle: Option<format::Bundle>,
     adopted: Option<ids::Time>,
     members: Vec<Sender>,
-    leads: bool,
+    pub(crate) leads: bool,
     drained: collections::BTreeSet<ids::Target>,
     leaving: collections::BTreeSet<ids::Target>,
-    views: collections::BTreeMap<ids::Target, View>,
-    asked: collections::BTreeMap<ids::Op, Asked>,
+    pub(crate) views: collections::BTreeMap<ids::Target, View>,
+    pub(crate) asked: collections::BTreeMap<ids::Op, Asked>,
     ordered: collections::BTreeMap<ids::Op, Ordered>,
     demand: demand::Demand,
     pace: Option<pace::Pace>,
-    scan: Scan,
+    pub(crate) scan: Scan,
     decided: Option<ids::Time>,
     next: u64,
 }
@@ -304,10 +279,7 @@
         if seen.report.leaving || self.leaving.contains(target) {
             return false;
         }
-        let going = |name: &str, version: &str| {
-            let row = view.ledger.get(name, version);
-            self.leads && row.is_some_and(|resident| resident.state == State::Unloading)
-        };
+        let going = |name: &str, version: &str| self.leads && view.is_going(name, version);
         let base = item.split_once(':').map(|(model, _)| model);
         let ready = |name: &str| {
             let mut residents = seen.report.residents.iter();
@@ -331,160 +303,18 @@
         ids::Op::new(AREA | self.next)
     }
 
-    fn ask(&mut self, asked: Asked, request: table::Request, out: &mut Vec<Output>) -> ids::Op {
+    pub(crate) fn ask(
+        &mut self,
+        asked: Asked,
+        request: table::Request,
+        out: &mut Vec<Output>,
+    ) -> ids::Op {
         let op = self.op();
         self.asked.insert(op, asked);
         out.push(Output::Table { op, request });
         op
     }
 
-    fn read_rows(&mut self, now: ids::Time, out: &mut Vec<Output>) {
-        let wait = time::Duration::from_millis(self.config.scan_ms);
-        let due = self.scan.done.is_none_or(|done| now.since(done) >= wait);
-        if self.leads && due && !self.scan.busy {
-            self.scan_from(now, collections::BTreeSet::new(), None, out);
-        }
-        let doubtful: Vec<_> = self
-            .views
-            .iter()
-            .filter(|(_, view)| !view.known && view.busy.is_none() && view.version.is_some())
-            .map(|(target, _)| target.clone())
-            .collect();
-        for target in doubtful {
-            let request = table::Request::Get {
-                key: Ledger::key(&target),
-            };
-            let asked = Asked::Get {
-                target: target.clone(),
-                at: now,
-            };
-            let op = self.ask(asked, request, out);
-            if let Some(view) = self.views.get_mut(&target) {
-                view.busy = Some(op);
-            }
-        }
-    }
-
-    fn scan_from(
-        &mut self,
-        started: ids::Time,
-        seen: collections::BTreeSet<ids::Target>,
-        after: Option<sync::Arc<str>>,
-        out: &mut Vec<Output>,
-    ) {
-        self.scan.busy = true;
-        let request = table::Request::Scan {
-            prefix: ledger::PREFIX.into(),
-            after,
-            limit: PAGE,
-        };
-        self.ask(Asked::Scan { started, seen }, request, out);
-    }
-
-    fn scanned(
-        &mut self,
-        now: ids::Time,
-        started: ids::Time,
-        mut seen: collections::BTreeSet<ids::Target>,
-        result: platform::Result<table::Answer>,
-        out: &mut Vec<Output>,
-    ) {
-        self.scan.busy = false;
-        let Ok(table::Answer::Rows(rows)) = result else {
-            return;
-        };
-        let last = rows.last().map(|row| sync::Arc::clone(&row.key));
-        let full = rows.len() >= PAGE;
-        for row in rows {
-            let target = ids::Target::from(&row.key[ledger::PREFIX.len()..]);
-            self.learn(now, started, &target, Some(&row));
-            seen.insert(target);
-        }
-        if full {
-            return self.scan_from(started, seen, last, out);
-        }
-        self.scan.done = Some(started);
-        let missing: Vec<_> = self
-            .views
-            .keys()
-            .filter(|name| !seen.contains(*name))
-            .cloned()
-            .collect();
-        for target in missing {
-            self.learn(now, started, &target, None);
-        }
-    }
-
-    /// Takes in a row that was asked for at `asked`, unless it is older than what is known.
-    fn learn(
-        &mut self,
-        now: ids::Time,
-        asked: ids::Time,
-        target: &ids::Target,
-        row: Option<&table::Row>,
-    ) {
-        let Some(view) = self.views.get_mut(target) else {
-            return;
-        };
-        let version = row.map(|row| row.version);
-        if view.busy.is_some() || version < view.version {
-            return;
-        }
-        let read = row.map_or_else(|| Ok(Ledger::default()), |row| Ledger::read(&row.value));
-        match read {
-            Ok(ledger) => view.learn(now, asked, version, ledger),
-            Err(_) => view.known = false,
-        }
-    }
-
-    fn got(
-        &mut self,
-        now: ids::Time,
-        target: &ids::Target,
-        at: ids::Time,
-        result: platform::Result<table::Answer>,
-    ) {
-        if let Some(view) = self.views.get_mut(target) {
-            view.busy = None;
-        }
-        if let Ok(table::Answer::Row(row)) = result {
-            self.learn(now, at, target, row.as_ref());
-        }
-    }
-
-    fn wrote(
-        &mut self,
-        now: ids::Time,
-        rows: Vec<(ids::Target, Ledger)>,
-        at: ids::Time,
-        result: platform::Result<table::Answer>,
-    ) {
-        for (target, _) in &rows {
-            if let Some(view) = self.views.get_mut(target) {
-                view.busy = None;
-            }
-        }
-        match result {
-            Ok(table::Answer::Written) => {
-                for (target, ledger) in rows {
-                    if let Some(view) = self.views.get_mut(&target) {
-                        let version = view.version.unwrap_or_default().next();
-                        view.learn(now, at, Some(version), ledger);
-                    }
-                }
-            }
-            Err(fault) if fault.kind == platform::Kind::Refused => {}
-            _ => {
-                for (target, _) in &rows {
-                    if let Some(view) = self.views.get_mut(target) {
-                        view.in_doubt = true;
-                        view.doubt();
-                    }
-                }
-            }
-        }
-    }
-
     fn scale<'a>(&'a self, now: ids::Time, target: &ids::Target) -> Scale<'a> {
         let runners = self.bundle.iter().flat_map(|bundle| &bundle.runners);
         let mut same = runners.filter(|runner| runner.name == *target);
@@ -716,63 +546,6 @@
             text,
         });
     }
-
-    /// Writes the drafts that differ from their rows, linked ones in one transaction.
-    fn write(
-        &mut self,
-        now: ids::Time,
-        mut drafts: collections::BTreeMap<ids::Target, Ledger>,
-        links: &[(ids::Target, ids::Target)],
-        out: &mut Vec<Output>,
-    ) {
-        let changed: Vec<_> = drafts
-            .iter()
-            .filter(|(target, draft)| self.is_changed(target, draft))
-            .map(|(target, _)| target.clone())
-            .collect();
-        for target in changed {
-            let group = linked(&target, links);
-            let rows: Vec<_> = group
-                .into_iter()
-                .filter_map(|name| drafts.remove_entry(&name))
-                .collect();
-            if !rows.is_empty() {
-                self.write_rows(now, rows, out);
-            }
-        }
-    }
-
-    fn is_changed(&self, target: &ids::Target, draft: &Ledger) -> bool {
-        let Some(view) = self.views.get(target) else {
-            return false;
-        };
-        let founds = view.version.is_none() && view.is_founded_by_report();
-        founds || (view.version.is_some() && (view.in_doubt || view.ledger != *draft))
-    }
-
-    fn write_rows(
-        &mut self,
-        now: ids::Time,
-        rows: Vec<(ids::Target, Ledger)>,
-        out: &mut Vec<Output>,
-    ) {
-        let writes = rows
-            .iter()
-            .map(|(target, ledger)| table::Write {
-                key: Ledger::key(target),
-                expect: self.views.get(target).and_then(|view| view.version),
-                value: Some(ledger.text()),
-            })
-            .collect();
-        let targets: Vec<_> = rows.iter().map(|(target, _)| target.clone()).collect();
-        let asked = Asked::Write { rows, at: now };
-        let op = self.ask(asked, table::Request::Write { writes }, out);
-        for target in targets {
-            if let Some(view) = self.views.get_mut(&target) {
-                view.busy = Some(op);
-            }
-        }
-    }
 }
 
 /// Whether `me` ranks first among the members.
@@ -780,23 +553,3 @@
     let rank = |each: &&Sender| xxhash_rust::xxh3::xxh3_64(each.vm.as_str().as_bytes());
     members.iter().max_by_key(rank) == Some(me)
 }
-
-/// The rows that must change together with that of `target`.
-fn linked(
-    target: &ids::Target,
-    links: &[(ids::Target, ids::Target)],
-) -> collections::BTreeSet<ids::Target> {
-    let mut group = collections::BTreeSet::from([target.clone()]);
-    loop {
-        let before = group.len();
-        for (one, other) in links {
-            if group.contains(one) || group.contains(other) {
-                group.insert(one.clone());
-                group.insert(other.clone());
-            }
-        }
-        if group.len() == before {
-            return group;
-        }
-    }
-}
--- a/crates/plan/src/view.rs
+++ b/crates/plan/src/view.rs
@@ -55,6 +55,8 @@
     pub(crate) seen: Option<Seen>,
     /// Whether a write to this version of the row may still take effect.
     pub(crate) in_doubt: bool,
+    /// What the row may have become by a write whose outcome is not known.
+    pub(crate) intended: Ledger,
     /// When the row's version was first known.
     learned: ids::Time,
     locals: collections::BTreeMap<Name, Local>,
@@ -108,6 +110,9 @@
             return;
         }
         self.in_doubt &= self.version == version;
+        if !self.in_doubt {
+            self.intended = Ledger::default();
+        }
         self.known = true;
         self.version = version;
         self.learned = now;
@@ -186,6 +191,14 @@
             .is_some_and(|seen| seen.taken > self.learned)
     }
 
+    /// Whether `version` of `item` is to go, or may be by a write under way.
+    pub(crate) fn is_going(&self, item: &str, version: &str) -> bool {
+        [&self.ledger, &self.intended].into_iter().any(|ledger| {
+            let row = ledger.get(item, version);
+            row.is_some_and(|resident| resident.state == State::Unloading)
+        })
+    }
+
     /// Whether this planner has an order to send.
     pub(crate) fn has_due(&self, scale: &Scale<'_>) -> bool {
         self.ledger.residents.iter().any(|resident| {
