--- a/crates/node/src/system/plan.rs
+++ b/crates/node/src/system/plan.rs
@@ -1,14 +1,17 @@
 //! What the runners hold: the ledger, loads and unloads.
 
-use std::sync;
+use std::{sync, time};
 
 use platform::table;
 
 use crate::{Config, Node, Output, event};
 
+/// Time between two looks at what the runners offer.
+const OFFERS_EVERY: time::Duration = time::Duration::from_millis(250);
+
 /// A planner without runners.
 pub fn planner(config: &Config) -> plan::Planner {
-    plan::Planner::new(plan::Config::new(config.vm.clone(), config.incarnation))
+    plan::Planner::new(plan::Config::new(sender(&config.member())))
 }
 
 /// Takes runners, models and members from what is in force.
@@ -16,25 +19,40 @@
     let Some(force) = &node.force else {
         return;
     };
-    let members: Vec<_> = head.members.iter().map(|member| member.vm.clone()).collect();
+    let members: Vec<_> = head.members.iter().map(sender).collect();
     node.planner.adopt(now, &force.bundle, &members, &force.amendments.drained);
+    offer(node, now);
 }
 
-/// Takes in what a runner says that it holds.
-pub fn report(node: &mut Node, now: ids::Time, target: &ids::Target, report: &engine::Report) {
-    node.planner.report(now, target, report);
-    offer(node, target);
-}
-
-/// Takes in how a runner took an order.
-pub fn order(
+/// Takes in what a runner says that it holds, asked at `asked`.
+pub fn report(
     node: &mut Node,
     now: ids::Time,
-    op: ids::Op,
-    reply: &engine::order::Reply,
-    out: &mut Vec<Output>,
+    target: &ids::Target,
+    asked: ids::Time,
+    report: &engine::Report,
 ) {
-    with(node, out, |planner, outputs| planner.order(now, op, reply, outputs));
+    node.planner.report(now, target, asked, report);
+}
+
+/// Takes in how a runner took an order.
+pub fn order(node: &mut Node, now: ids::Time, op: ids::Op, reply: engine::order::Reply) {
+    node.planner.order(now, op, reply);
+}
+
+/// Notes that a target is leaving, or is not any more.
+pub fn leave(node: &mut Node, target: &ids::Target, leaving: bool) {
+    node.planner.leave(target, leaving);
+}
+
+/// Counts a call's tokens as demand for its item.
+pub fn demand(node: &mut Node, now: ids::Time, call: ids::Call) {
+    let Some(row) = node.calls.rows.get(&call) else {
+        return;
+    };
+    if row.need.max_tokens > 0 {
+        node.planner.demand(now, &row.need.item, row.need.tokens());
+    }
 }
 
 /// Takes in an answer of the table service.
@@ -54,22 +72,34 @@
         return;
     }
     with(node, out, |planner, outputs| planner.tick(now, outputs));
+    if node.offers_at <= now {
+        node.offers_at = now + OFFERS_EVERY;
+        offer(node, now);
+    }
 }
 
-/// Items of the bundle that no target here is ready to serve.
+/// Items of the bundle that no target is ready to serve.
 #[must_use]
-pub fn unreachable(node: &Node) -> Vec<sync::Arc<str>> {
-    let Some(force) = &node.force else {
-        return Vec::new();
-    };
-    let is_missing =
-        |item: &&sync::Arc<str>| !node.targets.iter().any(|(_, row)| row.ready.contains(*item));
-    force.items().filter(is_missing).cloned().collect()
+pub fn unreachable(node: &Node, now: ids::Time) -> Vec<sync::Arc<str>> {
+    node.planner.unreachable(now)
 }
 
-fn offer(node: &mut Node, target: &ids::Target) {
-    let items = node.planner.offers(target);
-    node.targets.offer(target, &items);
+/// The ledger as JSON.
+#[must_use]
+pub fn dump(node: &Node) -> serde_json::Value {
+    let rows = node.planner.rows();
+    rows.map(|(target, row)| (target.to_string(), serde_json::json!(row))).collect()
+}
+
+fn sender(member: &member::Member) -> plan::ledger::Sender {
+    plan::ledger::Sender { vm: member.vm.clone(), incarnation: member.incarnation }
+}
+
+/// Tells the table of targets what each of them is fit to serve.
+fn offer(node: &mut Node, now: ids::Time) {
+    for (target, items) in node.planner.offers(now) {
+        node.targets.offer(&target, &items);
+    }
 }
 
 fn with(
@@ -89,8 +119,8 @@
                 let address = sync::Arc::clone(&row.address);
                 out.push(Output::Order { op, target, address, order });
             }
-            plan::Output::Log(text) => {
-                out.push(Output::Log(event::Event::new("plan", &node.config.vm, text)));
+            plan::Output::Log { peer, text } => {
+                out.push(Output::Log(event::Event::new("plan", &peer, text)));
             }
         }
     }
--- a/crates/node/src/system/quota.rs
+++ b/crates/node/src/system/quota.rs
@@ -101,6 +101,7 @@
         return;
     };
     row.reserved = row.need.tokens();
+    system::plan::demand(node, now, call);
     system::claim::begin(node, now, call, out);
 }
 
