--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -29,6 +29,8 @@
     pub report_every: time::Duration,
     /// Reports asked of all runners together, in reports a second.
     pub reports_per_second: f64,
+    /// Time between two reports asked of a runner, at most.
+    pub report_at_least: time::Duration,
     /// Most attempts for one call.
     pub attempts: u32,
     /// Who may sign bundles.
@@ -62,6 +64,7 @@
             detach_for: time::Duration::from_secs(5),
             report_every: time::Duration::from_millis(500),
             reports_per_second: 16.0,
+            report_at_least: time::Duration::from_secs(2),
             attempts: 4,
             signers: Vec::new(),
             queue: route::queue::Config::default(),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -37,6 +37,7 @@
     pub(crate) targets: route::target::Table,
     pub(crate) retries: route::retry::Budget,
     pub(crate) planner: plan::Planner,
+    pub(crate) offers_at: ids::Time,
     ready: Option<bool>,
     last_op: u64,
     tick_at: ids::Time,
@@ -64,6 +65,7 @@
             targets: system::dispatch::targets(&config),
             retries: system::dispatch::retries(&config),
             planner: system::plan::planner(&config),
+            offers_at: ids::Time::default(),
             ready: None,
             last_op: OP_AREA,
             tick_at: ids::Time::default(),
@@ -107,7 +109,7 @@
             Input::Report { target, report } => {
                 system::report::report(self, now, &target, report.as_ref());
             }
-            Input::Order { op, reply } => system::plan::order(self, now, op, &reply, out),
+            Input::Order { op, reply } => system::plan::order(self, now, op, reply),
             Input::Table { op, result } => self.table(now, op, result, out),
             Input::Object { op, result } => {
                 if !system::force::object(self, now, op, &result, out) {
@@ -217,7 +219,7 @@
 
     pub(crate) fn status(&self, now: ids::Time) -> operator::Status {
         let state = self.readiness(now);
-        let unreachable = system::plan::unreachable(self);
+        let unreachable = system::plan::unreachable(self, now);
         let mut alarms = Vec::new();
         if let Err(reason) = &state {
             alarms.push(format!("this VM does not serve: {reason}"));
@@ -253,7 +255,7 @@
             "calls": self.calls,
             "queue": self.queue.len(),
             "targets": system::dispatch::dump(self),
-            "ledger": self.planner.dump(),
+            "ledger": system::plan::dump(self),
             "quota": self.quota.dump(now),
             "counters": self.counters,
         })
--- a/crates/node/src/system/report.rs
+++ b/crates/node/src/system/report.rs
@@ -9,10 +9,17 @@
 /// Time between two looks at the platform's list of machines.
 const VMS_EVERY: time::Duration = time::Duration::from_secs(2);
 
+/// Time after which a runner that has not answered is asked again.
+///
+/// It is longer than the shell's own limit, so that an answer is never taken
+/// for that to a later question.
+const ANSWER_WITHIN: time::Duration = time::Duration::from_secs(10);
+
 /// When what is asked for next.
 #[derive(Clone, Debug, Default)]
 pub struct Schedule {
     reports: collections::BTreeMap<ids::Target, ids::Time>,
+    asked: collections::BTreeMap<ids::Target, ids::Time>,
     vms_at: ids::Time,
     vms_op: Option<ids::Op>,
 }
@@ -44,8 +51,9 @@
             continue;
         };
         let address = sync::Arc::clone(&row.address);
-        let at = now + period(node, &target);
+        let at = now + period(node);
         node.schedule.reports.insert(target.clone(), at);
+        node.schedule.asked.insert(target.clone(), now);
         out.push(Output::Report { target, address });
     }
     if node.schedule.vms_at <= now {
@@ -56,24 +64,31 @@
     }
 }
 
+/// Runners whose time has come and that owe no earlier answer.
 fn due(node: &Node, now: ids::Time) -> Vec<ids::Target> {
-    let due = node.schedule.reports.iter().filter(|(_, at)| **at <= now);
+    let Schedule { reports, asked, .. } = &node.schedule;
+    let is_owing = |target: &ids::Target| {
+        let at: Option<&ids::Time> = asked.get(target);
+        at.is_some_and(|at| now.since(*at) < ANSWER_WITHIN)
+    };
+    let due = reports.iter().filter(|(target, at)| **at <= now && !is_owing(target));
     due.map(|(target, _)| target.clone()).collect()
 }
 
 /// Time between two reports of a runner.
 ///
-/// All runners together are asked for at most `reports_per_second`, so that
-/// what a VM spends on reports does not grow with the fleet. Those that this
-/// VM plans for are asked more often, for a load is done only when a report
-/// shows it.
-fn period(node: &Node, target: &ids::Target) -> time::Duration {
-    let least = node.config.report_every;
-    if node.planner.plans(target) {
-        return least;
+/// All runners together are asked for about `reports_per_second`, but none
+/// less often than `report_at_least`, for a runner that is silent for long
+/// counts as lost. The VM that plans asks more often, for a load is done only
+/// when a report shows it.
+fn period(node: &Node) -> time::Duration {
+    let config = &node.config;
+    if node.planner.leads() {
+        return config.report_every;
     }
-    let seconds = node.schedule.reports.len() as f64 / node.config.reports_per_second;
-    least.max(time::Duration::from_secs_f64(seconds))
+    let seconds = node.schedule.reports.len() as f64 / config.reports_per_second;
+    let period = time::Duration::from_secs_f64(seconds);
+    period.clamp(config.report_every, config.report_at_least)
 }
 
 /// Takes in what a runner said of itself, or that it said nothing.
@@ -83,9 +98,10 @@
     target: &ids::Target,
     report: Option<&engine::Report>,
 ) {
+    let asked = node.schedule.asked.remove(target).unwrap_or(now);
     system::dispatch::report(node, now, target, report);
     if let Some(report) = report {
-        system::plan::report(node, now, target, report);
+        system::plan::report(node, now, target, asked, report);
     }
 }
 
@@ -104,6 +120,11 @@
     let Ok(entries) = result else {
         return;
     };
-    system::dispatch::listed(node, &entries);
+    for entry in &entries {
+        let target = entry.name.as_str().into();
+        let leaving = entry.state == vm::State::Leaving;
+        system::dispatch::leave(node, &target, leaving);
+        system::plan::leave(node, &target, leaving);
+    }
     system::member::vms(node, now, &entries, out);
 }
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -93,8 +93,6 @@
         world.run(1_000);
         let request = operator::Request::Accept { document: document.into(), replaces: None };
         world.input(Input::Operator { op: ids::Op::new(1), request });
-        world.run(5_000);
-        world.report_all();
         world.run(6_000);
         world.outputs.clear();
         world
@@ -203,20 +201,6 @@
         }
     }
 
-    pub fn report_all(&mut self) {
-        for target in ["runner-1", "runner-2"] {
-            let resident = |item: &str| engine::report::Resident {
-                item: item.into(),
-                version: "v1".into(),
-                state: engine::report::State::Ready,
-                memory_mib: 1_200,
-            };
-            let residents = vec![resident("draft"), resident("draft:formal")];
-            let report = engine::Report { residents, ..engine::Report::default() };
-            self.input(Input::Report { target: target.into(), report: Some(report) });
-        }
-    }
-
     fn step(&mut self, inputs: impl IntoIterator<Item = Input>) {
         let mut outputs = Vec::new();
         self.node.step(ids::Time::from_millis(self.now), inputs, &mut outputs);
@@ -228,10 +212,11 @@
     }
 
     fn serve(&mut self, output: &Output) {
-        if self.is_store_out {
-            return;
-        }
         let input = match output {
+            Output::Report { target, .. } => {
+                Input::Report { target: target.clone(), report: Some(report()) }
+            }
+            _ if self.is_store_out => return,
             Output::Table { op, request } => {
                 Input::Table { op: *op, result: Ok(self.table.answer(request)) }
             }
@@ -245,6 +230,18 @@
     }
 }
 
+/// What both runners say of themselves.
+fn report() -> engine::Report {
+    let resident = |item: &str, memory_mib| engine::report::Resident {
+        item: item.into(),
+        version: "v1".into(),
+        state: engine::report::State::Ready,
+        memory_mib,
+    };
+    let residents = vec![resident("draft", 1_200), resident("draft:formal", 10)];
+    engine::Report { residents, ..engine::Report::default() }
+}
+
 /// A draft of `max_tokens` chunks.
 pub fn chat(max_tokens: u64) -> call::Work {
     call::Work::Chat {
