--- a/crates/proofs/src/fleet.rs
+++ b/crates/proofs/src/fleet.rs
@@ -47,6 +47,8 @@
     pub vms: Vec<process::Program>,
     /// A key of the account `mayors`.
     pub key: String,
+    /// A key of the account `families`.
+    pub other_key: String,
     secret: signed::Secret,
     directory: tempfile::TempDir,
     client: caller::Caller,
@@ -98,6 +100,7 @@
                 .collect::<Result<_>>()?,
             vms: Vec::new(),
             key: key::Secret::new(&"mayors-1".into(), &[7; 24]).reveal().to_owned(),
+            other_key: key::Secret::new(&"families-1".into(), &[8; 24]).reveal().to_owned(),
             secret: signed::Secret::new([9; 32]),
             client: caller::Caller::new(Some(OPERATOR)),
             directory,
@@ -146,6 +149,7 @@
     #[must_use]
     pub fn bundle(&self) -> String {
         let digest = ids::Digest::of(self.key.as_bytes());
+        let other = ids::Digest::of(self.other_key.as_bytes());
         let desk = self.desk.address("address");
         let runner = |(number, runner): (usize, &process::Program)| {
             let address = runner.address("address");
@@ -168,7 +172,9 @@
              - {{path: /lookup, repeatable: true}}\n      \
              - {{path: /booking, repeatable: false, cost: 5}}\n\
              accounts:\n  - name: mayors\n    class: paid\n    rate: 100000\n    \
-             burst: 1000000\n    keys: [{{id: mayors-1, digest: {digest}}}]\n\
+             burst: 1000000\n    keys: [{{id: mayors-1, digest: {digest}}}]\n  \
+             - name: families\n    class: courtesy\n    rate: 100000\n    burst: 1000000\n    \
+             keys: [{{id: families-1, digest: {other}}}]\n\
              weights: {{loads_per_second: 10, loads_at_once: 10}}\n"
         )
     }
@@ -232,6 +238,29 @@
         Err(Error::new("control", &address, &answer.text()))
     }
 
+    /// Replaces the fault rules of a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// The stand-in does not answer.
+    pub async fn fault(program: &process::Program, rules: &[standin::fault::Rule]) -> Result<()> {
+        let rules = serde_json::json!(rules).to_string();
+        Self::control(program, "PUT", "/faults", &rules).await.map(drop)
+    }
+
+    /// Number of calls that each runner has begun.
+    ///
+    /// # Errors
+    ///
+    /// A runner does not answer.
+    pub async fn begun(&self) -> Result<Vec<usize>> {
+        let mut begun = Vec::new();
+        for runner in &self.runners {
+            begun.push(Self::calls(runner).await?.len());
+        }
+        Ok(begun)
+    }
+
     /// Every call that a target has begun.
     ///
     /// # Errors
@@ -270,15 +299,15 @@
         .await
     }
 
-    /// Waits until every VM has answered a chat.
+    /// Waits until every VM knows every runner as ready.
     async fn served(&self) -> Result<()> {
-        let caller = self.caller();
         for vm in 0..self.vms.len() {
-            wait::until("a first answer", async || {
-                let body = chat(1, false, "warm-up");
-                let path = "/v1/chat/completions";
-                let sent = caller.send(self.address(vm), "POST", path, &[], &body).await.ok()?;
-                sent.status.is_success().then_some(())
+            wait::until("runners that are ready", async || {
+                let state = self.operate(vm, "GET", "/state", "").await.ok()?;
+                let state: serde_json::Value = state.json().ok()?;
+                let targets = &state["state"]["targets"];
+                let mut names = (1..=self.runners.len()).map(|runner| format!("runner-{runner}"));
+                names.all(|name| targets[&name]["ready"][0] == "draft").then_some(())
             })
             .await?;
         }
--- /dev/null
+++ b/crates/proofs/tests/stream.rs
@@ -0,0 +1,109 @@
+//! Streams: the whole own answer through broken runners, other VMs and keys.
+
+use proofs::{caller, fleet};
+use standin::fault;
+
+/// Chunks of a stream that lasts for some seconds.
+const CHUNKS: u64 = 300;
+const PROMPT: &str = "An itinerary of three days";
+const CHATS: &str = "/v1/chat/completions";
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_killed_runner_goes_on_at_another() -> proofs::Result<()> {
+    let mut fleet = fleet::Fleet::start(fleet::Config::default()).await?;
+    let before = fleet.begun().await?;
+    let body = fleet::chat(CHUNKS, true, PROMPT);
+    let mut stream = fleet.caller().stream(fleet.address(0), &[], &body).await?;
+    let first = stream.next().await?.expect("a chunk");
+    let after = fleet.begun().await?;
+    let serving = (0..after.len()).find(|runner| after[*runner] > before[*runner]);
+    fleet.runners[serving.expect("a runner that serves")].kill()?;
+    let whole = stream.whole().await?;
+    assert!(whole.is_done, "{:?}", whole.error);
+    assert_eq!(format!("{}{}", first.text(), whole.text), fleet::answer(CHUNKS, PROMPT));
+    assert_eq!(whole.numbers, (1..CHUNKS).collect::<Vec<u64>>());
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_stream_is_resumed_from_where_it_broke() -> proofs::Result<()> {
+    let fleet = fleet::Fleet::start(fleet::Config::default()).await?;
+    let cut = fault::Rule { break_after: Some(7), count: Some(1), ..fault::Rule::new(CHATS) };
+    for runner in &fleet.runners {
+        fleet::Fleet::fault(runner, std::slice::from_ref(&cut)).await?;
+    }
+    let body = fleet::chat(40, true, PROMPT);
+    let whole = fleet.caller().stream(fleet.address(0), &[], &body).await?.whole().await?;
+    assert!(whole.is_done, "{:?}", whole.error);
+    assert_eq!(whole.numbers, (0..40).collect::<Vec<u64>>());
+    assert_eq!(whole.text, fleet::answer(40, PROMPT));
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_resumes_through_another_vm_after_a_kill() -> proofs::Result<()> {
+    let mut fleet = fleet::Fleet::start(fleet::Config { vms: 3, runners: 2 }).await?;
+    let caller = fleet.caller();
+    let body = fleet::chat(CHUNKS, true, PROMPT);
+    let mut stream = caller.stream(fleet.address(0), &[], &body).await?;
+    let name = stream.header("primroseplank-stream").to_owned();
+    let mut text = String::new();
+    let mut last = 0;
+    while last < 9 {
+        let event = stream.next().await?.expect("a chunk");
+        last = event.seq.expect("a number");
+        text.push_str(&event.text());
+    }
+    fleet.vms[0].kill()?;
+    let last = last.to_string();
+    let headers = [("primroseplank-stream", name.as_str()), ("last-event-id", &last)];
+    let mut again: serde_json::Value = serde_json::from_str(&body).expect("JSON");
+    again["continue_text"] = text.clone().into();
+    let rest = caller.stream(fleet.address(1), &headers, &again.to_string()).await?;
+    assert_eq!(rest.status(), 200);
+    let rest = rest.whole().await?;
+    assert!(rest.is_done, "{:?}", rest.error);
+    assert_eq!(rest.numbers, (10..CHUNKS).collect::<Vec<u64>>());
+    assert_eq!(format!("{text}{}", rest.text), fleet::answer(CHUNKS, PROMPT));
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn withdrawn_key_stops_on_every_vm_and_on_resume() -> proofs::Result<()> {
+    let fleet = fleet::Fleet::start(fleet::Config { vms: 3, runners: 1 }).await?;
+    let caller = fleet.caller();
+    let body = fleet::chat(CHUNKS, true, PROMPT);
+    let mut stream = caller.stream(fleet.address(0), &[], &body).await?;
+    let name = stream.header("primroseplank-stream").to_owned();
+    stream.next().await?.expect("a chunk");
+    let answer = fleet.operate(1, "POST", "/v1/amend", r#"{"withdraw":"mayors-1"}"#).await?;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    for vm in 0..3 {
+        let headers = [("primroseplank-stream", name.as_str()), ("last-event-id", "0")];
+        for headers in [&headers[..], &[]] {
+            let refused = caller.send(fleet.address(vm), "POST", CHATS, headers, &body).await?;
+            assert_eq!(refused.status, 401, "VM {vm}: {}", refused.text());
+        }
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_another_account_cannot_be_resumed() -> proofs::Result<()> {
+    let fleet = fleet::Fleet::start(fleet::Config::default()).await?;
+    let body = fleet::chat(CHUNKS, true, PROMPT);
+    let mut stream = fleet.caller().stream(fleet.address(0), &[], &body).await?;
+    let name = stream.header("primroseplank-stream").to_owned();
+    stream.next().await?.expect("a chunk");
+    let other = caller::Caller::new(Some(&fleet.other_key));
+    for vm in 0..2 {
+        let headers = [("primroseplank-stream", name.as_str()), ("last-event-id", "0")];
+        let own = fleet::chat(12, true, "something else");
+        let resumed = other.stream(fleet.address(vm), &headers, &own).await?;
+        let whole = resumed.whole().await?;
+        assert!(!fleet::answer(CHUNKS, PROMPT).contains(&whole.text) || whole.text.is_empty());
+    }
+    let whole = stream.whole().await?;
+    assert!(whole.is_done, "the stream of its own account goes on: {:?}", whole.error);
+    Ok(())
+}
