--- /dev/null
+++ b/crates/proofs/tests/change.rs
@@ -0,0 +1,140 @@
+//! Changes of configuration: races of operators, lost answers, cut-off VMs.
+
+use proofs::{fleet, wait};
+use standin::fault;
+
+/// A bundle that differs from the fleet's own by one rate.
+fn with_rate(fleet: &fleet::Fleet, rate: u64) -> String {
+    fleet.bundle().replace("rate: 100000\n", &format!("rate: {rate}\n"))
+}
+
+async fn version(fleet: &fleet::Fleet, vm: usize) -> proofs::Result<u64> {
+    let status = fleet.operate(vm, "GET", "/v1/status", "").await?;
+    let status: serde_json::Value = status.json().expect("JSON");
+    Ok(status["status"]["version"].as_u64().expect("a version"))
+}
+
+/// The version in force, once all VMs have the same and it stays so.
+async fn settled(fleet: &fleet::Fleet) -> proofs::Result<u64> {
+    wait::until("one version everywhere", async || {
+        let first = version(fleet, 0).await.ok()?;
+        for vm in 1..fleet.vms.len() {
+            if version(fleet, vm).await.ok()? != first {
+                return None;
+            }
+        }
+        Some(first)
+    })
+    .await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_operators_one_is_accepted_and_the_other_told_so() -> proofs::Result<()> {
+    let fleet = fleet::Fleet::start(fleet::Config { vms: 3, runners: 1 }).await?;
+    for round in 0..3 {
+        let before = settled(&fleet).await?;
+        let path = format!("/v1/accept?replaces={before}");
+        let one = fleet.sign(&with_rate(&fleet, 1_000 + round));
+        let other = fleet.sign(&with_rate(&fleet, 2_000 + round));
+        let (one, other) = tokio::join!(
+            fleet.operate(0, "POST", &path, &one),
+            fleet.operate(1, "POST", &path, &other),
+        );
+        let (one, other) = (one?, other?);
+        let mut statuses = [one.status.as_u16(), other.status.as_u16()];
+        statuses.sort_unstable();
+        assert_eq!(statuses, [200, 409], "{} and {}", one.text(), other.text());
+        assert_eq!(settled(&fleet).await?, before + 1);
+        let won = if one.status == 200 { 1_000 } else { 2_000 } + round;
+        for vm in 0..3 {
+            let document = fleet.operate(vm, "GET", "/v1/bundle", "").await?.text();
+            assert!(document.contains(&format!("rate: {won}\\")), "VM {vm} has the accepted one");
+        }
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer_to_the_write_of_the_head_is_resolved_by_reading() -> proofs::Result<()> {
+    let fleet = fleet::Fleet::start(fleet::Config { vms: 3, runners: 1 }).await?;
+    let before = settled(&fleet).await?;
+    let lost = fault::Rule {
+        contains: "\"write\"".to_owned(),
+        lose_answer: true,
+        count: Some(1),
+        ..fault::Rule::new("/table")
+    };
+    fleet::Fleet::fault(&fleet.table, &[lost]).await?;
+    let document = fleet.sign(&with_rate(&fleet, 3_000));
+    let answer = fleet.operate(0, "POST", "/v1/accept", &document).await?;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    assert!(settled(&fleet).await? > before);
+    let document = fleet.operate(2, "GET", "/v1/bundle", "").await?.text();
+    assert!(document.contains("rate: 3000\\"), "{document}");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn vm_alone_without_store_and_peers_is_fenced() -> proofs::Result<()> {
+    let fleet = fleet::Fleet::start(fleet::Config { vms: 3, runners: 1 }).await?;
+    fleet.vms[1].freeze()?;
+    fleet.vms[2].freeze()?;
+    fleet.table.freeze()?;
+    fleet.not_ready(0).await?;
+    let body = fleet::chat(2, false, "cut off");
+    let path = "/v1/chat/completions";
+    let answer = fleet.caller().send(fleet.address(0), "POST", path, &[], &body).await?;
+    assert_eq!(answer.status, 503, "{}", answer.text());
+    assert!(answer.text().contains("fenced"), "{}", answer.text());
+    fleet.table.thaw()?;
+    fleet.vms[1].thaw()?;
+    fleet.vms[2].thaw()?;
+    for vm in 0..3 {
+        fleet.ready(vm).await?;
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drained_target_gets_nothing_new() -> proofs::Result<()> {
+    let fleet = fleet::Fleet::start(fleet::Config { vms: 2, runners: 2 }).await?;
+    let answer = fleet.operate(0, "POST", "/v1/amend", r#"{"drain":"runner-1"}"#).await?;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    let before = fleet.begun().await?;
+    for turn in 0..20 {
+        let body = fleet::chat(2, false, &format!("turn {turn}"));
+        let path = "/v1/chat/completions";
+        let vm = turn % 2;
+        let answer = fleet.caller().send(fleet.address(vm), "POST", path, &[], &body).await?;
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+    let after = fleet.begun().await?;
+    assert_eq!(after[0], before[0], "the drained runner began no call");
+    assert_eq!(after[1], before[1] + 20);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn runner_that_says_it_leaves_gets_nothing_new_within_seconds() -> proofs::Result<()> {
+    let fleet = fleet::Fleet::start(fleet::Config { vms: 2, runners: 2 }).await?;
+    fleet::Fleet::control(&fleet.runners[0], "PUT", "/leaving", r#"{"leaving":true}"#).await?;
+    for vm in 0..2 {
+        wait::until("the runner's leaving to be known", async || {
+            let state = fleet.operate(vm, "GET", "/state", "").await.ok()?;
+            let state: serde_json::Value = state.json().ok()?;
+            let target = &state["state"]["targets"]["runner-1"];
+            (target["says_leaving"] == true || target["leaving"] == true).then_some(())
+        })
+        .await?;
+    }
+    for turn in 0..20 {
+        let body = fleet::chat(2, false, &format!("turn {turn}"));
+        let path = "/v1/chat/completions";
+        let vm = turn % 2;
+        let answer = fleet.caller().send(fleet.address(vm), "POST", path, &[], &body).await?;
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+    let counts = fleet::Fleet::control(&fleet.runners[0], "GET", "/counts", "").await?;
+    assert!(!counts.contains("calls-refused"), "none was even tried: {counts}");
+    Ok(())
+}
