plan: what runners offer, in the order of the copies that there are

Cause: offers asked for each item at each runner, four times a second on each VM. Ruled out: the member's view and the quota, whose ticks do not see runners. The rest is the planner's decision; see docs/CAPACITY.md.

--- a/crates/node/benches/step.rs
+++ b/crates/node/benches/step.rs
@@ -4,7 +4,7 @@
 //! are a tick without input, a runner's report, a whole call and one chunk of
 //! a stream. `docs/CAPACITY.md` multiplies these by how often they happen.
 
-use std::{fmt::Write as _, hint, sync, time};
+use std::{collections, fmt::Write as _, hint, sync, time};
 
 use bundle::signed;
 use criterion::{BenchmarkId, Criterion};
@@ -26,6 +26,7 @@
     last_call: u64,
     table: memory::Table,
     objects: memory::Objects,
+    reports: collections::BTreeMap<ids::Target, engine::Report>,
     outputs: Vec<Output>,
 }
 
@@ -65,6 +66,7 @@
             last_call: 0,
             table: memory::Table::default(),
             objects: memory::Objects::default(),
+            reports: (0..runners).map(|runner| report(runner, models, runners)).collect(),
             outputs: Vec::new(),
         };
         scene.found(&config, members);
@@ -73,10 +75,6 @@
         scene.step([Input::Operator { op: ids::Op::new(1), request }]);
         scene.assert_not_refused();
         scene.run(10_000);
-        for runner in 0..runners {
-            scene.step([report(runner, models, runners)]);
-        }
-        scene.run(1_000);
         scene
     }
 
@@ -122,7 +120,7 @@
 
     /// Answers of the platform to the outputs from number `from` on.
     fn answers(&mut self, from: usize) -> Vec<Input> {
-        let Self { outputs, table, objects, .. } = self;
+        let Self { outputs, table, objects, reports, .. } = self;
         let answers = outputs[from..].iter().filter_map(|output| match output {
             Output::Table { op, request } => {
                 Some(Input::Table { op: *op, result: Ok(table.answer(request)) })
@@ -130,6 +128,10 @@
             Output::Object { op, request } => {
                 Some(Input::Object { op: *op, result: Ok(objects.answer(request)) })
             }
+            Output::Report { target, .. } => {
+                let report = reports.get(target).cloned();
+                Some(Input::Report { target: target.clone(), report })
+            }
             _ => None,
         });
         answers.collect()
@@ -178,7 +180,7 @@
     }
 }
 
-fn report(runner: usize, models: usize, runners: usize) -> Input {
+fn report(runner: usize, models: usize, runners: usize) -> (ids::Target, engine::Report) {
     let holds = |model: &usize| (0..COPIES).any(|copy| (model * COPIES + copy) % runners == runner);
     let residents = (0..models).filter(holds).map(|model| engine::report::Resident {
         item: format!("model-{model}").into(),
@@ -187,7 +189,7 @@
         memory_mib: 24_000,
     });
     let report = engine::Report { residents: residents.collect(), ..engine::Report::default() };
-    Input::Report { target: format!("runner-{runner}").into(), report: Some(report) }
+    (format!("runner-{runner}").into(), report)
 }
 
 fn measure(criterion: &mut Criterion) {
@@ -203,8 +205,11 @@
             });
         });
         group.bench_function(BenchmarkId::new("report", &size), |bencher| {
-            let input = report(1, models, runners);
-            bencher.iter(|| scene.step([hint::black_box(input.clone())]));
+            let (target, report) = report(1, models, runners);
+            bencher.iter(|| {
+                let report = Some(hint::black_box(report.clone()));
+                scene.step([Input::Report { target: target.clone(), report }]);
+            });
         });
         group.bench_function(BenchmarkId::new("call-of-64-chunks", &size), |bencher| {
             bencher.iter(|| scene.call());
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -228,24 +228,33 @@
     /// The declared items that have no ready copy.
     #[must_use]
     pub fn unreachable(&self, now: ids::Time) -> Vec<sync::Arc<str>> {
+        let offers = self.offers(now);
+        let offered: collections::BTreeSet<_> = offers.values().flatten().collect();
         let items = self.bundle.iter().flat_map(|bundle| Item::all(bundle, |_| 0));
-        items.map(|item| item.name).filter(|item| self.ready(now, item).is_empty()).collect()
+        items.map(|item| item.name).filter(|item| !offered.contains(item)).collect()
     }
 
     /// Every runner with the items that it is fit to serve now.
+    ///
+    /// The work grows with the copies that there are, not with runners times
+    /// items, for this runs several times a second on every VM.
     #[must_use]
     pub fn offers(
         &self,
         now: ids::Time,
     ) -> collections::BTreeMap<ids::Target, collections::BTreeSet<sync::Arc<str>>> {
-        let targets = self.views.keys().cloned();
-        let mut offers: collections::BTreeMap<_, collections::BTreeSet<_>> =
-            targets.map(|target| (target, collections::BTreeSet::new())).collect();
-        let items = self.bundle.iter().flat_map(|bundle| Item::all(bundle, |_| 0));
-        for item in items {
-            for target in self.ready(now, &item.name) {
-                let offered = offers.entry(target.clone()).or_default();
-                offered.insert(sync::Arc::clone(&item.name));
+        let mut offers = collections::BTreeMap::new();
+        let mut open = collections::BTreeSet::new();
+        for (target, view) in &self.views {
+            let items = self.served(now, target, view);
+            if !self.drained.contains(target) {
+                open.extend(items.iter().cloned());
+            }
+            offers.insert(target.clone(), items);
+        }
+        for target in &self.drained {
+            if let Some(items) = offers.get_mut(target) {
+                items.retain(|item| !open.contains(item));
             }
         }
         offers
@@ -262,6 +271,34 @@
         self.views.iter().map(|(target, view)| (target, &view.ledger))
     }
 
+    /// The items that a runner is fit to serve, drained or not.
+    fn served(
+        &self,
+        now: ids::Time,
+        target: &ids::Target,
+        view: &View,
+    ) -> collections::BTreeSet<sync::Arc<str>> {
+        let Some(seen) = self.fresh(now, view) else {
+            return collections::BTreeSet::new();
+        };
+        if seen.report.leaving || self.leaving.contains(target) {
+            return collections::BTreeSet::new();
+        }
+        let is_ready = |each: &&engine::report::Resident| {
+            let going = self.leads && view.is_going(&each.item, &each.version);
+            each.state == engine::report::State::Ready && !going
+        };
+        let ready = seen.report.residents.iter().filter(is_ready);
+        let mut items: collections::BTreeSet<_> =
+            ready.map(|each| sync::Arc::clone(&each.item)).collect();
+        let has_model = |item: &sync::Arc<str>, items: &collections::BTreeSet<sync::Arc<str>>| {
+            item.split_once(':').is_none_or(|(model, _)| items.contains(model))
+        };
+        let all = items.clone();
+        items.retain(|item| has_model(item, &all));
+        items
+    }
+
     fn serves(&self, now: ids::Time, target: &ids::Target, view: &View, item: &str) -> bool {
         let Some(seen) = self.fresh(now, view) else {
             return false;
