--- a/crates/standin/src/load/mod.rs
+++ b/crates/standin/src/load/mod.rs
@@ -42,6 +42,9 @@
     /// How long calls are sent, in seconds.
     #[arg(long, default_value_t = 60.0)]
     pub seconds: f64,
+    /// Leave the calls of so many first seconds out of the report.
+    #[arg(long, default_value_t = 0.0)]
+    pub warmup_seconds: f64,
     /// How long open calls are waited for at the end, in seconds.
     #[arg(long, default_value_t = 60.0)]
     pub drain_seconds: f64,
@@ -74,6 +77,11 @@
     fn span(&self) -> Result<time::Duration> {
         seconds("--seconds", self.seconds)
     }
+
+    /// Seconds that the report is about.
+    const fn counted_seconds(&self) -> f64 {
+        self.seconds - self.warmup_seconds
+    }
 }
 
 fn seconds(name: &'static str, value: f64) -> Result<time::Duration> {
@@ -117,6 +125,8 @@
         calls.spawn(async move { sender.send(start, arrival, deadline).await });
     }
     let mut samples = calls.join_all().await;
+    let warmup = seconds("--warmup-seconds", config.warmup_seconds)?;
+    samples.retain(|sample| sample.at >= warmup);
     samples.sort_by_key(|sample| sample.at);
     Ok(samples)
 }
--- a/crates/standin/src/load/report.rs
+++ b/crates/standin/src/load/report.rs
@@ -19,6 +19,8 @@
     pub seed: u64,
     /// How long calls were sent, in seconds.
     pub seconds: f64,
+    /// First part of that time that is left out here, in seconds.
+    pub warmup_seconds: f64,
     /// Factor on the mix's calls a second.
     pub scale: f64,
     /// Number of addresses called.
@@ -152,11 +154,12 @@
             deployment: mix.deployment.clone(),
             seed: config.seed,
             seconds: config.seconds,
+            warmup_seconds: config.warmup_seconds,
             scale: config.scale,
             addresses: config.addresses().len(),
             accelerators: config.accelerators,
             margin: config.margin,
-            drafts: Share::of(samples.iter(), accelerators * config.seconds),
+            drafts: Share::of(samples.iter(), accelerators * config.counted_seconds()),
             bins: bins(config, samples),
             worst: worst.map(|account| account.name.clone()),
             accounts,
@@ -177,7 +180,7 @@
 }
 
 fn accounts(config: &Config, mix: &mix::Mix, samples: &[sample::Sample]) -> Vec<Account> {
-    let accelerator_seconds = f64::from(config.accelerators) * config.seconds;
+    let accelerator_seconds = f64::from(config.accelerators) * config.counted_seconds();
     let account = |(index, account): (usize, &mix::Account)| {
         let own = || samples.iter().filter(move |sample| sample.account == index);
         Account {
@@ -194,7 +197,7 @@
     let accelerators = f64::from(config.accelerators);
     let mut bins = Vec::new();
     let mut rest = samples;
-    let mut from = 0.0;
+    let mut from = config.warmup_seconds;
     while from < config.seconds {
         let width = config.bin_seconds.min(config.seconds - from);
         let to = from + width;
@@ -239,8 +242,14 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "{}: seed {}, {} s at scale {}, {} addresses, {} accelerators",
-            self.deployment, self.seed, self.seconds, self.scale, self.addresses, self.accelerators
+            "{}: seed {}, {} s less {} s at scale {}, {} addresses, {} accelerators",
+            self.deployment,
+            self.seed,
+            self.seconds,
+            self.warmup_seconds,
+            self.scale,
+            self.addresses,
+            self.accelerators
         )?;
         writeln!(
             f,
--- a/crates/standin/tests/load.rs
+++ b/crates/standin/tests/load.rs
@@ -117,6 +117,7 @@
         sticky: false,
         seed: 1,
         seconds: 4.0,
+        warmup_seconds: 0.0,
         drain_seconds: 60.0,
         scale: 0.1,
         accelerators: 2,
@@ -200,7 +201,7 @@
     let file = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("mix.yaml");
     fs::write(&file, MIX).expect("the mix is written");
 
-    let config = config(vec![whole.address(), faulty.address()], file);
+    let mut config = config(vec![whole.address(), faulty.address()], file);
     let report = load::run(&config).await.expect("a run");
     let drafts = &report.outcomes["draft"];
     assert_eq!(drafts.values().sum::<u64>(), report.drafts.sent);
@@ -211,6 +212,11 @@
     assert_eq!(report.wrongful_refusals, 2);
     assert!(report.first_token.count >= drafts["answered"]);
     assert!(report.to_string().contains("worst-served account"));
+
+    config.warmup_seconds = 3.0;
+    let last = load::run(&config).await.expect("a run");
+    assert!(last.drafts.sent < report.drafts.sent);
+    assert_eq!(last.bins.len(), 1);
     whole.stop().await;
     faulty.stop().await;
 }
