--- a/crates/node/src/system/dispatch.rs
+++ b/crates/node/src/system/dispatch.rs
@@ -2,7 +2,6 @@
 
 use std::{sync, time};
 
-use platform::vm;
 use rand::Rng as _;
 use route::{queue, retry, target};
 
@@ -35,7 +34,12 @@
         return;
     };
     node.queue.adopt(&force.bundle);
-    node.targets.adopt(&force.bundle, &force.amendments.drained);
+    // What a drained runner still has to serve is the planner's word: it keeps
+    // the last ready copy of a model open until there is another.
+    let is_runner =
+        |target: &&ids::Target| force.bundle.runners.iter().any(|runner| runner.name == **target);
+    let drained = force.amendments.drained.iter().filter(|target| !is_runner(target));
+    node.targets.adopt(&force.bundle, &drained.cloned().collect());
 }
 
 /// Puts a call in the queue, or back in it.
@@ -124,12 +128,9 @@
     }
 }
 
-/// Takes in the platform's list of machines.
-pub fn listed(node: &mut Node, entries: &[vm::Entry]) {
-    for entry in entries {
-        let target = entry.name.as_str().into();
-        node.targets.leave(&target, entry.state == vm::State::Leaving);
-    }
+/// Notes that a target is leaving, or is not any more.
+pub fn leave(node: &mut Node, target: &ids::Target, leaving: bool) {
+    node.targets.leave(target, leaving);
 }
 
 /// Takes out of the queue the call that is to be served next, if it can be.
