standin load: retries as a careful caller makes them; tests of cache events and shared loads

A stream that breaks off is resumed at the next address with its last event's number and the text so far; a booking is repeated with its key.

--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -6,6 +6,9 @@
 
 use crate::{Error, Result};
 
+/// The step at which a request fails of which nothing was sent.
+pub const CONNECT: &str = "connect";
+
 /// A client that keeps connections open between requests.
 #[derive(Clone, Debug)]
 pub struct Client {
@@ -127,7 +130,8 @@
         response.map_err(|error| {
             let cause = std::error::Error::source(&error);
             let reason = cause.map_or_else(|| error.to_string(), ToString::to_string);
-            Error::new("send request", address, reason)
+            let step = if error.is_connect() { CONNECT } else { "send request" };
+            Error::new(step, address, reason)
         })
     }
 }
--- a/crates/standin/src/load/mod.rs
+++ b/crates/standin/src/load/mod.rs
@@ -12,6 +12,7 @@
 pub mod sample;
 pub mod schedule;
 mod sender;
+mod watch;
 
 use std::{net, path, sync, time};
 
@@ -36,6 +37,10 @@
     /// Send all calls of an account to the same address.
     #[arg(long)]
     pub sticky: bool,
+    /// Retries of a call that could not be sent or whose answer broke off, each
+    /// at the next address: a stream is resumed, a booking keeps its key.
+    #[arg(long, default_value_t = 0)]
+    pub retries: u32,
     /// Seed of all random choices.
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
--- a/crates/standin/src/load/report.rs
+++ b/crates/standin/src/load/report.rs
@@ -47,6 +47,8 @@
     pub outcomes: collections::BTreeMap<String, collections::BTreeMap<String, u64>>,
     /// Calls of all kinds refused although they were inside their account's rate.
     pub wrongful_refusals: u64,
+    /// Calls of all kinds answered whole after a retry.
+    pub answered_after_retry: u64,
     /// How late the generator itself was.
     pub generator_late: Times,
 }
@@ -170,11 +172,16 @@
             services: services(mix, samples),
             outcomes: outcomes(mix, samples),
             wrongful_refusals: wrongful(samples.iter()),
+            answered_after_retry: samples.iter().filter(|sample| is_rescued(sample)).count() as u64,
             generator_late: Times::of(samples.iter().map(|sample| sample.late)),
         }
     }
 }
 
+fn is_rescued(sample: &sample::Sample) -> bool {
+    sample.retries > 0 && sample.outcome == sample::Outcome::Answered
+}
+
 fn wrongful<'a>(samples: impl Iterator<Item = &'a sample::Sample>) -> u64 {
     samples.filter(|sample| sample.is_wrongful_refusal()).count() as u64
 }
@@ -272,7 +279,7 @@
             times(f, name, service)?;
         }
         times(f, "generator late", &self.generator_late)?;
-        writeln!(f, "\noutcomes")?;
+        writeln!(f, "\noutcomes ({} answered after a retry)", self.answered_after_retry)?;
         for (kind, outcomes) in &self.outcomes {
             for (outcome, count) in outcomes {
                 writeln!(f, "{:<32} {count:>7}", format!("{kind}, {outcome}"))?;
--- a/crates/standin/src/load/sample.rs
+++ b/crates/standin/src/load/sample.rs
@@ -12,12 +12,14 @@
 /// How a call ended for its caller.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Outcome {
-    /// With the whole answer.
+    /// With the whole answer, after retries or without.
     Answered,
     /// Not run, for the reason with this code.
     NotRun(String),
-    /// With a true word that it may have run, for the reason with this code.
+    /// With the word that it may have run, for the reason with this code.
     Unknown(String),
+    /// No connection could be made.
+    Unreached,
     /// The connection ended without a word.
     Cut,
     /// With an answer to something else, or with a part missing.
@@ -32,6 +34,7 @@
             Self::Answered => f.write_str("answered"),
             Self::NotRun(code) => write!(f, "not-run: {code}"),
             Self::Unknown(code) => write!(f, "unknown: {code}"),
+            Self::Unreached => f.write_str("unreached"),
             Self::Cut => f.write_str("cut"),
             Self::Wrong => f.write_str("wrong"),
             Self::Open => f.write_str("open"),
@@ -60,6 +63,8 @@
     pub first: Option<time::Duration>,
     /// Times between tokens.
     pub gaps: Vec<time::Duration>,
+    /// Attempts after the first.
+    pub retries: u32,
 }
 
 impl Sample {
--- a/crates/standin/src/load/sender.rs
+++ b/crates/standin/src/load/sender.rs
@@ -2,16 +2,18 @@
 
 use std::{net, sync, time};
 
-use http_body_util::BodyExt as _;
-
 use crate::{
-    client,
-    load::{Config, event, judge, mix, sample, schedule},
+    Error, client,
+    load::{Config, judge, mix, sample, schedule, watch},
     text,
 };
 
 /// Header that says what is certain about a call.
 const OUTCOME: &str = "primroseplank-outcome";
+/// Header that names a stream at a VM.
+const STREAM: &str = "primroseplank-stream";
+/// Pause before the first retry; each further one is longer by as much.
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(100);
 
 pub(super) struct Sender {
     client: client::Client,
@@ -21,6 +23,7 @@
     direct: bool,
     sticky: bool,
     seed: u64,
+    retries: u32,
     judges: Vec<sync::Mutex<judge::Judge>>,
 }
 
@@ -39,6 +42,7 @@
             direct: config.is_direct(),
             sticky: config.sticky,
             seed: config.seed,
+            retries: config.retries,
             judges: mix.accounts.iter().map(judge).collect(),
         }
     }
@@ -53,8 +57,8 @@
         let sent = tokio::time::Instant::now();
         let cost = arrival.call.cost(&self.mix);
         let inside = self.judge(arrival.account).allows(arrival.at, cost);
-        let mut watch = Watch::new(sent);
-        let seen = tokio::time::timeout_at(deadline, self.watch(&arrival, &mut watch)).await;
+        let mut watch = watch::Watch::new(sent);
+        let seen = tokio::time::timeout_at(deadline, self.attempt(&arrival, &mut watch)).await;
         let outcome = seen.unwrap_or(sample::Outcome::Open);
         if inside && matches!(outcome, sample::Outcome::NotRun(_)) {
             self.judge(arrival.account).refund(cost);
@@ -72,6 +76,7 @@
             whole: sent.elapsed(),
             first: watch.first,
             gaps: watch.gaps,
+            retries: watch.retries,
         }
     }
 
@@ -79,29 +84,34 @@
         self.judges[account].lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 
-    fn address(&self, arrival: &schedule::Arrival) -> net::SocketAddr {
+    fn address(&self, arrival: &schedule::Arrival, retries: u32) -> net::SocketAddr {
         let choice = if self.sticky { arrival.account } else { arrival.choice as usize };
-        self.addresses[choice % self.addresses.len()]
+        self.addresses[(choice + retries as usize) % self.addresses.len()]
     }
 
-    async fn watch(&self, arrival: &schedule::Arrival, watch: &mut Watch) -> sample::Outcome {
-        let address = self.address(arrival);
-        match &arrival.call {
-            schedule::Call::Service(index) => {
-                let request = self.service_request(address, arrival, &self.mix.services[*index]);
-                self.whole(address, request).await
-            }
-            schedule::Call::Draft { model, prompt, max_tokens } => {
-                let body = serde_json::json!({
-                    "model": &**model,
-                    "messages": [{"role": "user", "content": prompt}],
-                    "max_tokens": max_tokens,
-                    "stream": true,
-                });
-                let expected = Expected { prompt: text::digest(&body), total: *max_tokens };
-                let request = self.draft_request(address, arrival, &body);
-                self.stream(address, request, &expected, watch).await
+    /// Sends the call until it has ended or may not be tried again.
+    async fn attempt(
+        &self,
+        arrival: &schedule::Arrival,
+        watch: &mut watch::Watch,
+    ) -> sample::Outcome {
+        loop {
+            let address = self.address(arrival, watch.retries);
+            let outcome = match &arrival.call {
+                schedule::Call::Service(index) => {
+                    let service = &self.mix.services[*index];
+                    self.whole(address, self.service_request(address, arrival, service)).await
+                }
+                schedule::Call::Draft { model, prompt, max_tokens } => {
+                    let draft = Draft { model, prompt, max_tokens: *max_tokens };
+                    self.stream(address, arrival, draft, watch).await
+                }
+            };
+            if watch.retries == self.retries || !may_retry(arrival, &outcome, watch) {
+                return outcome;
             }
+            watch.retries += 1;
+            tokio::time::sleep(RETRY_PAUSE * watch.retries).await;
         }
     }
 
@@ -145,17 +155,30 @@
         request.body(body.into())
     }
 
+    /// The request for a draft, or for the rest of it if a part is there.
     fn draft_request(
         &self,
         address: net::SocketAddr,
         arrival: &schedule::Arrival,
-        body: &serde_json::Value,
+        mut body: serde_json::Value,
+        watch: &watch::Watch,
     ) -> http::Result<http::Request<bytes::Bytes>> {
         let mut request = self.request(address, arrival, "POST", "/v1/chat/completions");
         if self.direct {
+            let attempt = format!("{}-{}", self.name(arrival), watch.retries);
             request = request
-                .header(engine::header::CALL, self.name(arrival))
-                .header(engine::header::STREAM, self.name(arrival));
+                .header(engine::header::CALL, attempt)
+                .header(engine::header::STREAM, self.name(arrival))
+                .header(engine::header::RESUME_FROM, watch.chunks);
+        }
+        if let Some(stream) = &watch.stream
+            && !self.direct
+        {
+            request = request.header(STREAM, stream);
+        }
+        if let Some(last) = watch.chunks.checked_sub(1) {
+            body["continue_text"] = text::range(&text::digest(&body), 0, watch.chunks).into();
+            request = request.header("last-event-id", last);
         }
         request.body(body.to_string().into())
     }
@@ -171,22 +194,25 @@
         match self.client.request(address, request).await {
             Ok(answer) if answer.status.is_success() => sample::Outcome::Answered,
             Ok(answer) => failure(&answer),
-            Err(_) => sample::Outcome::Cut,
+            Err(error) => lost(&error),
         }
     }
 
     async fn stream(
         &self,
         address: net::SocketAddr,
-        request: http::Result<http::Request<bytes::Bytes>>,
-        expected: &Expected,
-        watch: &mut Watch,
+        arrival: &schedule::Arrival,
+        draft: Draft<'_>,
+        watch: &mut watch::Watch,
     ) -> sample::Outcome {
-        let Ok(request) = request else {
+        let body = draft.body();
+        let expected = watch::Expected { prompt: text::digest(&body), total: draft.max_tokens };
+        let Ok(request) = self.draft_request(address, arrival, body, watch) else {
             return sample::Outcome::NotRun("bad-mix".to_owned());
         };
-        let Ok(response) = self.client.open(address, request).await else {
-            return sample::Outcome::Cut;
+        let response = match self.client.open(address, request).await {
+            Ok(response) => response,
+            Err(error) => return lost(&error),
         };
         if !response.status().is_success() {
             return match client::Answer::collect(address, response).await {
@@ -194,10 +220,49 @@
                 Err(_) => sample::Outcome::Cut,
             };
         }
-        watch.follow(response.into_body(), expected).await
+        let name = if self.direct { engine::header::STREAM } else { STREAM };
+        watch.stream = response.headers().get(name).cloned();
+        watch.follow(response.into_body(), &expected).await
     }
 }
 
+/// A draft to ask for.
+#[derive(Clone, Copy)]
+struct Draft<'a> {
+    model: &'a str,
+    prompt: &'a str,
+    max_tokens: u32,
+}
+
+impl Draft<'_> {
+    fn body(&self) -> serde_json::Value {
+        serde_json::json!({
+            "model": self.model,
+            "messages": [{"role": "user", "content": self.prompt}],
+            "max_tokens": self.max_tokens,
+            "stream": true,
+        })
+    }
+}
+
+/// Whether a careful caller would go on with a call that ended so.
+fn may_retry(arrival: &schedule::Arrival, outcome: &sample::Outcome, watch: &watch::Watch) -> bool {
+    match (outcome, &arrival.call) {
+        // Nothing was sent; lookups may be repeated; a booking has its idempotency key.
+        (sample::Outcome::Unreached, _) | (sample::Outcome::Cut, schedule::Call::Service(_)) => {
+            true
+        }
+        (sample::Outcome::Cut | sample::Outcome::Unknown(_), schedule::Call::Draft { .. }) => {
+            watch.stream.is_some()
+        }
+        _ => false,
+    }
+}
+
+fn lost(error: &Error) -> sample::Outcome {
+    if error.step() == client::CONNECT { sample::Outcome::Unreached } else { sample::Outcome::Cut }
+}
+
 /// What an error answer says.
 fn failure(answer: &client::Answer) -> sample::Outcome {
     let value: serde_json::Value = answer.json().unwrap_or_default();
@@ -211,79 +276,3 @@
         _ => sample::Outcome::Unknown(code),
     }
 }
-
-/// The answer that a draft must have.
-struct Expected {
-    prompt: ids::Digest,
-    total: u32,
-}
-
-/// Times of a stream's tokens.
-struct Watch {
-    sent: tokio::time::Instant,
-    last: tokio::time::Instant,
-    first: Option<time::Duration>,
-    gaps: Vec<time::Duration>,
-    chunks: u64,
-}
-
-impl Watch {
-    const fn new(sent: tokio::time::Instant) -> Self {
-        Self { sent, last: sent, first: None, gaps: Vec::new(), chunks: 0 }
-    }
-
-    async fn follow(
-        &mut self,
-        mut body: hyper::body::Incoming,
-        expected: &Expected,
-    ) -> sample::Outcome {
-        let mut parser = event::Parser::default();
-        while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else {
-                return sample::Outcome::Cut;
-            };
-            if let Some(data) = frame.data_ref() {
-                parser.push(data);
-            }
-            while let Some(event) = parser.take() {
-                if let Some(outcome) = self.take(&event, expected) {
-                    return outcome;
-                }
-            }
-        }
-        sample::Outcome::Cut
-    }
-
-    /// Notes an event; returns how the call ended, if it did.
-    fn take(&mut self, event: &event::Event, expected: &Expected) -> Option<sample::Outcome> {
-        if event.data == "[DONE]" {
-            let is_whole = self.chunks == u64::from(expected.total);
-            return Some(if is_whole { sample::Outcome::Answered } else { sample::Outcome::Wrong });
-        }
-        let data: serde_json::Value = serde_json::from_str(&event.data).unwrap_or_default();
-        if event.name == "error" {
-            let code = data["code"].as_str().unwrap_or("none").to_owned();
-            return Some(match data["outcome"].as_str() {
-                Some("not-run") => sample::Outcome::NotRun(code),
-                _ => sample::Outcome::Unknown(code),
-            });
-        }
-        let content = data["choices"][0]["delta"]["content"].as_str()?;
-        if content != text::chunk(&expected.prompt, self.chunks) {
-            return Some(sample::Outcome::Wrong);
-        }
-        self.count();
-        None
-    }
-
-    fn count(&mut self) {
-        let now = tokio::time::Instant::now();
-        if self.chunks == 0 {
-            self.first = Some(now - self.sent);
-        } else {
-            self.gaps.push(now - self.last);
-        }
-        self.last = now;
-        self.chunks += 1;
-    }
-}
--- a/crates/standin/tests/load.rs
+++ b/crates/standin/tests/load.rs
@@ -115,6 +115,7 @@
         vms: Vec::new(),
         runners,
         sticky: false,
+        retries: 0,
         seed: 1,
         seconds: 4.0,
         warmup_seconds: 0.0,
@@ -138,6 +139,7 @@
         whole: time::Duration::from_secs(1),
         first: Some(time::Duration::from_millis(first)),
         gaps: gaps.iter().copied().map(time::Duration::from_millis).collect(),
+        retries: 0,
     }
 }
 
@@ -220,3 +222,30 @@
     whole.stop().await;
     faulty.stop().await;
 }
+
+#[tokio::test]
+async fn broken_streams_are_resumed_at_the_next_address() {
+    let held = |config: runner::Config| {
+        config.with_resident("draft", "v1", 1_000).with_resident("quote", "v1", 1_000)
+    };
+    let whole = runner::start(&held(runner::Config::default())).expect("starts");
+    let faulty = runner::start(&held(runner::Config::default())).expect("starts");
+    let rules = r#"[{"path": "/v1", "break_after": 1}]"#;
+    let client = client::Client::new();
+    let set = client.send(faulty.control(), "PUT", "/faults", rules).await;
+    assert_eq!(set.expect("an answer").status, 204);
+    let file = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("resumed.yaml");
+    fs::write(&file, MIX).expect("the mix is written");
+
+    let mut config = config(vec![whole.address(), faulty.address()], file);
+    config.retries = 1;
+    let report = load::run(&config).await.expect("a run");
+    let drafts = report.drafts.sent;
+    assert_eq!(report.outcomes["draft"]["answered"], drafts);
+    assert!(report.answered_after_retry > 0 && report.answered_after_retry < drafts);
+    let seen = client.send(whole.control(), "GET", "/counts", "").await;
+    let seen = seen.expect("an answer").text();
+    assert!(!seen.contains("continue-text-wrong"), "{seen}");
+    whole.stop().await;
+    faulty.stop().await;
+}
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -189,3 +189,24 @@
     assert!(begun.elapsed() < time::Duration::from_secs(4));
     weights.stop().await;
 }
+
+#[tokio::test]
+async fn loads_beyond_the_number_at_once_share_the_speed() {
+    let config = weight::Config {
+        loads_per_second: 1000.0,
+        loads_at_once: 1,
+        mib_per_second: 100.0,
+        ..weight::Config::default()
+    };
+    let weights = weight::start(&config).expect("starts");
+    let client = client::Client::new();
+    let body = r#"{"item":"a","version":"v1","mib":50}"#;
+    let load = || client.send(weights.address(), "POST", "/load", body);
+    let begun = time::Instant::now();
+    let (first, second) = tokio::join!(load(), load());
+    assert_eq!(first.expect("an answer").status, 204);
+    assert_eq!(second.expect("an answer").status, 204);
+    // Each takes half a second alone; at half the speed both take a whole one.
+    assert!(begun.elapsed() >= time::Duration::from_millis(900));
+    weights.stop().await;
+}
--- a/crates/standin/tests/runner.rs
+++ b/crates/standin/tests/runner.rs
@@ -251,3 +251,21 @@
     assert_eq!(events(&doubled.text()).0, [0, 0, 1, 1]);
     runner.stop().await;
 }
+
+#[tokio::test]
+async fn cache_events_come_late_and_with_gaps() {
+    let prompt: Vec<String> = (0..160).map(|word| format!("word{word}")).collect();
+    let mut long = body(false, 1);
+    long["messages"][0]["content"] = prompt.join(" ").into();
+    for (event_lag_ms, expected) in [(0, vec![1, 2, 4, 5, 7, 8, 10]), (600_000, Vec::new())] {
+        let config = runner::Config { event_lag_ms, event_gap: 3, ..runner::Config::default() };
+        let runner = start(config);
+        call(&runner, &long, &[]).await.expect("an answer");
+        let client = client::Client::new();
+        let events = client.send(runner.address(), "GET", "/events?after=0", "").await;
+        let events: Vec<standin::cache::Event> = events.expect("an answer").json().expect("events");
+        let numbers: Vec<u64> = events.iter().map(|event| event.seq).collect();
+        assert_eq!(numbers, expected);
+        runner.stop().await;
+    }
+}
