--- a/crates/member/src/head.rs
+++ b/crates/member/src/head.rs
@@ -106,6 +106,14 @@
         members.map(Member::seat).collect()
     }
 
+    /// The member that collects word of adoptions: the author of the last
+    /// change, or the first witness if the author has left.
+    #[must_use]
+    pub fn collector(&self) -> Option<&ids::Vm> {
+        let author = self.author.as_ref().filter(|vm| self.member(vm).is_some());
+        author.or_else(|| self.witnesses.first())
+    }
+
     /// How many witnesses are a majority.
     #[must_use]
     pub const fn majority(&self) -> usize {
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -18,14 +18,6 @@
 /// Numbers of operations of this area begin here.
 const OPS: u64 = 1 << 56;
 
-/// The newest head that a VM can be shown to be up to date with.
-#[derive(Clone, Copy, Debug)]
-struct Evidence {
-    version: ids::Version,
-    /// The head was the newest at this moment at least.
-    time: ids::Time,
-}
-
 /// What is known of another VM.
 #[derive(Clone, Debug)]
 struct Peer {
@@ -68,8 +60,9 @@
     head_since: ids::Time,
     previous: Option<head::Head>,
     adopted: Option<head::Head>,
-    evidence: Option<Evidence>,
-    /// When the head in force here was last shown to be the newest.
+    /// No head newer than the newest known was confirmed at this moment.
+    evidence: Option<ids::Time>,
+    /// No head newer than the one in force here was confirmed at this moment.
     shown: Option<ids::Time>,
     /// Keys withdrawn by heads that are not in force here yet.
     withdrawn: collections::BTreeMap<ids::Version, ids::Key>,
--- a/crates/member/src/view/dump.rs
+++ b/crates/member/src/view/dump.rs
@@ -56,15 +56,12 @@
             (vm.clone(), peer)
         });
         let unlisted = self.unlisted.iter();
-        let evidence = self
-            .evidence
-            .filter(|known| known.version == self.version());
         Dump {
             head: self.head.clone(),
             in_force: self.adopted_version(),
             settled: self.settled,
             reason: self.serves(now).err(),
-            age_ms: evidence.map(|known| millis(known.time)),
+            age_ms: self.evidence.map(millis),
             table_answers: self.store_up,
             peers: peers.collect(),
             unlisted_ms: unlisted
--- a/crates/member/src/view/fresh.rs
+++ b/crates/member/src/view/fresh.rs
@@ -1,10 +1,10 @@
 //! Freshness: reads of the head, questions to peers, and what they show.
 
-use std::time;
+use std::{cmp, time};
 
 use rand::Rng as _;
 
-use super::{Ask, Evidence, Peer, Read, View};
+use super::{Ask, Peer, Read, View};
 use crate::{head, message, output, row};
 
 impl View {
@@ -14,9 +14,8 @@
             return;
         }
         self.next_refresh = now + self.config.read_every;
-        let old = self
-            .age(now)
-            .is_none_or(|age| age > self.config.fresh_for / 2);
+        let limit = self.config.fresh_for * 2 / 3;
+        let old = self.age(now).is_none_or(|age| age > limit);
         if !self.is_member() || self.is_witness() || old {
             self.read(now, out);
         }
@@ -40,10 +39,7 @@
             return Vec::new();
         }
         if self.is_witness() {
-            let patience = self.config.read_every + self.config.read_every / 2;
-            let read = self.age(now).is_some_and(|age| age <= patience);
-            let others = head.witnesses.iter().filter(|vm| !read && *vm != me);
-            return others.cloned().collect();
+            return self.colleagues(now, head);
         }
         let mut sources: Vec<_> = super::tree::parent(head, me, self.config.fanout)
             .into_iter()
@@ -55,6 +51,25 @@
         sources
     }
 
+    /// The witnesses to ask: none while reads succeed, then as many as make a
+    /// majority with one to spare, those first that answered last, and all of
+    /// them when time gets short.
+    fn colleagues(&self, now: ids::Time, head: &head::Head) -> Vec<ids::Vm> {
+        let age = self.age(now).unwrap_or(time::Duration::MAX);
+        if age <= self.config.read_every + self.config.read_every / 2 {
+            return Vec::new();
+        }
+        let me = &self.config.me.vm;
+        let others = head.witnesses.iter().filter(|vm| *vm != me);
+        let mut others: Vec<_> = others.cloned().collect();
+        if age < self.config.fresh_for / 2 {
+            let answered = |vm: &ids::Vm| self.peers.get(vm).and_then(|peer| peer.asked);
+            others.sort_by_key(|vm| cmp::Reverse(answered(vm)));
+            others.truncate(head.majority());
+        }
+        others
+    }
+
     /// Reads the head.
     pub(super) fn read(&mut self, now: ids::Time, out: &mut Vec<output::Output>) {
         let read = Read {
@@ -289,29 +304,24 @@
         peer.asked.filter(|_| same)
     }
 
-    /// Notes that `version` was the newest head at `time`.
+    /// Notes that no head newer than `version` was confirmed at `time`. That
+    /// holds for every later version too, so a change interrupts no VM.
     pub(super) fn observe(&mut self, version: ids::Version, time: ids::Time) {
+        if version > self.version() {
+            return;
+        }
         if self.woken.is_some_and(|woken| time >= woken) {
             self.woken = None;
         }
-        if self
-            .adopted
-            .as_ref()
-            .is_some_and(|head| head.version == version)
-        {
+        self.evidence = self.evidence.max(Some(time));
+        if version <= self.adopted_version() {
             self.shown = self.shown.max(Some(time));
         }
-        let known = self.evidence.map(|known| (known.version, known.time));
-        if known < Some((version, time)) {
-            self.evidence = Some(Evidence { version, time });
-        }
     }
 
     /// The time since the newest head known was shown to be the newest.
     pub(super) fn age(&self, now: ids::Time) -> Option<time::Duration> {
-        let evidence = self.evidence?;
-        let current = evidence.version == self.version();
-        current.then(|| now.since(evidence.time))
+        Some(now.since(self.evidence?))
     }
 
     /// Drops questions and reads that are too old to show anything.
--- a/crates/member/src/view/learn.rs
+++ b/crates/member/src/view/learn.rs
@@ -70,13 +70,14 @@
             return;
         }
         let head = head.clone();
-        let evidence = self.evidence.filter(|evidence| evidence.version == version);
-        self.shown = evidence.map(|evidence| evidence.time);
+        if version == self.version() {
+            self.shown = self.shown.max(self.evidence);
+        }
         self.withdrawn.retain(|withdrawn, _| *withdrawn > version);
-        let author = head.author.clone();
+        let collector = head.collector().cloned();
         self.adopted = Some(head);
         let now = self.last_input.unwrap_or_default();
-        if let Some(to) = author.filter(|vm| *vm != self.config.me.vm) {
+        if let Some(to) = collector.filter(|vm| *vm != self.config.me.vm) {
             let message = self.status(now, 0);
             out.push(output::Output::Peer { to, message });
         }
--- a/crates/member/src/view/settle.rs
+++ b/crates/member/src/view/settle.rs
@@ -16,8 +16,8 @@
 /// Most members asked at once for whether they have adopted a head.
 const CHASE_MAX: usize = 16;
 
-/// After this long, other witnesses than the author see a head settled.
-const AUTHOR_PATIENCE: time::Duration = time::Duration::from_secs(1);
+/// After this long, other witnesses than the collector see a head settled.
+const COLLECTOR_PATIENCE: time::Duration = time::Duration::from_secs(1);
 
 /// A change that was written and is not settled.
 #[derive(Clone, Debug)]
@@ -138,8 +138,9 @@
     /// Asks whoever is missing for a head to be settled.
     pub(super) fn chase(&mut self, now: ids::Time, out: &mut Vec<output::Output>) {
         let Some(head) = &self.head else { return };
-        let author = head.author.as_ref() == Some(&self.config.me.vm);
-        let duty = author || (self.is_witness() && now.since(self.head_since) >= AUTHOR_PATIENCE);
+        let collector = head.collector() == Some(&self.config.me.vm);
+        let duty =
+            collector || (self.is_witness() && now.since(self.head_since) >= COLLECTOR_PATIENCE);
         if !duty || self.settled >= head.version || now < self.next_chase {
             return;
         }
@@ -147,7 +148,7 @@
         let prior = prior.filter(|seat| !self.knows(now, seat, head.version));
         let previous = self.previous.iter().flat_map(|head| &head.members);
         let members = previous.chain(&head.members).map(head::Member::seat);
-        let members = members.filter(|seat| author && !self.has_adopted(seat, head));
+        let members = members.filter(|seat| collector && !self.has_adopted(seat, head));
         let mut missing: Vec<_> = prior.cloned().chain(members).map(|seat| seat.vm).collect();
         missing.sort();
         missing.dedup();
--- a/crates/member/tests/changes.rs
+++ b/crates/member/tests/changes.rs
@@ -1,5 +1,6 @@
 //! Changes of the head by operators and by the VMs themselves.
 
+#[expect(dead_code, reason = "each test file uses a part of the harness")]
 mod fleet;
 
 use fleet::{Fleet, Store};
@@ -199,3 +200,35 @@
     fleet.stop(2);
     fleet.until(12_000, |fleet| fleet.vms[2].left.is_some());
 }
+
+#[test]
+fn vms_that_join_do_not_outvote_witnesses_that_know_nothing() {
+    let mut fleet = Fleet::serving(5, 14);
+    for vm in 0..3 {
+        fleet.vms[vm].store_cut = true;
+        let others = (3..9).flat_map(|other| [(vm, other), (other, vm)]);
+        fleet.cuts.extend(others);
+    }
+    let one = fleet.withdraw(3, "k1");
+    fleet.run(2_000);
+    (5..9).for_each(|_| fleet.add());
+    fleet.run(5_000);
+    let two = fleet.withdraw(4, "k2");
+    fleet.run(20_000);
+    for op in [one, two] {
+        assert!(matches!(fleet.outcomes[&op], Outcome::Unknown { .. }));
+    }
+    assert!((0..3).all(|vm| fleet.serves(vm)));
+}
+
+#[test]
+fn a_change_interrupts_no_vm() {
+    let mut fleet = Fleet::serving(5, 15);
+    for change in 0..20 {
+        let op = fleet.accept(change % 5, &format!("bundle {change}"));
+        while !fleet.outcomes.contains_key(&op) {
+            fleet.run(fleet::STEP);
+            assert_eq!(fleet.count(), 5, "at {}", fleet.now);
+        }
+    }
+}
--- a/crates/member/tests/fleet/mod.rs
+++ b/crates/member/tests/fleet/mod.rs
@@ -2,13 +2,23 @@
 //!
 //! Time is virtual. Every VM has a clock of its own, with an offset and a rate.
 
-use std::{collections, fmt::Write as _, sync};
+use std::{collections, fmt::Write as _, sync, time};
 
 use rand::{Rng as _, SeedableRng as _};
 
 pub const STEP: u64 = 10;
 const TICK: u64 = 50;
 
+/// Fleets above this size have the settings of the largest deployments.
+const LARGE: usize = 50;
+
+/// What a VM has sent and received.
+#[derive(Clone, Copy, Default)]
+pub struct Traffic {
+    pub messages: u64,
+    pub bytes: u64,
+}
+
 pub enum Event {
     Request(platform::table::Request),
     Answer(platform::Result<platform::table::Answer>),
@@ -35,6 +45,7 @@
     pub settled: ids::Version,
     /// Why it is not ready, as it last said.
     pub unready: Option<member::Reason>,
+    pub traffic: Traffic,
     held: Vec<Due>,
     offset: u64,
     /// Rate of the clock in 1/1000.
@@ -70,9 +81,10 @@
     pub written: collections::BTreeSet<ids::Digest>,
     pub withdrawn: collections::BTreeSet<ids::Key>,
     pub reads: usize,
-    pub bytes: u64,
     pub session: String,
     pub lag: u64,
+    /// Whether it has the settings of the largest deployments.
+    large: bool,
     pub objects_up: bool,
     pub proven: ids::Version,
     events: collections::BTreeMap<(u64, u64), Due>,
@@ -97,34 +109,50 @@
             written: collections::BTreeSet::new(),
             withdrawn: collections::BTreeSet::new(),
             reads: 0,
-            bytes: 0,
             session: String::new(),
             lag: 5,
+            large: vms > LARGE,
             objects_up: true,
             proven: ids::Version::default(),
             events: collections::BTreeMap::new(),
             sequence: 0,
             ops: 0,
         };
-        for vm in 0..vms {
-            let offset = fleet.rng.random_range(0..10_000_000);
-            let rate = fleet.rng.random_range(970..=1_030);
-            fleet.vms.push(Vm {
-                view: None,
-                incarnation: ids::Incarnation::new(0),
-                frozen: false,
-                store_cut: false,
-                listed: true,
-                left: None,
-                settled: ids::Version::default(),
-                unready: Some(member::Reason::Starting),
-                held: Vec::new(),
-                offset,
-                rate,
-                in_force: ids::Version::default(),
-            });
-            fleet.start(vm);
-        }
+        (0..vms).for_each(|_| fleet.add());
+        fleet
+    }
+
+    /// Starts another VM.
+    pub fn add(&mut self) {
+        let vm = self.vms.len();
+        let offset = self.rng.random_range(0..10_000_000);
+        let rate = self.rng.random_range(970..=1_030);
+        self.vms.push(Vm {
+            view: None,
+            incarnation: ids::Incarnation::new(0),
+            frozen: false,
+            store_cut: false,
+            listed: true,
+            left: None,
+            settled: ids::Version::default(),
+            unready: Some(member::Reason::Starting),
+            traffic: Traffic::default(),
+            held: Vec::new(),
+            offset,
+            rate,
+            in_force: ids::Version::default(),
+        });
+        self.start(vm);
+    }
+
+    /// A fleet of which all are members from the beginning.
+    pub fn seeded(vms: usize, seed: u64) -> Self {
+        let mut fleet = Self::new(vms, seed);
+        let join = |head: member::Head, vm| head.with_member(fleet.member(vm), 9);
+        let mut head = (0..vms).fold(member::Head::default(), join);
+        head.version = ids::Version::new(1);
+        fleet.execute(member::row::write(&head));
+        fleet.until(30_000, |fleet| fleet.count() == vms);
         fleet
     }
 
@@ -148,17 +176,14 @@
     }
 
     pub fn start(&mut self, vm: usize) {
-        let incarnation = ids::Incarnation::new(self.now + vm as u64);
-        let me = member::Member {
-            vm: Self::name(vm),
-            incarnation,
-            centre: ["a", "b", "c", "d"][vm % 4].into(),
-            peer: format!("10.0.0.{vm}:7000").into(),
-        };
-        let view = member::View::new(member::Config::new(me, 1));
+        self.vms[vm].incarnation = ids::Incarnation::new(self.now + vm as u64);
+        let mut config = member::Config::new(self.member(vm), 1);
+        if self.large {
+            config.fresh_for = time::Duration::from_secs(5);
+            config.read_every = time::Duration::from_secs(1);
+        }
         let entry = &mut self.vms[vm];
-        entry.view = Some(view);
-        entry.incarnation = incarnation;
+        entry.view = Some(member::View::new(config));
         entry.frozen = false;
         entry.left = None;
         entry.held.clear();
@@ -166,6 +191,15 @@
         entry.in_force = ids::Version::default();
     }
 
+    fn member(&self, vm: usize) -> member::Member {
+        member::Member {
+            vm: Self::name(vm),
+            incarnation: self.vms[vm].incarnation,
+            centre: ["a", "b", "c", "d", "e", "f"][vm % 6].into(),
+            peer: format!("10.0.0.{vm}:7000").into(),
+        }
+    }
+
     pub fn kill(&mut self, vm: usize) {
         self.vms[vm].view = None;
     }
@@ -341,7 +375,11 @@
                     incarnation: self.vms[vm].incarnation.get(),
                     message: &message,
                 };
-                self.bytes += wire::encode(&frame).unwrap().len() as u64;
+                let bytes = wire::encode(&frame).unwrap().len() as u64;
+                for end in [vm, to] {
+                    self.vms[end].traffic.messages += 1;
+                    self.vms[end].traffic.bytes += bytes;
+                }
                 if !lost && !self.cuts.contains(&(vm, to)) {
                     let incarnation = self.vms[vm].incarnation;
                     let event = Event::Peer(Self::name(vm), incarnation, message);
--- a/crates/member/tests/freshness.rs
+++ b/crates/member/tests/freshness.rs
@@ -99,6 +99,8 @@
     for vm in 0..3 {
         fleet.vms[vm].frozen = true;
         fleet.vms[vm].listed = false;
+        fleet.vms[vm].store_cut = true;
+        fleet.cuts.extend([(vm, 3), (vm, 4), (3, vm), (4, vm)]);
     }
     for _ in 0..30 {
         fleet.run(1_000);
@@ -113,8 +115,6 @@
     ));
     for vm in 0..3 {
         fleet.vms[vm].frozen = false;
-        fleet.vms[vm].store_cut = true;
-        fleet.cuts.extend([(vm, 3), (vm, 4), (3, vm), (4, vm)]);
     }
     fleet.run(10_000);
     assert_eq!(fleet.count(), 2);
--- a/crates/member/tests/schedules.rs
+++ b/crates/member/tests/schedules.rs
@@ -18,7 +18,7 @@
     let vm = fleet.rng.random_range(0..VMS);
     let other = fleet.rng.random_range(0..VMS);
     let name = format!("{}", fleet.now);
-    let what = fleet.rng.random_range(0..18);
+    let what = fleet.rng.random_range(0..20);
     fleet.note(vm, &format!("fault {what} {other}"));
     match what {
         0 => fleet.kill(vm),
@@ -38,7 +38,8 @@
         13 => fleet.store = Store::Slow,
         14 => fleet.store = Store::Up,
         15 => fleet.loss = fleet.rng.random_range(0..60),
-        16 => {
+        16 | 17 => partition(fleet),
+        18 => {
             fleet.accept(vm, &name);
         }
         _ => {
@@ -48,6 +49,16 @@
     }
 }
 
+/// Cuts the fleet in two, of which one part has no store.
+fn partition(fleet: &mut Fleet) {
+    let sides: Vec<bool> = (0..VMS).map(|_| fleet.rng.random()).collect();
+    for vm in 0..VMS {
+        fleet.vms[vm].store_cut = sides[vm];
+        let across = (0..VMS).filter(|other| sides[*other] != sides[vm]);
+        fleet.cuts.extend(across.map(|other| (vm, other)));
+    }
+}
+
 /// Starts a VM whose process has ended. A frozen process does not outlive its
 /// successor.
 fn restart(fleet: &mut Fleet, vm: usize) {
