--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -461,7 +461,7 @@
             alive: seen.is_some(),
             open: !closed,
             settled: draft.is_some() && founded,
-            residents: draft.unwrap_or(&view.ledger).residents.clone(),
+            residents: draft.unwrap_or_else(|| view.expected()).residents.clone(),
             held: view.held(now),
         }
     }
--- a/crates/plan/src/rows.rs
+++ b/crates/plan/src/rows.rs
@@ -188,7 +188,7 @@
     fn forget(&mut self, rows: &[(ids::Target, Ledger)]) {
         for (target, _) in rows {
             if let Some(view) = self.views.get_mut(target) {
-                view.intended = Ledger::default();
+                view.intended = None;
             }
         }
     }
@@ -246,7 +246,7 @@
         for (target, ledger) in intended {
             if let Some(view) = self.views.get_mut(&target) {
                 view.busy = Some(op);
-                view.intended = ledger;
+                view.intended = Some(ledger);
             }
         }
     }
--- a/crates/plan/src/view.rs
+++ b/crates/plan/src/view.rs
@@ -56,7 +56,7 @@
     /// Whether a write to this version of the row may still take effect.
     pub(crate) in_doubt: bool,
     /// What the row may have become by a write whose outcome is not known.
-    pub(crate) intended: Ledger,
+    pub(crate) intended: Option<Ledger>,
     /// When the row's version was first known.
     learned: ids::Time,
     locals: collections::BTreeMap<Name, Local>,
@@ -111,7 +111,7 @@
         }
         self.in_doubt &= self.version == version;
         if !self.in_doubt {
-            self.intended = Ledger::default();
+            self.intended = None;
         }
         self.known = true;
         self.version = version;
@@ -136,6 +136,11 @@
         self.ledger = ledger;
     }
 
+    /// The row as it is, or as it will be if the write under way takes effect.
+    pub(crate) fn expected(&self) -> &Ledger {
+        self.intended.as_ref().unwrap_or(&self.ledger)
+    }
+
     /// Whether decisions may be made about the row now.
     pub(crate) const fn is_settled(&self) -> bool {
         self.known && self.busy.is_none()
@@ -193,7 +198,8 @@
 
     /// Whether `version` of `item` is to go, or may be by a write under way.
     pub(crate) fn is_going(&self, item: &str, version: &str) -> bool {
-        [&self.ledger, &self.intended].into_iter().any(|ledger| {
+        let mut ledgers = std::iter::once(&self.ledger).chain(&self.intended);
+        ledgers.any(|ledger| {
             let row = ledger.get(item, version);
             row.is_some_and(|resident| resident.state == State::Unloading)
         })
