plan: an order in doubt is replaced, not called off

Where a runner checks fencing tokens, a load with unknown outcome was called off by an order to unload. Now the load is ordered anew with a newer fencing token: the runner refuses the older order, or has the copy already. A refusal of the newer order does not prove the older one dead; without that a_refusal_of_the_newer_order_does_not_release_what_the_older_one_may_load showed the reservation gone.

--- a/crates/plan/src/view.rs
+++ b/crates/plan/src/view.rs
@@ -27,10 +27,32 @@
     /// When the resident was first seen in its present state.
     since: ids::Time,
     sent: Option<Sent>,
+    /// Whether the pending order has replaced one that may yet arrive.
+    replaces: bool,
     /// When the sender of its pending order was first seen to have left.
     left: Option<ids::Time>,
 }
 
+impl Local {
+    /// What is known of a resident that has just changed, or is new.
+    fn new(now: ids::Time, resident: &Resident, old: Option<Self>) -> Self {
+        let fence = resident.order.as_ref().map(|pending| pending.fence);
+        let pending = |old: &Self| old.resident.order.is_some() && fence.is_some();
+        let replaces = old
+            .as_ref()
+            .is_some_and(|old| pending(old) && !has_no_effect(old));
+        Self {
+            resident: resident.clone(),
+            since: now,
+            sent: old
+                .and_then(|old| old.sent)
+                .filter(|sent| Some(sent.fence) == fence),
+            replaces,
+            left: None,
+        }
+    }
+}
+
 /// A report as it was received.
 #[derive(Clone, Debug)]
 pub(crate) struct Seen {
@@ -121,15 +143,7 @@
             let key = name(resident);
             let local = match known.remove(&key) {
                 Some(local) if local.resident == *resident => local,
-                old => Local {
-                    resident: resident.clone(),
-                    since: now,
-                    sent: old.and_then(|old| old.sent).filter(|sent| {
-                        let pending = resident.order.as_ref();
-                        pending.is_some_and(|pending| pending.fence == sent.fence)
-                    }),
-                    left: None,
-                },
+                old => Local::new(now, resident, old),
             };
             self.locals.insert(key, local);
         }
@@ -294,7 +308,6 @@
         }
         let orphan = scale.fencing && is_orphan(scale, &resident, local);
         if orphan || is_doubtful(scale, &resident, local) {
-            resident.state = State::Unloading;
             resident.order = Some(self.order_of(scale));
         }
         Some(resident)
@@ -392,26 +405,28 @@
     scale.now.since(sent.at) >= wait
 }
 
-/// Whether the order of a resident is known to have had no effect.
+/// Whether no order of a resident has had an effect, or can have one.
 fn has_no_effect(local: &Local) -> bool {
     let reply = local.sent.as_ref().and_then(|sent| sent.reply.as_ref());
-    matches!(
-        reply,
-        Some((order::Reply::Stale | order::Reply::Refused, _))
-    )
+    match reply {
+        Some((order::Reply::Stale, _)) => true,
+        // It does not prove that the runner knows the newer fencing token.
+        Some((order::Reply::Refused, _)) => !local.replaces,
+        _ => false,
+    }
 }
 
 /// The moment from which a pending order can't take effect any more.
 fn dead_from(scale: &Scale<'_>, local: &Local) -> Option<ids::Time> {
-    if let Some(sent) = &local.sent {
-        return match &sent.reply {
-            Some((order::Reply::Taken | order::Reply::Stale | order::Reply::Refused, at)) => {
-                Some(*at)
-            }
-            _ => Some(sent.at + scale.delay()),
-        };
+    let Some(sent) = &local.sent else {
+        return local.left.map(|left| left + scale.delay());
+    };
+    let by_time = sent.at + scale.delay();
+    match &sent.reply {
+        Some((order::Reply::Taken | order::Reply::Stale, at)) => Some(*at),
+        Some((order::Reply::Refused, at)) if !local.replaces => Some(*at),
+        _ => Some(by_time),
     }
-    local.left.map(|left| left + scale.delay())
 }
 
 /// Whether the sender of a pending order has left and the order can't take effect any more.
@@ -423,7 +438,10 @@
             .is_some_and(|left| scale.now > left + scale.delay())
 }
 
-/// Whether an order to load should be called off by a newer fencing token.
+/// Whether an order to load should be replaced by one with a newer fencing token.
+///
+/// The runner refuses the replaced one from then on, and loading what is there
+/// already has no effect, so nothing is loaded twice.
 fn is_doubtful(scale: &Scale<'_>, resident: &Resident, local: &Local) -> bool {
     if !scale.fencing || resident.state == State::Unloading || resident.order.is_none() {
         return false;
