--- /dev/null
+++ b/crates/proofs/tests/speed.rs
@@ -0,0 +1,139 @@
+//! How long changes and failures take to show, on five VMs. Each test prints
+//! its figures (`--nocapture`) and holds them against the stated target.
+
+use std::time;
+
+use proofs::{fleet, wait};
+
+/// Target: a change is in force everywhere within so long.
+const IN_FORCE: time::Duration = time::Duration::from_secs(10);
+/// Number of VMs.
+const VMS: usize = 5;
+const CHATS: &str = "/v1/chat/completions";
+
+fn millis(times: &mut [time::Duration]) -> Vec<u128> {
+    times.sort_unstable();
+    times.iter().map(time::Duration::as_millis).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn accepted_bundle_is_in_force_on_all_vms() -> proofs::Result<()> {
+    let fleet = fleet::Fleet::start(fleet::Config { vms: VMS, runners: 1 }).await?;
+    let mut accepted = Vec::new();
+    for round in 0..5 {
+        let bundle =
+            fleet.bundle().replace("rate: 100000\n", &format!("rate: {}\n", 5_000 + round));
+        let document = fleet.sign(&bundle);
+        let begun = time::Instant::now();
+        let answer = fleet.operate(round % VMS, "POST", "/v1/accept", &document).await?;
+        accepted.push(begun.elapsed());
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        for vm in 0..VMS {
+            let document = fleet.operate(vm, "GET", "/v1/bundle", "").await?.text();
+            assert!(
+                document.contains(&format!("rate: {}\\", 5_000 + round)),
+                "VM {vm}: {document}"
+            );
+        }
+    }
+    println!("accept to in force on all {VMS} VMs, ms: {:?}", millis(&mut accepted));
+    assert!(accepted.iter().all(|time| *time < IN_FORCE), "{accepted:?}");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn withdrawn_key_stops_working() -> proofs::Result<()> {
+    let fleet = fleet::Fleet::start(fleet::Config { vms: VMS, runners: 2 }).await?;
+    let (stop, stopped) = tokio::sync::watch::channel(false);
+    let callers: Vec<_> = (0..VMS)
+        .map(|vm| {
+            let (caller, address) = (fleet.caller(), fleet.address(vm));
+            let stopped = stopped.clone();
+            tokio::spawn(async move {
+                let mut last = None;
+                while !*stopped.borrow() {
+                    let body = fleet::chat(1, false, "hello");
+                    let begun = time::Instant::now();
+                    let answer = caller.send(address, "POST", CHATS, &[], &body).await?;
+                    if answer.status.is_success() {
+                        last = Some(begun);
+                    }
+                }
+                proofs::Result::Ok(last)
+            })
+        })
+        .collect();
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    let begun = time::Instant::now();
+    let answer = fleet.operate(0, "POST", "/v1/amend", r#"{"withdraw":"mayors-1"}"#).await?;
+    let accepted = begun.elapsed();
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    stop.send_replace(true);
+    let mut last = Vec::new();
+    for caller in callers {
+        let sent = caller.await.expect("a task")?.expect("a call before the withdrawal");
+        last.push(sent.saturating_duration_since(begun));
+    }
+    println!("withdrawal to accepted, ms: {}", accepted.as_millis());
+    println!("withdrawal to the sending of the last call let through, ms: {:?}", millis(&mut last));
+    assert!(last.iter().all(|time| *time <= accepted), "none after it was accepted: {last:?}");
+    assert!(accepted < IN_FORCE, "{accepted:?}");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_goes_on_elsewhere_after_a_kill() -> proofs::Result<()> {
+    let mut fleet = fleet::Fleet::start(fleet::Config { vms: VMS, runners: 2 }).await?;
+    let caller = fleet.caller();
+    let mut gaps = Vec::new();
+    for vm in 0..2 {
+        let prompt = format!("kill {vm}");
+        let body = fleet::chat(200, true, &prompt);
+        let mut stream = caller.stream(fleet.address(vm), &[], &body).await?;
+        let name = stream.header("primroseplank-stream").to_owned();
+        let first = stream.next().await?.expect("a chunk");
+        let begun = time::Instant::now();
+        fleet.vms[vm].kill()?;
+        let headers = [("primroseplank-stream", name.as_str()), ("last-event-id", "0")];
+        let mut again: serde_json::Value = serde_json::from_str(&body).expect("JSON");
+        again["continue_text"] = first.text().into();
+        let again = again.to_string();
+        let mut rest = caller.stream(fleet.address(vm + 2), &headers, &again).await?;
+        let next = rest.next().await?.expect("a chunk");
+        gaps.push(begun.elapsed());
+        assert_eq!(next.seq, Some(1), "{next:?}");
+        let rest = rest.whole().await?;
+        assert_eq!(
+            format!("{}{}{}", first.text(), next.text(), rest.text),
+            fleet::answer(200, &prompt)
+        );
+    }
+    println!("kill of a VM to the next chunk elsewhere, ms: {:?}", millis(&mut gaps));
+    assert!(gaps.iter().all(|gap| *gap < IN_FORCE), "{gaps:?}");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bookings_go_on_after_an_outage_of_the_store() -> proofs::Result<()> {
+    let fleet = fleet::Fleet::start(fleet::Config { vms: VMS, runners: 1 }).await?;
+    fleet.table.freeze()?;
+    tokio::time::sleep(time::Duration::from_secs(10)).await;
+    fleet.table.thaw()?;
+    let begun = time::Instant::now();
+    let mut turn = 0;
+    wait::until("the first booking", async || {
+        turn += 1;
+        let key = format!("after-{turn}");
+        let headers = [("idempotency-key", key.as_str())];
+        let address = fleet.address(turn % VMS);
+        let path = "/svc/desk/booking";
+        let sent = fleet.caller().send(address, "POST", path, &headers, "{}").await.ok()?;
+        (sent.status == 201).then_some(())
+    })
+    .await?;
+    let gap = begun.elapsed();
+    println!("return of the store to the first booking, ms: {}", gap.as_millis());
+    assert!(gap < IN_FORCE, "{gap:?}");
+    Ok(())
+}
