--- a/crates/standin/src/load/mod.rs
+++ b/crates/standin/src/load/mod.rs
@@ -26,13 +26,14 @@
     #[arg(long, value_name = "FILE")]
     pub mix: path::PathBuf,
     /// YAML file with the key of each account.
-    #[arg(long, value_name = "FILE", required_unless_present = "runners")]
+    #[arg(long, value_name = "FILE")]
     pub keys: Option<path::PathBuf>,
     /// Caller face of a VM; each call goes to one of them at random.
-    #[arg(long = "vm", value_name = "ADDRESS", required_unless_present = "runners")]
+    #[arg(long = "vm", value_name = "ADDRESS")]
     pub vms: Vec<net::SocketAddr>,
-    /// A runner to call directly, in place of VMs; plain services are left out.
-    #[arg(long = "runner", value_name = "ADDRESS", conflicts_with = "vms")]
+    /// A runner to call directly. Without VMs all drafts go there and plain
+    /// services are left out; with VMs every other draft does, for comparison.
+    #[arg(long = "runner", value_name = "ADDRESS")]
     pub runners: Vec<net::SocketAddr>,
     /// Send all calls of an account to the same address.
     #[arg(long)]
@@ -71,14 +72,6 @@
 }
 
 impl Config {
-    fn addresses(&self) -> &[net::SocketAddr] {
-        if self.runners.is_empty() { &self.vms } else { &self.runners }
-    }
-
-    const fn is_direct(&self) -> bool {
-        !self.runners.is_empty()
-    }
-
     fn span(&self) -> Result<time::Duration> {
         seconds("--seconds", self.seconds)
     }
@@ -101,9 +94,10 @@
 /// A file cannot be read or does not fit, or a setting is out of range.
 pub async fn run(config: &Config) -> Result<report::Report> {
     let mut mix = mix::Mix::read(&config.mix)?;
-    if config.is_direct() {
+    if config.vms.is_empty() {
         mix.services.clear();
     }
+    check(config)?;
     let keys = match &config.keys {
         Some(file) => mix::keys(file, &mix)?,
         None => Vec::new(),
@@ -112,7 +106,17 @@
     let schedule = schedule::Schedule::new(&mix, config.seed, config.scale, span)?;
     let sender = sender::Sender::new(config, &mix, keys);
     let samples = send_all(sync::Arc::new(sender), schedule, config).await?;
-    Ok(report::Report::new(config, &mix, &samples))
+    Ok(report::Report::new(config, &mix, samples))
+}
+
+fn check(config: &Config) -> Result<()> {
+    if config.vms.is_empty() && config.runners.is_empty() {
+        return Err(Error::new("read settings", "--vm", "there is no address to call"));
+    }
+    if !config.vms.is_empty() && config.keys.is_none() {
+        return Err(Error::new("read settings", "--keys", "VMs ask for keys"));
+    }
+    Ok(())
 }
 
 async fn send_all(
--- a/crates/standin/src/load/report.rs
+++ b/crates/standin/src/load/report.rs
@@ -23,8 +23,10 @@
     pub warmup_seconds: f64,
     /// Factor on the mix's calls a second.
     pub scale: f64,
-    /// Number of addresses called.
-    pub addresses: usize,
+    /// Number of VMs called.
+    pub vms: usize,
+    /// Number of runners called directly.
+    pub runners: usize,
     /// Accelerators behind them, as declared.
     pub accelerators: u32,
     /// Part of an account's rate within which a refusal is wrongful.
@@ -43,6 +45,8 @@
     pub between_tokens: Times,
     /// Time to the whole answer of plain services, by name.
     pub services: collections::BTreeMap<String, Times>,
+    /// The same for drafts sent directly, if there were both.
+    pub overhead: Option<Overhead>,
     /// Number of calls by kind and outcome.
     pub outcomes: collections::BTreeMap<String, collections::BTreeMap<String, u64>>,
     /// Calls of all kinds refused although they were inside their account's rate.
@@ -97,6 +101,67 @@
     pub first_token: Times,
 }
 
+/// What a VM in the path adds, from drafts that went through VMs and others
+/// that did not in the same run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(serde::Serialize)]
+pub struct Overhead {
+    /// Time to the first token of direct drafts.
+    pub direct_first_token: Times,
+    /// Time between tokens of direct drafts.
+    pub direct_between_tokens: Times,
+    /// What VMs add to the time to the first token.
+    pub added_first_token: Added,
+    /// What VMs add to the time between tokens.
+    pub added_between_tokens: Added,
+}
+
+/// A difference of two distributions of times, and their ratio.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(serde::Serialize)]
+pub struct Added {
+    /// Difference of the medians, in ms.
+    pub p50_ms: f64,
+    /// Difference of the 99th percentiles, in ms.
+    pub p99_ms: f64,
+    /// Ratio of the medians.
+    pub p50_ratio: f64,
+    /// Ratio of the 99th percentiles.
+    pub p99_ratio: f64,
+}
+
+impl Added {
+    fn new(with: &Times, without: &Times) -> Self {
+        Self {
+            p50_ms: with.p50_ms - without.p50_ms,
+            p99_ms: with.p99_ms - without.p99_ms,
+            p50_ratio: with.p50_ms / without.p50_ms,
+            p99_ratio: with.p99_ms / without.p99_ms,
+        }
+    }
+}
+
+impl Overhead {
+    fn new(first: &Times, between: &Times, direct: &[sample::Sample]) -> Self {
+        let direct_first_token = first_token(direct);
+        let direct_between_tokens = between_tokens(direct);
+        Self {
+            direct_first_token,
+            direct_between_tokens,
+            added_first_token: Added::new(first, &direct_first_token),
+            added_between_tokens: Added::new(between, &direct_between_tokens),
+        }
+    }
+}
+
+fn first_token(samples: &[sample::Sample]) -> Times {
+    Times::of(samples.iter().filter_map(|sample| sample.first))
+}
+
+fn between_tokens(samples: &[sample::Sample]) -> Times {
+    Times::of(samples.iter().flat_map(|sample| sample.gaps.iter().copied()))
+}
+
 /// A distribution of times, in ms.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 #[derive(serde::Serialize)]
@@ -143,9 +208,23 @@
 }
 
 impl Report {
-    /// Sums up `samples`.
+    /// Sums up `samples`, which are in order of time.
+    ///
+    /// Where there were VMs, all but the overhead is about the calls through
+    /// them.
     #[must_use]
-    pub fn new(config: &Config, mix: &mix::Mix, samples: &[sample::Sample]) -> Self {
+    pub fn new(config: &Config, mix: &mix::Mix, samples: Vec<sample::Sample>) -> Self {
+        let (direct, through): (Vec<_>, Vec<_>) =
+            samples.into_iter().partition(|sample| sample.direct && !config.vms.is_empty());
+        let mut report = Self::of(config, mix, &through);
+        if !direct.is_empty() {
+            let (first, between) = (&report.first_token, &report.between_tokens);
+            report.overhead = Some(Overhead::new(first, between, &direct));
+        }
+        report
+    }
+
+    fn of(config: &Config, mix: &mix::Mix, samples: &[sample::Sample]) -> Self {
         let accelerators = f64::from(config.accelerators);
         let accounts = accounts(config, mix, samples);
         let worst = accounts
@@ -158,17 +237,17 @@
             seconds: config.seconds,
             warmup_seconds: config.warmup_seconds,
             scale: config.scale,
-            addresses: config.addresses().len(),
+            vms: config.vms.len(),
+            runners: config.runners.len(),
             accelerators: config.accelerators,
             margin: config.margin,
             drafts: Share::of(samples.iter(), accelerators * config.counted_seconds()),
             bins: bins(config, samples),
             worst: worst.map(|account| account.name.clone()),
             accounts,
-            first_token: Times::of(samples.iter().filter_map(|sample| sample.first)),
-            between_tokens: Times::of(
-                samples.iter().flat_map(|sample| sample.gaps.iter().copied()),
-            ),
+            first_token: first_token(samples),
+            between_tokens: between_tokens(samples),
+            overhead: None,
             services: services(mix, samples),
             outcomes: outcomes(mix, samples),
             wrongful_refusals: wrongful(samples.iter()),
@@ -249,13 +328,14 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "{}: seed {}, {} s less {} s at scale {}, {} addresses, {} accelerators",
+            "{}: seed {}, {} s less {} s at scale {}, {} VMs, {} runners called, {} accelerators",
             self.deployment,
             self.seed,
             self.seconds,
             self.warmup_seconds,
             self.scale,
-            self.addresses,
+            self.vms,
+            self.runners,
             self.accelerators
         )?;
         writeln!(
@@ -279,6 +359,12 @@
             times(f, name, service)?;
         }
         times(f, "generator late", &self.generator_late)?;
+        if let Some(overhead) = &self.overhead {
+            times(f, "direct: first token", &overhead.direct_first_token)?;
+            times(f, "direct: between tokens", &overhead.direct_between_tokens)?;
+            added(f, "first token", &overhead.added_first_token)?;
+            added(f, "between tokens", &overhead.added_between_tokens)?;
+        }
         writeln!(f, "\noutcomes ({} answered after a retry)", self.answered_after_retry)?;
         for (kind, outcomes) in &self.outcomes {
             for (outcome, count) in outcomes {
@@ -304,3 +390,11 @@
         times.count, times.p50_ms, times.p95_ms, times.p99_ms
     )
 }
+
+fn added(f: &mut fmt::Formatter<'_>, name: &str, added: &Added) -> fmt::Result {
+    writeln!(
+        f,
+        "VMs add to {name}: {:.2} ms at p50 (x{:.3}), {:.2} ms at p99 (x{:.3})",
+        added.p50_ms, added.p50_ratio, added.p99_ms, added.p99_ratio
+    )
+}
--- a/crates/standin/src/load/sample.rs
+++ b/crates/standin/src/load/sample.rs
@@ -53,7 +53,10 @@
     pub account: usize,
     /// Index of the plain service in the mix; `None` for a draft.
     pub service: Option<usize>,
-    /// Whether the call was inside its account's rate and burst.
+    /// Whether the call went to a runner and not to a VM.
+    pub direct: bool,
+    /// Whether the call was inside its account's rate and burst; none that was
+    /// sent past VMs for comparison is.
     pub inside: bool,
     /// How it ended.
     pub outcome: Outcome,
--- a/crates/standin/src/load/sender.rs
+++ b/crates/standin/src/load/sender.rs
@@ -19,8 +19,8 @@
     client: client::Client,
     mix: mix::Mix,
     keys: Vec<String>,
-    addresses: Vec<net::SocketAddr>,
-    direct: bool,
+    vms: Vec<net::SocketAddr>,
+    runners: Vec<net::SocketAddr>,
     sticky: bool,
     seed: u64,
     retries: u32,
@@ -38,8 +38,8 @@
             client: client::Client::new(),
             mix: mix.clone(),
             keys,
-            addresses: config.addresses().to_vec(),
-            direct: config.is_direct(),
+            vms: config.vms.clone(),
+            runners: config.runners.clone(),
             sticky: config.sticky,
             seed: config.seed,
             retries: config.retries,
@@ -56,7 +56,10 @@
     ) -> sample::Sample {
         let sent = tokio::time::Instant::now();
         let cost = arrival.call.cost(&self.mix);
-        let inside = self.judge(arrival.account).allows(arrival.at, cost);
+        let direct = self.is_direct(&arrival);
+        // What goes past the VMs for comparison takes nothing of an account's rate.
+        let is_counted = !direct || self.vms.is_empty();
+        let inside = is_counted && self.judge(arrival.account).allows(arrival.at, cost);
         let mut watch = watch::Watch::new(sent);
         let seen = tokio::time::timeout_at(deadline, self.attempt(&arrival, &mut watch)).await;
         let outcome = seen.unwrap_or(sample::Outcome::Open);
@@ -71,6 +74,7 @@
                 schedule::Call::Draft { .. } => None,
                 schedule::Call::Service(index) => Some(index),
             },
+            direct,
             inside,
             outcome,
             whole: sent.elapsed(),
@@ -84,9 +88,17 @@
         self.judges[account].lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    /// Whether the call goes to a runner: half of the drafts do if there are VMs as well.
+    fn is_direct(&self, arrival: &schedule::Arrival) -> bool {
+        let is_draft = matches!(arrival.call, schedule::Call::Draft { .. });
+        let is_chosen = self.vms.is_empty() || arrival.choice.is_multiple_of(2);
+        !self.runners.is_empty() && is_draft && is_chosen
+    }
+
     fn address(&self, arrival: &schedule::Arrival, retries: u32) -> net::SocketAddr {
-        let choice = if self.sticky { arrival.account } else { arrival.choice as usize };
-        self.addresses[(choice + retries as usize) % self.addresses.len()]
+        let addresses = if self.is_direct(arrival) { &self.runners } else { &self.vms };
+        let choice = if self.sticky { arrival.account } else { arrival.choice as usize / 2 };
+        addresses[(choice + retries as usize) % addresses.len()]
     }
 
     /// Sends the call until it has ended or may not be tried again.
@@ -127,7 +139,7 @@
             .method(method)
             .uri(format!("http://{address}{path}"))
             .header("content-type", "application/json");
-        match self.keys.get(arrival.account) {
+        match self.keys.get(arrival.account).filter(|_| !self.is_direct(arrival)) {
             Some(key) => request.header("authorization", format!("Bearer {key}")),
             None => request,
         }
@@ -164,16 +176,13 @@
         watch: &watch::Watch,
     ) -> http::Result<http::Request<bytes::Bytes>> {
         let mut request = self.request(address, arrival, "POST", "/v1/chat/completions");
-        if self.direct {
+        if self.is_direct(arrival) {
             let attempt = format!("{}-{}", self.name(arrival), watch.retries);
             request = request
                 .header(engine::header::CALL, attempt)
                 .header(engine::header::STREAM, self.name(arrival))
                 .header(engine::header::RESUME_FROM, watch.chunks);
-        }
-        if let Some(stream) = &watch.stream
-            && !self.direct
-        {
+        } else if let Some(stream) = &watch.stream {
             request = request.header(STREAM, stream);
         }
         if let Some(last) = watch.chunks.checked_sub(1) {
@@ -220,7 +229,7 @@
                 Err(_) => sample::Outcome::Cut,
             };
         }
-        let name = if self.direct { engine::header::STREAM } else { STREAM };
+        let name = if self.is_direct(arrival) { engine::header::STREAM } else { STREAM };
         watch.stream = response.headers().get(name).cloned();
         watch.follow(response.into_body(), &expected).await
     }
--- a/crates/standin/tests/load.rs
+++ b/crates/standin/tests/load.rs
@@ -134,6 +134,7 @@
         late: time::Duration::ZERO,
         account,
         service: None,
+        direct: false,
         inside: true,
         outcome: sample::Outcome::Answered,
         whole: time::Duration::from_secs(1),
@@ -172,7 +173,7 @@
         above,
     ];
     let config = config(Vec::new(), path::PathBuf::new());
-    let report = report::Report::new(&config, &mix, &samples);
+    let report = report::Report::new(&config, &mix, samples.to_vec());
     assert_eq!(report.worst.as_deref(), Some("small"));
     assert_eq!(report.wrongful_refusals, 1);
     let share = |share: &report::Share| (share.sent, share.inside, share.attained);
@@ -184,6 +185,20 @@
     assert_eq!(report.outcomes["draft"]["not-run: rate"], 2);
 }
 
+#[test]
+fn overhead_compares_drafts_through_vms_with_direct_ones() {
+    let mix = mix::Mix::parse(MIX).expect("a mix");
+    let mut direct = sample(0, 0, 100, &[20]);
+    direct.direct = true;
+    let mut config = config(Vec::new(), path::PathBuf::new());
+    config.vms = vec!["127.0.0.1:1".parse().expect("an address")];
+    let report = report::Report::new(&config, &mix, vec![direct, sample(0, 1, 150, &[30])]);
+    assert_eq!(report.drafts.sent, 1);
+    let overhead = report.overhead.expect("there were both");
+    assert!((overhead.added_first_token.p50_ms - 50.0).abs() < 1.0);
+    assert!((overhead.added_between_tokens.p99_ratio - 1.5).abs() < 0.01);
+}
+
 #[tokio::test]
 async fn run_against_runners_counts_each_outcome() {
     let held = |config: runner::Config| {
