--- a/crates/daemon/src/caller/request.rs
+++ b/crates/daemon/src/caller/request.rs
@@ -1,13 +1,11 @@
 //! Reading a request: credentials, headers, body, digest.
 
-use std::{pin, sync, time};
+use std::{sync, time};
 
-use bytes::BytesMut;
 use http::header;
 use node::call;
-use xitca_web::body::Body as _;
 
-use crate::{caller::problem, calls};
+use crate::{body, caller::problem, calls};
 
 /// Names the stream that a caller goes on with.
 pub const STREAM: &str = "primroseplank-stream";
@@ -177,32 +175,18 @@
 ) -> problem::Result<bytes::Bytes> {
     let declared = context.req().headers().get(header::CONTENT_LENGTH);
     let declared = declared.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    let body = context.body_get_mut();
     if declared.is_some_and(|length| length > limit) {
         return Err(too_large(limit));
     }
-    let reading = read(context, limit);
-    tokio::time::timeout(longest, reading).await.unwrap_or_else(|_| {
-        Err(problem::Problem::new(problem::Code::RequestTimeout, "the body did not arrive in time"))
-    })
-}
-
-async fn read(context: &mut super::Context<'_>, limit: usize) -> problem::Result<bytes::Bytes> {
-    let mut buffer = BytesMut::new();
-    let mut body = std::mem::take(context.body_get_mut());
-    loop {
-        let frame = std::future::poll_fn(|cx| pin::Pin::new(&mut body).poll_frame(cx)).await;
-        let Some(frame) = frame else {
-            return Ok(buffer.freeze());
-        };
-        let frame =
-            frame.map_err(|cause| problem::Problem::bad(format!("reading the body: {cause}")))?;
-        let xitca_web::body::Frame::Data(data) = frame else {
-            continue;
-        };
-        if buffer.len() + data.len() > limit {
-            return Err(too_large(limit));
-        }
-        buffer.extend_from_slice(&data);
+    match tokio::time::timeout(longest, body::read(body, limit)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(body::Error::TooLarge)) => Err(too_large(limit)),
+        Ok(Err(cause)) => Err(problem::Problem::bad(format!("reading the body: {cause}"))),
+        Err(_elapsed) => Err(problem::Problem::new(
+            problem::Code::RequestTimeout,
+            "the body did not arrive in time",
+        )),
     }
 }
 
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -18,14 +18,6 @@
 /// Numbers of operations of this area begin here.
 const OPS: u64 = 1 << 56;
 
-/// The newest head that a VM can be shown to be up to date with.
-#[derive(Clone, Copy, Debug)]
-struct Evidence {
-    version: ids::Version,
-    /// The head was the newest at this moment at least.
-    time: ids::Time,
-}
-
 /// What is known of another VM.
 #[derive(Clone, Debug)]
 struct Peer {
@@ -68,8 +60,9 @@
     head_since: ids::Time,
     previous: Option<head::Head>,
     adopted: Option<head::Head>,
-    evidence: Option<Evidence>,
-    /// When the head in force here was last shown to be the newest.
+    /// No head newer than the newest known was confirmed at this moment.
+    evidence: Option<ids::Time>,
+    /// No head newer than the one in force here was confirmed at this moment.
     shown: Option<ids::Time>,
     /// Keys withdrawn by heads that are not in force here yet.
     withdrawn: collections::BTreeMap<ids::Version, ids::Key>,
@@ -89,13 +82,38 @@
     waiting: Vec<settle::Waiting>,
     /// Members that the platform does not list, and since when.
     unlisted: collections::BTreeMap<ids::Vm, ids::Time>,
-    leaving: Option<ids::Time>,
-    /// Whether the removal of this VM was sent: it vouches no more.
-    resigned: bool,
-    left: bool,
+    stage: Stage,
     serving: bool,
 }
 
+/// How far this VM's departure is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// It stays.
+    Active,
+    /// It is to leave, since this moment.
+    Leaving(ids::Time),
+    /// Its removal was sent: it vouches no more.
+    Resigned(ids::Time),
+    /// It has left.
+    Left,
+}
+
+impl Stage {
+    /// Since when the VM is to leave.
+    const fn since(self) -> Option<ids::Time> {
+        match self {
+            Self::Leaving(since) | Self::Resigned(since) => Some(since),
+            Self::Active | Self::Left => None,
+        }
+    }
+
+    /// Whether the VM may vouch for the head.
+    const fn vouches(self) -> bool {
+        matches!(self, Self::Active | Self::Leaving(_))
+    }
+}
+
 impl View {
     /// A view that knows nothing yet.
     #[must_use]
@@ -132,9 +150,7 @@
             queue: collections::VecDeque::new(),
             waiting: Vec::new(),
             unlisted: collections::BTreeMap::new(),
-            leaving: None,
-            resigned: false,
-            left: false,
+            stage: Stage::Active,
             serving: false,
         }
     }
@@ -148,16 +164,17 @@
     ///
     /// The reason why it may not.
     pub fn serves(&self, now: ids::Time) -> Result<(), output::Reason> {
-        if self.leaving.is_some() {
+        if self.stage != Stage::Active {
             return Err(output::Reason::Leaving);
         }
-        let (Some(adopted), Some(shown)) = (&self.adopted, self.shown) else {
+        let Some(adopted) = &self.adopted else {
             return Err(output::Reason::Starting);
         };
         if !adopted.has(&self.config.me.seat()) {
             return Err(output::Reason::NotMember);
         }
-        if now.since(shown) < self.config.fresh_for {
+        let fresh = |shown| now.since(shown) < self.config.fresh_for;
+        if self.shown.is_some_and(fresh) {
             return Ok(());
         }
         if self.version() > adopted.version {
@@ -203,7 +220,7 @@
         if let Some(read) = self.reads.remove(&op) {
             self.take_read(now, read, result, out);
         } else {
-            self.take_write(now, op, result, out);
+            self.take_write(now, op, &result, out);
         }
         self.review(now, out);
     }
@@ -277,7 +294,9 @@
     /// Leaves the head; ends with [`output::Output::Left`].
     pub fn stop(&mut self, now: ids::Time, out: &mut Vec<output::Output>) {
         self.begin(now, out);
-        self.leaving.get_or_insert(now);
+        if self.stage == Stage::Active {
+            self.stage = Stage::Leaving(now);
+        }
         self.work(now, out);
         self.review(now, out);
     }
@@ -286,7 +305,7 @@
     /// [`crate::Config::retry_every`].
     pub fn tick(&mut self, now: ids::Time, out: &mut Vec<output::Output>) {
         self.begin(now, out);
-        if self.left {
+        if self.stage == Stage::Left {
             return;
         }
         self.forget(now);
--- a/crates/node/benches/step.rs
+++ b/crates/node/benches/step.rs
@@ -4,7 +4,7 @@
 //! are a tick without input, a runner's report, a whole call and one chunk of
 //! a stream. `docs/CAPACITY.md` multiplies these by how often they happen.
 
-use std::{fmt::Write as _, hint, sync, time};
+use std::{collections, fmt::Write as _, hint, sync, time};
 
 use bundle::signed;
 use criterion::{BenchmarkId, Criterion};
@@ -26,6 +26,7 @@
     last_call: u64,
     table: memory::Table,
     objects: memory::Objects,
+    reports: collections::BTreeMap<ids::Target, engine::Report>,
     outputs: Vec<Output>,
 }
 
@@ -37,12 +38,13 @@
     }
     text.push_str("runners:\n");
     for runner in 0..runners {
-        let line = "centre: north, accelerators: 8, memory_mib: 640000, address: '127.0.0.1:1'";
-        writeln!(text, "  - {{name: runner-{runner}, {line}}}").unwrap();
+        let line = "centre: north, accelerators: 8, memory_mib: 640000";
+        let address = format!("'127.0.0.1:{}'", 1_000 + runner);
+        writeln!(text, "  - {{name: runner-{runner}, address: {address}, {line}}}").unwrap();
     }
     let digest = presented().digest;
-    text.push_str("accounts:\n  - {name: mayors, class: paid, rate: 900000000, ");
-    writeln!(text, "burst: 900000000, keys: [{{id: bench, digest: '{digest}'}}]}}").unwrap();
+    text.push_str("accounts:\n  - {name: mayors, class: paid, rate: 100000000, ");
+    writeln!(text, "burst: 100000000, keys: [{{id: bench, digest: '{digest}'}}]}}").unwrap();
     text.push_str("weights: {loads_per_second: 100, loads_at_once: 100}\n");
     text
 }
@@ -64,20 +66,26 @@
             last_call: 0,
             table: memory::Table::default(),
             objects: memory::Objects::default(),
+            reports: (0..runners).map(|runner| report(runner, models, runners)).collect(),
             outputs: Vec::new(),
         };
         scene.found(&config, members);
         scene.run(2_000);
         let request = operator::Request::Accept { document, replaces: None };
         scene.step([Input::Operator { op: ids::Op::new(1), request }]);
+        scene.assert_not_refused();
         scene.run(10_000);
-        for runner in 0..runners {
-            scene.step([report(runner, models, runners)]);
-        }
-        scene.run(1_000);
         scene
     }
 
+    fn assert_not_refused(&self) {
+        let refused = self.outputs.iter().find_map(|output| match output {
+            Output::Operator { reply: operator::Reply::Refused { reason }, .. } => Some(reason),
+            _ => None,
+        });
+        assert_eq!(refused, None, "the bundle of the benchmark is refused");
+    }
+
     /// Writes a head in which all members are entered.
     fn found(&mut self, config: &node::Config, members: usize) {
         let mut head = member::Head { version: ids::Version::new(1), ..member::Head::default() };
@@ -99,25 +107,34 @@
 
     /// Steps and answers the platform's part at once.
     fn step(&mut self, inputs: impl IntoIterator<Item = Input>) {
+        let now = ids::Time::from_millis(self.now);
         self.outputs.clear();
-        self.node.step(ids::Time::from_millis(self.now), inputs, &mut self.outputs);
-        let mut answers = Vec::new();
-        for output in &self.outputs {
-            match output {
-                Output::Table { op, request } => {
-                    let result = Ok(self.table.answer(request));
-                    answers.push(Input::Table { op: *op, result });
-                }
-                Output::Object { op, request } => {
-                    let result = Ok(self.objects.answer(request));
-                    answers.push(Input::Object { op: *op, result });
-                }
-                _ => {}
-            }
+        self.node.step(now, inputs, &mut self.outputs);
+        let mut answers = self.answers(0);
+        while !answers.is_empty() {
+            let seen = self.outputs.len();
+            self.node.step(now, answers, &mut self.outputs);
+            answers = self.answers(seen);
         }
-        let mut more = Vec::new();
-        self.node.step(ids::Time::from_millis(self.now), answers, &mut more);
-        self.outputs.append(&mut more);
+    }
+
+    /// Answers of the platform to the outputs from number `from` on.
+    fn answers(&mut self, from: usize) -> Vec<Input> {
+        let Self { outputs, table, objects, reports, .. } = self;
+        let answers = outputs[from..].iter().filter_map(|output| match output {
+            Output::Table { op, request } => {
+                Some(Input::Table { op: *op, result: Ok(table.answer(request)) })
+            }
+            Output::Object { op, request } => {
+                Some(Input::Object { op: *op, result: Ok(objects.answer(request)) })
+            }
+            Output::Report { target, .. } => {
+                let report = reports.get(target).cloned();
+                Some(Input::Report { target: target.clone(), report })
+            }
+            _ => None,
+        });
+        answers.collect()
     }
 
     fn arrive(&mut self) -> Option<ids::Attempt> {
@@ -145,6 +162,7 @@
     }
 
     fn call(&mut self) {
+        self.now += 2;
         let Some(attempt) = self.arrive() else {
             panic!("the call was not sent: {:?}", self.outputs);
         };
@@ -162,7 +180,7 @@
     }
 }
 
-fn report(runner: usize, models: usize, runners: usize) -> Input {
+fn report(runner: usize, models: usize, runners: usize) -> (ids::Target, engine::Report) {
     let holds = |model: &usize| (0..COPIES).any(|copy| (model * COPIES + copy) % runners == runner);
     let residents = (0..models).filter(holds).map(|model| engine::report::Resident {
         item: format!("model-{model}").into(),
@@ -171,7 +189,7 @@
         memory_mib: 24_000,
     });
     let report = engine::Report { residents: residents.collect(), ..engine::Report::default() };
-    Input::Report { target: format!("runner-{runner}").into(), report: Some(report) }
+    (format!("runner-{runner}").into(), report)
 }
 
 fn measure(criterion: &mut Criterion) {
@@ -187,8 +205,11 @@
             });
         });
         group.bench_function(BenchmarkId::new("report", &size), |bencher| {
-            let input = report(1, models, runners);
-            bencher.iter(|| scene.step([hint::black_box(input.clone())]));
+            let (target, report) = report(1, models, runners);
+            bencher.iter(|| {
+                let report = Some(hint::black_box(report.clone()));
+                scene.step([Input::Report { target: target.clone(), report }]);
+            });
         });
         group.bench_function(BenchmarkId::new("call-of-64-chunks", &size), |bencher| {
             bencher.iter(|| scene.call());
--- a/crates/node/src/system/report.rs
+++ b/crates/node/src/system/report.rs
@@ -1,6 +1,6 @@
 //! Reports of runners and the platform's list of machines.
 
-use std::time;
+use std::{collections, sync, time};
 
 use platform::vm;
 
@@ -9,19 +9,52 @@
 /// Time between two looks at the platform's list of machines.
 const VMS_EVERY: time::Duration = time::Duration::from_secs(2);
 
-/// When what was last asked for.
+/// Time after which a runner that has not answered is asked again.
+///
+/// It is longer than the shell's own limit, so that an answer is never taken
+/// for that to a later question.
+const ANSWER_WITHIN: time::Duration = time::Duration::from_secs(10);
+
+/// When what is asked for next.
 #[derive(Clone, Debug, Default)]
 pub struct Schedule {
-    reports_at: ids::Time,
+    reports: collections::BTreeMap<ids::Target, ids::Time>,
+    asked: collections::BTreeMap<ids::Target, ids::Time>,
     vms_at: ids::Time,
     vms_op: Option<ids::Op>,
 }
 
+/// Takes the runners to be asked from what is in force.
+///
+/// The first reports of new runners are spread over one period, so that the
+/// VMs of a fleet that restarts do not ask all at once.
+pub fn adopt(node: &mut Node, now: ids::Time) {
+    let Some(force) = node.force.clone() else {
+        return;
+    };
+    let known = std::mem::take(&mut node.schedule.reports);
+    let runners = &force.bundle.runners;
+    let step = node.config.report_every / u32::try_from(runners.len().max(1)).unwrap_or(u32::MAX);
+    let mut first = now;
+    for runner in runners {
+        first = first + step;
+        let at = known.get(&runner.name).copied().unwrap_or(first);
+        node.schedule.reports.insert(runner.name.clone(), at);
+    }
+}
+
 /// Asks for reports and for the list when their time has come.
 pub fn tick(node: &mut Node, now: ids::Time, out: &mut Vec<Output>) {
-    if node.schedule.reports_at <= now {
-        node.schedule.reports_at = now + node.config.report_every;
-        ask(node, out);
+    let due = due(node, now);
+    for target in due {
+        let Some(row) = node.targets.get(&target) else {
+            continue;
+        };
+        let address = sync::Arc::clone(&row.address);
+        let at = now + period(node);
+        node.schedule.reports.insert(target.clone(), at);
+        node.schedule.asked.insert(target.clone(), now);
+        out.push(Output::Report { target, address });
     }
     if node.schedule.vms_at <= now {
         node.schedule.vms_at = now + VMS_EVERY;
@@ -31,6 +64,33 @@
     }
 }
 
+/// Runners whose time has come and that owe no earlier answer.
+fn due(node: &Node, now: ids::Time) -> Vec<ids::Target> {
+    let Schedule { reports, asked, .. } = &node.schedule;
+    let is_owing = |target: &ids::Target| {
+        let at: Option<&ids::Time> = asked.get(target);
+        at.is_some_and(|at| now.since(*at) < ANSWER_WITHIN)
+    };
+    let due = reports.iter().filter(|(target, at)| **at <= now && !is_owing(target));
+    due.map(|(target, _)| target.clone()).collect()
+}
+
+/// Time between two reports of a runner.
+///
+/// All runners together are asked for about `reports_per_second`, but none
+/// less often than `report_at_least`, for a runner that is silent for long
+/// counts as lost. The VM that plans asks more often, for a load is done only
+/// when a report shows it.
+fn period(node: &Node) -> time::Duration {
+    let config = &node.config;
+    if node.planner.leads() {
+        return config.report_every;
+    }
+    let seconds = node.schedule.reports.len() as f64 / config.reports_per_second;
+    let period = time::Duration::from_secs_f64(seconds);
+    period.clamp(config.report_every, config.report_at_least)
+}
+
 /// Takes in what a runner said of itself, or that it said nothing.
 pub fn report(
     node: &mut Node,
@@ -38,9 +98,10 @@
     target: &ids::Target,
     report: Option<&engine::Report>,
 ) {
+    let asked = node.schedule.asked.remove(target).unwrap_or(now);
     system::dispatch::report(node, now, target, report);
     if let Some(report) = report {
-        system::plan::report(node, now, target, report);
+        system::plan::report(node, now, target, asked, report);
     }
 }
 
@@ -59,17 +120,11 @@
     let Ok(entries) = result else {
         return;
     };
-    system::dispatch::listed(node, &entries);
-    system::member::vms(node, now, &entries, out);
-}
-
-fn ask(node: &Node, out: &mut Vec<Output>) {
-    let Some(force) = &node.force else {
-        return;
-    };
-    for runner in &force.bundle.runners {
-        let target = runner.name.clone();
-        let address = std::sync::Arc::clone(&runner.address);
-        out.push(Output::Report { target, address });
+    for entry in &entries {
+        let target = entry.name.as_str().into();
+        let leaving = entry.state == vm::State::Leaving;
+        system::dispatch::leave(node, &target, leaving);
+        system::plan::leave(node, &target, leaving);
     }
+    system::member::vms(node, now, &entries, out);
 }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -1,114 +1,41 @@
-//! What the runners hold.
-
-use std::{collections, sync};
-
-use engine::{order, report};
-use platform::table;
-
-/// Settings of a [`Planner`].
-#[derive(Clone, Debug)]
-pub struct Config {
-    /// This VM.
-    pub me: ids::Vm,
-    /// This start of its process.
-    pub incarnation: ids::Incarnation,
-}
-
-impl Config {
-    /// Settings of the VM `me`.
-    #[must_use]
-    pub const fn new(me: ids::Vm, incarnation: ids::Incarnation) -> Self {
-        Self { me, incarnation }
-    }
-}
-
-/// What a [`Planner`] asks for.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Output {
-    /// Ask the table service.
-    Table {
-        /// The operation.
-        op: ids::Op,
-        /// What to ask.
-        request: table::Request,
-    },
-    /// Send an order.
-    Order {
-        /// The operation.
-        op: ids::Op,
-        /// The runner.
-        target: ids::Target,
-        /// The order.
-        order: engine::Order,
-    },
-    /// A change of state.
-    Log(String),
-}
-
-/// Plans what the runners hold.
-#[derive(Debug)]
-pub struct Planner {
-    config: Config,
-    ready: collections::BTreeMap<ids::Target, Vec<sync::Arc<str>>>,
-}
-
-impl Planner {
-    /// A planner without runners.
-    #[must_use]
-    pub const fn new(config: Config) -> Self {
-        Self { config, ready: collections::BTreeMap::new() }
-    }
-
-    /// Takes runners and models.
-    pub const fn adopt(
-        &mut self,
-        _now: ids::Time,
-        _bundle: &bundle::Bundle,
-        _members: &[ids::Vm],
-        _drained: &collections::BTreeSet<ids::Target>,
-    ) {
-    }
-
-    /// Takes in what a runner holds.
-    pub fn report(&mut self, _now: ids::Time, target: &ids::Target, report: &engine::Report) {
-        let ready = report.residents.iter().filter(|row| row.state == report::State::Ready);
-        let items = ready.map(|row| sync::Arc::clone(&row.item)).collect();
-        self.ready.insert(target.clone(), items);
-    }
-
-    /// What a runner may be sent calls for.
-    #[must_use]
-    pub fn offers(&self, target: &ids::Target) -> Vec<sync::Arc<str>> {
-        self.ready.get(target).cloned().unwrap_or_default()
-    }
-
-    /// Takes in how a runner took an order.
-    pub const fn order(
-        &mut self,
-        _now: ids::Time,
-        _op: ids::Op,
-        _reply: &order::Reply,
-        _out: &mut Vec<Output>,
-    ) {
-    }
-
-    /// Takes in an answer of the table service.
-    pub fn table(
-        &mut self,
-        _now: ids::Time,
-        _op: ids::Op,
-        result: platform::Result<table::Answer>,
-        _out: &mut Vec<Output>,
-    ) {
-        drop(result);
-    }
-
-    /// Lets time pass.
-    pub const fn tick(&mut self, _now: ids::Time, _out: &mut Vec<Output>) {}
-
-    /// The ledger as text.
-    #[must_use]
-    pub fn dump(&self) -> String {
-        format!("{} runners at {}", self.ready.len(), self.config.me)
-    }
-}
+//! What is resident where: the memory ledger, and the planner that keeps it.
+//!
+//! - [`ledger`]: the rows that say what each runner's memory is committed to;
+//! - [`Planner`]: keeps every declared model and adapter reachable, without
+//!   ever committing more memory than a runner has;
+//! - [`Config`]: its knobs.
+//!
+//! The planner is a table of runners with systems that run over it at each
+//! [`Planner::tick`]. It makes no request by itself: it says what to ask of
+//! the table service and what to order of the runners ([`Output`]), and is
+//! told the answers.
+//!
+//! ```
+//! let me = plan::ledger::Sender { vm: "vm-1".into(), incarnation: ids::Incarnation::new(1) };
+//! let mut planner = plan::Planner::new(plan::Config::new(me.clone()));
+//! let bundle = bundle::read("
+//! format: 1
+//! deployment: demo
+//! centres: [north]
+//! accounts: []
+//! weights: {loads_per_second: 1.5, loads_at_once: 10}
+//! ").unwrap();
+//! let now = ids::Time::from_millis(1_000);
+//! planner.adopt(now, &bundle, &[me], &Default::default());
+//! let mut out = Vec::new();
+//! planner.tick(now, &mut out);
+//! assert!(matches!(out[0], plan::Output::Table { .. }), "it reads the ledger first");
+//! ```
+
+mod config;
+mod demand;
+pub mod ledger;
+mod pace;
+mod place;
+mod planner;
+mod rows;
+mod scene;
+mod view;
+
+pub use config::Config;
+pub use planner::{Output, Planner};
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,8 +9,8 @@
 //! - The targets: [`runner`], a model engine, and [`service`], a plain service.
 //! - [`batch`] is the runner's batching model alone, without input or output,
 //!   for experiments in virtual time.
-//! - [`call`] sends one request and shows the answer as its caller sees it.
 //! - [`load`] sends calls to VMs or runners and reports what callers saw.
+//! - [`call`] sends one request and shows the answer as its caller sees it.
 //! - [`text`] computes what any runner answers, so that a test can check it.
 //!
 //! ```
@@ -31,6 +31,7 @@
 pub mod call;
 pub mod client;
 pub mod count;
+mod cross;
 mod error;
 pub mod face;
 pub mod fault;
--- a/crates/standin/src/load/mod.rs
+++ b/crates/standin/src/load/mod.rs
@@ -12,6 +12,7 @@
 pub mod sample;
 pub mod schedule;
 mod sender;
+mod watch;
 
 use std::{net, path, sync, time};
 
@@ -36,12 +37,19 @@
     /// Send all calls of an account to the same address.
     #[arg(long)]
     pub sticky: bool,
+    /// Retries of a call that could not be sent or whose answer broke off, each
+    /// at the next address: a stream is resumed, a booking keeps its key.
+    #[arg(long, default_value_t = 0)]
+    pub retries: u32,
     /// Seed of all random choices.
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
     /// How long calls are sent, in seconds.
     #[arg(long, default_value_t = 60.0)]
     pub seconds: f64,
+    /// Leave the calls of so many first seconds out of the report.
+    #[arg(long, default_value_t = 0.0)]
+    pub warmup_seconds: f64,
     /// How long open calls are waited for at the end, in seconds.
     #[arg(long, default_value_t = 60.0)]
     pub drain_seconds: f64,
@@ -74,6 +82,11 @@
     fn span(&self) -> Result<time::Duration> {
         seconds("--seconds", self.seconds)
     }
+
+    /// Seconds that the report is about.
+    const fn counted_seconds(&self) -> f64 {
+        self.seconds - self.warmup_seconds
+    }
 }
 
 fn seconds(name: &'static str, value: f64) -> Result<time::Duration> {
@@ -117,6 +130,8 @@
         calls.spawn(async move { sender.send(start, arrival, deadline).await });
     }
     let mut samples = calls.join_all().await;
+    let warmup = seconds("--warmup-seconds", config.warmup_seconds)?;
+    samples.retain(|sample| sample.at >= warmup);
     samples.sort_by_key(|sample| sample.at);
     Ok(samples)
 }
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -6,7 +6,7 @@
 
 use std::{collections, sync, time};
 
-use platform::table;
+use platform::{memory, table};
 
 use crate::{Result, count, face, process};
 
@@ -54,10 +54,8 @@
     process::Process::start(config.addresses, &role, &counts)
 }
 
-type Rows = collections::BTreeMap<sync::Arc<str>, table::Row>;
-
 struct Table {
-    rows: sync::Mutex<Rows>,
+    rows: sync::Mutex<memory::Table>,
     reads: Limit,
     writes: Limit,
     counts: sync::Arc<count::Counts>,
@@ -80,7 +78,7 @@
         if (request.method.as_str(), request.path.as_str()) != ("GET", "/rows") {
             return None;
         }
-        let rows: Vec<table::Row> = self.lock().values().cloned().collect();
+        let rows: Vec<table::Row> = self.lock().rows().cloned().collect();
         Some(face::Reply::json(http::StatusCode::OK, &rows))
     }
 }
@@ -97,91 +95,29 @@
             return face::Reply::error(status, "refused", "above the rate of the table service");
         }
         self.counts.add(counter);
-        let mut rows = self.lock();
-        match apply(&mut rows, request) {
-            Ok(answer) => {
-                if matches!(answer, table::Answer::Conflict { .. }) {
-                    self.counts.add("conflicts");
-                }
-                face::Reply::json(http::StatusCode::OK, &answer)
-            }
-            Err(Doubled(key)) => {
-                let message = format!("row {key} is changed twice in one transaction");
-                face::Reply::error(http::StatusCode::BAD_REQUEST, "bad-request", &message)
-            }
+        if let Some(key) = doubled(request) {
+            let message = format!("row {key} is changed twice in one transaction");
+            return face::Reply::error(http::StatusCode::BAD_REQUEST, "bad-request", &message);
         }
-    }
-
-    fn lock(&self) -> sync::MutexGuard<'_, Rows> {
-        self.rows.lock().unwrap_or_else(sync::PoisonError::into_inner)
-    }
-}
-
-/// A transaction changes one row twice.
-struct Doubled(sync::Arc<str>);
-
-fn apply(rows: &mut Rows, request: &table::Request) -> Result<table::Answer, Doubled> {
-    match request {
-        table::Request::Get { key } => Ok(table::Answer::Row(rows.get(key).cloned())),
-        table::Request::Scan { prefix, after, limit } => {
-            Ok(scan(rows, prefix, after.as_ref(), *limit))
+        let answer = self.lock().answer(request);
+        if matches!(answer, table::Answer::Conflict { .. }) {
+            self.counts.add("conflicts");
         }
-        table::Request::Write { writes } => write(rows, writes),
+        face::Reply::json(http::StatusCode::OK, &answer)
     }
-}
 
-fn scan(
-    rows: &Rows,
-    prefix: &sync::Arc<str>,
-    after: Option<&sync::Arc<str>>,
-    limit: usize,
-) -> table::Answer {
-    let from = after.map_or(prefix, |after| after.max(prefix));
-    let found = rows
-        .range(sync::Arc::clone(from)..)
-        .filter(|(key, _)| after.is_none_or(|after| *key > after))
-        .take_while(|(key, _)| key.starts_with(&**prefix))
-        .take(limit)
-        .map(|(_, row)| row.clone())
-        .collect();
-    table::Answer::Rows(found)
-}
-
-fn write(rows: &mut Rows, writes: &[table::Write]) -> Result<table::Answer, Doubled> {
-    let mut seen = collections::BTreeSet::new();
-    for write in writes {
-        if !seen.insert(&write.key) {
-            return Err(Doubled(sync::Arc::clone(&write.key)));
-        }
-    }
-    let conflicts: Vec<table::Conflict> = writes
-        .iter()
-        .filter(|write| rows.get(&write.key).map(|row| row.version) != write.expect)
-        .map(|write| table::Conflict {
-            key: sync::Arc::clone(&write.key),
-            row: rows.get(&write.key).cloned(),
-        })
-        .collect();
-    if !conflicts.is_empty() {
-        return Ok(table::Answer::Conflict { rows: conflicts });
-    }
-    for write in writes {
-        change(rows, write);
+    fn lock(&self) -> sync::MutexGuard<'_, memory::Table> {
+        self.rows.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
-    Ok(table::Answer::Written)
 }
 
-fn change(rows: &mut Rows, write: &table::Write) {
-    let Some(value) = &write.value else {
-        rows.remove(&write.key);
-        return;
+/// The first row that a transaction changes twice, if there is one.
+fn doubled(request: &table::Request) -> Option<&str> {
+    let table::Request::Write { writes } = request else {
+        return None;
     };
-    let row = table::Row {
-        key: sync::Arc::clone(&write.key),
-        version: write.expect.unwrap_or_default().next(),
-        value: sync::Arc::clone(value),
-    };
-    rows.insert(sync::Arc::clone(&write.key), row);
+    let mut seen = collections::BTreeSet::new();
+    writes.iter().map(|write| &*write.key).find(|key| !seen.insert(*key))
 }
 
 /// A rate with a short burst.
--- a/crates/standin/tests/load.rs
+++ b/crates/standin/tests/load.rs
@@ -1,6 +1,6 @@
 //! The load generator: schedule, judge, report and a run against runners.
 
-use std::{fs, path, time};
+use std::{collections, fs, path, time};
 
 use standin::{
     client, load,
@@ -87,12 +87,23 @@
 }
 
 #[test]
-fn mixes_of_both_deployments_are_valid() {
-    let folder = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/load");
-    for (name, items) in [("magnolia", 20 + 80), ("midshire", 30 + 100)] {
-        let mix = mix::Mix::read(&folder.join(name).with_extension("yaml")).expect("a mix");
-        assert_eq!((mix.deployment.as_str(), mix.drafts.models.len()), (name, items));
-        assert_eq!(mix.accounts.len(), 5);
+fn mixes_of_both_deployments_fit_their_bundles() {
+    let folder = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    for name in ["magnolia.yaml", "midshire.yaml"] {
+        let mix = mix::Mix::read(&folder.join("load").join(name)).expect("a mix");
+        let bundle = fs::read_to_string(folder.join(name)).expect("the bundle is read");
+        let bundle = bundle::format::read(&bundle).expect("a bundle");
+        assert_eq!(mix.deployment, &*bundle.deployment);
+        let accounts = bundle.accounts.iter();
+        let declared: Vec<_> = accounts.map(|a| (a.name.as_str(), a.rate, a.burst)).collect();
+        let accounts = mix.accounts.iter();
+        let used: Vec<_> = accounts.map(|a| (a.name.as_str(), a.rate, a.burst)).collect();
+        assert_eq!(used, declared);
+        let models = bundle.models.iter().map(|model| model.name.to_string());
+        let adapters = bundle.adapters.iter().map(|a| format!("{}:{}", a.model, a.name));
+        let declared: collections::BTreeSet<String> = models.chain(adapters).collect();
+        let used: collections::BTreeSet<String> = mix.drafts.models.iter().cloned().collect();
+        assert_eq!(used, declared);
         schedule::Schedule::new(&mix, 1, 1.0, SPAN).expect("a schedule");
     }
 }
@@ -104,8 +115,10 @@
         vms: Vec::new(),
         runners,
         sticky: false,
+        retries: 0,
         seed: 1,
         seconds: 4.0,
+        warmup_seconds: 0.0,
         drain_seconds: 60.0,
         scale: 0.1,
         accelerators: 2,
@@ -126,6 +139,7 @@
         whole: time::Duration::from_secs(1),
         first: Some(time::Duration::from_millis(first)),
         gaps: gaps.iter().copied().map(time::Duration::from_millis).collect(),
+        retries: 0,
     }
 }
 
@@ -180,7 +194,8 @@
     let rules = r#"[
         {"path": "/v1", "refuse": true, "count": 2},
         {"path": "/v1", "break_after": 1, "count": 1},
-        {"path": "/v1", "lose_request": true, "count": 1}
+        {"path": "/v1", "lose_request": true, "count": 1},
+        {"path": "/v1", "cross": true, "count": 2}
     ]"#;
     let client = client::Client::new();
     let set = client.send(faulty.control(), "PUT", "/faults", rules).await;
@@ -188,16 +203,49 @@
     let file = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("mix.yaml");
     fs::write(&file, MIX).expect("the mix is written");
 
-    let config = config(vec![whole.address(), faulty.address()], file);
+    let mut config = config(vec![whole.address(), faulty.address()], file);
     let report = load::run(&config).await.expect("a run");
     let drafts = &report.outcomes["draft"];
     assert_eq!(drafts.values().sum::<u64>(), report.drafts.sent);
     assert_eq!(drafts["not-run: refused"], 2);
     assert_eq!(drafts["cut"], 2);
-    assert_eq!(drafts["answered"], report.drafts.sent - 4);
+    assert_eq!(drafts["wrong"], 2);
+    assert_eq!(drafts["answered"], report.drafts.sent - 6);
     assert_eq!(report.wrongful_refusals, 2);
     assert!(report.first_token.count >= drafts["answered"]);
     assert!(report.to_string().contains("worst-served account"));
+
+    config.warmup_seconds = 3.0;
+    let last = load::run(&config).await.expect("a run");
+    assert!(last.drafts.sent < report.drafts.sent);
+    assert_eq!(last.bins.len(), 1);
+    whole.stop().await;
+    faulty.stop().await;
+}
+
+#[tokio::test]
+async fn broken_streams_are_resumed_at_the_next_address() {
+    let held = |config: runner::Config| {
+        config.with_resident("draft", "v1", 1_000).with_resident("quote", "v1", 1_000)
+    };
+    let whole = runner::start(&held(runner::Config::default())).expect("starts");
+    let faulty = runner::start(&held(runner::Config::default())).expect("starts");
+    let rules = r#"[{"path": "/v1", "break_after": 1}]"#;
+    let client = client::Client::new();
+    let set = client.send(faulty.control(), "PUT", "/faults", rules).await;
+    assert_eq!(set.expect("an answer").status, 204);
+    let file = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("resumed.yaml");
+    fs::write(&file, MIX).expect("the mix is written");
+
+    let mut config = config(vec![whole.address(), faulty.address()], file);
+    config.retries = 1;
+    let report = load::run(&config).await.expect("a run");
+    let drafts = report.drafts.sent;
+    assert_eq!(report.outcomes["draft"]["answered"], drafts);
+    assert!(report.answered_after_retry > 0 && report.answered_after_retry < drafts);
+    let seen = client.send(whole.control(), "GET", "/counts", "").await;
+    let seen = seen.expect("an answer").text();
+    assert!(!seen.contains("continue-text-wrong"), "{seen}");
     whole.stop().await;
     faulty.stop().await;
 }
--- a/crates/standin/tests/runner.rs
+++ b/crates/standin/tests/runner.rs
@@ -234,3 +234,38 @@
     assert!(found.expect("an answer").text().contains("/lookup/family/7"));
     desk.stop().await;
 }
+
+#[tokio::test]
+async fn answers_are_crossed_and_chunks_doubled() {
+    let runner = start(runner::Config::default());
+    let rules = r#"[{"path":"/v1/chat","cross":true,"count":2},{"path":"/v1/chat","double":true}]"#;
+    control(&runner, "PUT", "/faults", rules).await;
+    let plain = body(false, 2);
+    let (first, second) = tokio::join!(
+        call(&runner, &plain, &[("x-call-id", "first")]),
+        call(&runner, &plain, &[("x-call-id", "second")]),
+    );
+    assert_eq!(first.expect("an answer").headers["x-call-id"], "second");
+    assert_eq!(second.expect("an answer").headers["x-call-id"], "first");
+    let doubled = call(&runner, &body(true, 2), &[]).await.expect("an answer");
+    assert_eq!(events(&doubled.text()).0, [0, 0, 1, 1]);
+    runner.stop().await;
+}
+
+#[tokio::test]
+async fn cache_events_come_late_and_with_gaps() {
+    let prompt: Vec<String> = (0..160).map(|word| format!("word{word}")).collect();
+    let mut long = body(false, 1);
+    long["messages"][0]["content"] = prompt.join(" ").into();
+    for (event_lag_ms, expected) in [(0, vec![1, 2, 4, 5, 7, 8, 10]), (600_000, Vec::new())] {
+        let config = runner::Config { event_lag_ms, event_gap: 3, ..runner::Config::default() };
+        let runner = start(config);
+        call(&runner, &long, &[]).await.expect("an answer");
+        let client = client::Client::new();
+        let events = client.send(runner.address(), "GET", "/events?after=0", "").await;
+        let events: Vec<standin::cache::Event> = events.expect("an answer").json().expect("events");
+        let numbers: Vec<u64> = events.iter().map(|event| event.seq).collect();
+        assert_eq!(numbers, expected);
+        runner.stop().await;
+    }
+}
