cli: status says each fault once, with the VMs that have it

Against two running VMs the status told every missing copy four times: by the VM's alarm and by its list of unreachable items, on each of the VMs.

--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -1,6 +1,6 @@
 //! `primroseplank status` and `state`.
 
-use std::{fmt::Write as _, net};
+use std::{collections, fmt::Write as _, net};
 
 use node::operator;
 
@@ -53,30 +53,33 @@
 
 /// What is wrong on a VM, each with what to do.
 fn faults(status: &operator::Status) -> Vec<String> {
-    let mut faults = Vec::new();
-    if !status.ready {
-        faults.push(format!(
-            "{} serves nobody: {}; the balancer sends it no calls",
-            status.vm, status.reason
-        ));
-    }
+    let mut faults = status.alarms.clone();
+    // An alarm that names the matter says it already, and better.
+    let told = |matter: &str| status.alarms.iter().any(|alarm| alarm.contains(matter));
     if status.bundle.is_none() {
-        faults.push(format!(
-            "{} has no bundle; run `primroseplank accept` with a signed one",
-            status.vm
-        ));
+        faults.push("no bundle is in force: run `primroseplank accept`".to_owned());
     }
-    for item in &status.unreachable {
-        faults.push(format!(
-            "{} has no ready copy of {item}; calls for it wait and are then refused; look at the \
-             runners in `primroseplank state`",
-            status.vm
-        ));
+    if !status.ready && !told(&status.reason) {
+        faults.push(format!("serves nobody: {}; it gets no calls", status.reason));
+    }
+    for item in status.unreachable.iter().filter(|item| !told(item)) {
+        faults.push(format!("no ready copy of {item}: look at `primroseplank state`"));
     }
-    faults.extend(status.alarms.iter().map(|alarm| format!("{}: {alarm}", status.vm)));
     faults
 }
 
+/// The names of the VMs on which each thing is wrong.
+fn by_fault(seen: &[Seen]) -> collections::BTreeMap<String, Vec<&str>> {
+    let mut vms = collections::BTreeMap::new();
+    for status in seen.iter().filter_map(|seen| seen.status.as_ref().ok()) {
+        for fault in faults(status) {
+            let names: &mut Vec<_> = vms.entry(fault).or_default();
+            names.push(&*status.vm);
+        }
+    }
+    vms
+}
+
 /// The versions in force on the VMs that serve.
 fn versions(seen: &[Seen]) -> Vec<ids::Version> {
     let serving = seen.iter().filter_map(|seen| seen.status.as_ref().ok());
@@ -112,7 +115,6 @@
         match status {
             Ok(status) => {
                 line(&mut text, *address, status);
-                wrong.extend(faults(status));
             }
             Err(error) => {
                 _ = writeln!(text, "  {address}  does not answer");
@@ -122,6 +124,9 @@
             }
         }
     }
+    for (fault, vms) in by_fault(seen) {
+        wrong.push(format!("{}: {fault}", vms.join(", ")));
+    }
     let versions = versions(seen);
     if versions.len() > 1 {
         let versions: Vec<_> = versions.iter().map(ToString::to_string).collect();
