--- a/crates/bundle/src/error.rs
+++ b/crates/bundle/src/error.rs
@@ -4,16 +4,20 @@
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
 /// What is wrong with a document.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub enum Kind {
     /// not such a document
     Format,
     /// not a client key
     Key,
+    /// not signed by one of the signers
+    Signature,
 }
 
 /// {kind}: {reason}
-#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub struct Error {
     kind: Kind,
     reason: String,
@@ -23,10 +27,7 @@
 
 impl Error {
     pub(crate) fn new(kind: Kind, reason: impl Into<String>) -> Self {
-        Self {
-            kind,
-            reason: reason.into(),
-        }
+        Self { kind, reason: reason.into() }
     }
 
     /// What is wrong.
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -3,7 +3,9 @@
 //! A [`Bundle`] is a YAML document that names data centres, models, adapters,
 //! runners, plain services and client accounts. [`read()`] turns the text into
 //! a bundle or says what is wrong and where. [`Amendments`] are the changes
-//! made between bundles: keys issued or withdrawn, targets drained.
+//! made between bundles: keys issued or withdrawn, targets drained. [`signed`]
+//! has the signed document as it is accepted and stored, [`check`] what is
+//! looked at before, [`diff`] what a bundle changes.
 //!
 //! ```
 //! let text = "
@@ -23,9 +25,15 @@
 //! ```
 
 pub mod amend;
+pub mod check;
+pub mod diff;
 pub mod error;
 pub mod format;
+pub mod history;
 pub mod key;
+pub mod loads;
+pub mod packing;
+pub mod signed;
 
 pub use amend::Amendments;
 pub use error::{Error, Kind, Result};
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -1,12 +1,27 @@
 //! What VMs tell one another.
 
+use std::sync;
+
 /// A message between VMs. It may be lost, late or doubled.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Message {
-    /// A target that says of itself that it is leaving.
-    Leaving {
-        /// The target.
-        target: ids::Target,
+    /// About the head.
+    #[serde(rename = "m")]
+    Member(member::Message),
+    /// Asks for an object that the head names.
+    #[serde(rename = "w")]
+    Want {
+        /// Its digest.
+        digest: ids::Digest,
+    },
+    /// An object that was asked for.
+    #[serde(rename = "o")]
+    Text {
+        /// Its text, from which the receiver computes the digest.
+        text: sync::Arc<str>,
     },
+    /// About rates and bursts.
+    #[serde(rename = "q")]
+    Quota(quota::Message),
 }
--- a/crates/plan/src/config.rs
+++ b/crates/plan/src/config.rs
@@ -3,7 +3,8 @@
 use crate::ledger;
 
 /// Knobs of the planner.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Config {
     /// This VM and its incarnation.
--- a/crates/plan/src/demand.rs
+++ b/crates/plan/src/demand.rs
@@ -14,10 +14,7 @@
 impl Demand {
     /// Counts tokens asked of `item`.
     pub(crate) fn add(&mut self, now: ids::Time, item: &sync::Arc<str>, tokens: u64) {
-        let (sum, at) = self
-            .sums
-            .entry(sync::Arc::clone(item))
-            .or_insert((0.0, now));
+        let (sum, at) = self.sums.entry(sync::Arc::clone(item)).or_insert((0.0, now));
         *sum = faded(*sum, *at, now) + tokens as f64;
         *at = now;
     }
--- a/crates/plan/src/ledger.rs
+++ b/crates/plan/src/ledger.rs
@@ -23,7 +23,8 @@
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
 /// not a row of the ledger: {0}
-#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub struct Error(String);
 
 impl std::error::Error for Error {}
@@ -32,7 +33,8 @@
 pub const PREFIX: &str = "ledger/";
 
 /// A start of a VM's process, as the sender of orders.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Sender {
     /// The VM.
     pub vm: ids::Vm,
@@ -41,7 +43,8 @@
 }
 
 /// An order that may yet take effect.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Pending {
     /// Who sends it; nobody else does.
     pub sender: Sender,
@@ -50,7 +53,8 @@
 }
 
 /// Where a resident stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum State {
     /// Memory is reserved; the order to load may not have been sent yet.
@@ -64,7 +68,8 @@
 }
 
 /// A version of a model or adapter to which memory is committed.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Resident {
     /// `MODEL` or `MODEL:ADAPTER`.
     pub item: sync::Arc<str>,
@@ -83,13 +88,7 @@
     /// A resident in `state` without a pending order.
     #[must_use]
     pub fn new(item: &str, version: &str, state: State, memory_mib: u64) -> Self {
-        Self {
-            item: item.into(),
-            version: version.into(),
-            state,
-            memory_mib,
-            order: None,
-        }
+        Self { item: item.into(), version: version.into(), state, memory_mib, order: None }
     }
 
     /// The order that the resident's state calls for, if it calls for one.
@@ -111,7 +110,8 @@
 }
 
 /// What the memory of one runner is committed to.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Ledger {
     /// The residents.
     pub residents: Vec<Resident>,
--- a/crates/plan/src/pace.rs
+++ b/crates/plan/src/pace.rs
@@ -10,10 +10,7 @@
 impl Pace {
     /// An empty bucket.
     pub(crate) const fn new(now: ids::Time) -> Self {
-        Self {
-            saved: 0.0,
-            at: now,
-        }
+        Self { saved: 0.0, at: now }
     }
 
     /// Whether a load may begin.
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -59,11 +59,7 @@
 
 impl Kind {
     const fn of(item: &Item) -> Self {
-        if item.base.is_some() {
-            Self::Adapter
-        } else {
-            Self::Model
-        }
+        if item.base.is_some() { Self::Adapter } else { Self::Model }
     }
 }
 
@@ -166,10 +162,8 @@
 }
 
 fn centres_with(scene: &Scene, item: &Item) -> collections::BTreeSet<ids::Centre> {
-    let with = scene
-        .sites
-        .values()
-        .filter(|site| site.serves() && site.has(&item.name, &item.version));
+    let with =
+        scene.sites.values().filter(|site| site.serves() && site.has(&item.name, &item.version));
     with.map(|site| site.centre.clone()).collect()
 }
 
@@ -191,10 +185,7 @@
     if sites.any(|site| site.free_mib() + site.leaving_mib() >= item.memory_mib) {
         return;
     }
-    let plans = scene
-        .sites
-        .iter()
-        .filter(|(_, site)| site.settled && fitting(site));
+    let plans = scene.sites.iter().filter(|(_, site)| site.settled && fitting(site));
     let best = plans
         .filter_map(|(target, site)| {
             Some((target.clone(), room_at(scene, target, site, item, need)?))
@@ -216,9 +207,7 @@
     item: &Item,
     need: Need,
 ) -> Option<Vec<Surplus>> {
-    let missing = item
-        .memory_mib
-        .saturating_sub(site.free_mib() + site.leaving_mib());
+    let missing = item.memory_mib.saturating_sub(site.free_mib() + site.leaving_mib());
     let mut groups: Vec<Vec<Surplus>> = site
         .residents
         .iter()
@@ -274,18 +263,11 @@
     let site = scene.sites.get(target)?;
     let mut going = vec![surplus_copy(scene, target, (item, version), rule)?];
     let same_model = |each: &&crate::ledger::Resident| *each.item == *name;
-    let versions = site
-        .residents
-        .iter()
-        .filter(same_model)
-        .filter(|each| each.state == State::Ready);
+    let versions =
+        site.residents.iter().filter(same_model).filter(|each| each.state == State::Ready);
     if item.base.is_none() && versions.count() == 1 {
         for adapter in scene.adapters(name) {
-            for each in site
-                .residents
-                .iter()
-                .filter(|each| each.item == adapter.name)
-            {
+            for each in site.residents.iter().filter(|each| each.item == adapter.name) {
                 if each.state == State::Ready {
                     going.push(surplus_copy(scene, target, (adapter, &each.version), rule)?);
                 }
@@ -335,10 +317,7 @@
     if *version != *item.version {
         let old = scene.serving(item, version).filter(others);
         let more: Vec<_> = old.map(|(other, _)| other.clone()).collect();
-        let more: Vec<_> = more
-            .into_iter()
-            .filter(|other| !found.contains(other))
-            .collect();
+        let more: Vec<_> = more.into_iter().filter(|other| !found.contains(other)).collect();
         found.extend(more);
     }
     let keep = rule.keep(item);
@@ -404,10 +383,8 @@
         return None;
     }
     if site.has_ready(name, &item.version) && site.serves() {
-        let resident = site
-            .residents
-            .iter()
-            .find(|each| *each.item == *name && *each.version == *version)?;
+        let resident =
+            site.residents.iter().find(|each| *each.item == *name && *each.version == *version)?;
         return Some(vec![Surplus {
             item: sync::Arc::clone(&resident.item),
             version: sync::Arc::clone(&resident.version),
@@ -419,8 +396,5 @@
 }
 
 fn name_of(resident: &crate::ledger::Resident) -> (sync::Arc<str>, sync::Arc<str>) {
-    (
-        sync::Arc::clone(&resident.item),
-        sync::Arc::clone(&resident.version),
-    )
+    (sync::Arc::clone(&resident.item), sync::Arc::clone(&resident.version))
 }
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -157,11 +157,7 @@
         let taken = ids::Time::from_millis(asked.as_millis().saturating_sub(report.age_ms));
         let newer = view.seen.as_ref().is_none_or(|seen| seen.taken <= taken);
         if newer {
-            view.seen = Some(Seen {
-                report: report.clone(),
-                taken,
-                received: now,
-            });
+            view.seen = Some(Seen { report: report.clone(), taken, received: now });
         }
     }
 
@@ -232,44 +228,75 @@
     /// The declared items that have no ready copy.
     #[must_use]
     pub fn unreachable(&self, now: ids::Time) -> Vec<sync::Arc<str>> {
-        let items = self
-            .bundle
-            .iter()
-            .flat_map(|bundle| Item::all(bundle, |_| 0));
-        items
-            .map(|item| item.name)
-            .filter(|item| self.ready(now, item).is_empty())
-            .collect()
+        let offers = self.offers(now);
+        let offered: collections::BTreeSet<_> = offers.values().flatten().collect();
+        let items = self.bundle.iter().flat_map(|bundle| Item::all(bundle, |_| 0));
+        items.map(|item| item.name).filter(|item| !offered.contains(item)).collect()
     }
 
     /// Every runner with the items that it is fit to serve now.
+    ///
+    /// The work grows with the copies that there are, not with runners times
+    /// items, for this runs several times a second on every VM.
     #[must_use]
     pub fn offers(
         &self,
         now: ids::Time,
     ) -> collections::BTreeMap<ids::Target, collections::BTreeSet<sync::Arc<str>>> {
-        let targets = self.views.keys().cloned();
-        let mut offers: collections::BTreeMap<_, collections::BTreeSet<_>> = targets
-            .map(|target| (target, collections::BTreeSet::new()))
-            .collect();
-        let items = self
-            .bundle
-            .iter()
-            .flat_map(|bundle| Item::all(bundle, |_| 0));
-        for item in items {
-            for target in self.ready(now, &item.name) {
-                let offered = offers.entry(target.clone()).or_default();
-                offered.insert(sync::Arc::clone(&item.name));
+        let mut offers = collections::BTreeMap::new();
+        let mut open = collections::BTreeSet::new();
+        for (target, view) in &self.views {
+            let items = self.served(now, target, view);
+            if !self.drained.contains(target) {
+                open.extend(items.iter().cloned());
+            }
+            offers.insert(target.clone(), items);
+        }
+        for target in &self.drained {
+            if let Some(items) = offers.get_mut(target) {
+                items.retain(|item| !open.contains(item));
             }
         }
         offers
     }
 
+    /// Whether this VM decides for the fleet, and so needs reports of all runners.
+    #[must_use]
+    pub const fn leads(&self) -> bool {
+        self.leads
+    }
+
     /// The rows as this planner knows them, for the dump.
     pub fn rows(&self) -> impl Iterator<Item = (&ids::Target, &Ledger)> {
-        self.views
-            .iter()
-            .map(|(target, view)| (target, &view.ledger))
+        self.views.iter().map(|(target, view)| (target, &view.ledger))
+    }
+
+    /// The items that a runner is fit to serve, drained or not.
+    fn served(
+        &self,
+        now: ids::Time,
+        target: &ids::Target,
+        view: &View,
+    ) -> collections::BTreeSet<sync::Arc<str>> {
+        let Some(seen) = self.fresh(now, view) else {
+            return collections::BTreeSet::new();
+        };
+        if seen.report.leaving || self.leaving.contains(target) {
+            return collections::BTreeSet::new();
+        }
+        let is_ready = |each: &&engine::report::Resident| {
+            let going = self.leads && view.is_going(&each.item, &each.version);
+            each.state == engine::report::State::Ready && !going
+        };
+        let ready = seen.report.residents.iter().filter(is_ready);
+        let mut items: collections::BTreeSet<_> =
+            ready.map(|each| sync::Arc::clone(&each.item)).collect();
+        let has_model = |item: &sync::Arc<str>, items: &collections::BTreeSet<sync::Arc<str>>| {
+            item.split_once(':').is_none_or(|(model, _)| items.contains(model))
+        };
+        let all = items.clone();
+        items.retain(|item| has_model(item, &all));
+        items
     }
 
     fn serves(&self, now: ids::Time, target: &ids::Target, view: &View, item: &str) -> bool {
@@ -349,18 +376,11 @@
                 let op = self.op();
                 let ordered = Ordered {
                     target: target.clone(),
-                    name: (
-                        sync::Arc::clone(&order.item),
-                        sync::Arc::clone(&order.version),
-                    ),
+                    name: (sync::Arc::clone(&order.item), sync::Arc::clone(&order.version)),
                     fence: order.fence,
                 };
                 self.ordered.insert(op, ordered);
-                out.push(Output::Order {
-                    op,
-                    target: target.clone(),
-                    order,
-                });
+                out.push(Output::Order { op, target: target.clone(), order });
             }
         }
         self.views = views;
@@ -389,9 +409,7 @@
         let grace = time::Duration::from_millis(self.config.grace_ms);
         let heard = self.views.values().all(|view| view.seen.is_some());
         let pause = time::Duration::from_millis(self.config.decide_ms);
-        let due = self
-            .decided
-            .is_none_or(|decided| now.since(decided) >= pause);
+        let due = self.decided.is_none_or(|decided| now.since(decided) >= pause);
         due && self.leads && self.scan.done.is_some() && (heard || now.since(adopted) >= grace)
     }
 
@@ -435,11 +453,7 @@
             let site = self.site(now, runner, view, drafts.get(&runner.name));
             sites.insert(runner.name.clone(), site);
         }
-        Some(Scene {
-            items,
-            sites,
-            steps: Vec::new(),
-        })
+        Some(Scene { items, sites, steps: Vec::new() })
     }
 
     fn site(
@@ -470,17 +484,12 @@
         let rate = self.demand.rate(now, model) * self.members.len() as f64;
         let copies = (rate / self.config.copy_tokens).ceil().max(0.0);
         let most = self.views.len();
-        (0..most)
-            .find(|count| *count as f64 >= copies)
-            .unwrap_or(most)
+        (0..most).find(|count| *count as f64 >= copies).unwrap_or(most)
     }
 
     /// Loads that may begin now, over all VMs: only the leader begins any.
     fn allowance(&mut self, now: ids::Time, scene: &Scene) -> place::Allowance {
-        let none = place::Allowance {
-            models: 0,
-            adapters: 0,
-        };
+        let none = place::Allowance { models: 0, adapters: 0 };
         let Some(weights) = self.bundle.as_ref().map(|bundle| &bundle.weights) else {
             return none;
         };
@@ -516,23 +525,13 @@
         let order = Some(view.order_of(&self.scale(now, target)));
         let target = target.clone();
         let text = match step {
-            Step::Load {
-                item,
-                version,
-                memory_mib,
-                ..
-            } => {
+            Step::Load { item, version, memory_mib, .. } => {
                 let mut resident = Resident::new(&item, &version, State::Reserved, memory_mib);
                 resident.order = order;
                 draft.residents.push(resident);
                 format!("reserve {memory_mib} MiB for {item}@{version}")
             }
-            Step::Unload {
-                item,
-                version,
-                keepers,
-                ..
-            } => {
+            Step::Unload { item, version, keepers, .. } => {
                 if let Some(resident) = draft.get_mut(&item, &version) {
                     resident.state = State::Unloading;
                     resident.order = order;
@@ -541,10 +540,7 @@
                 format!("unload {item}@{version}")
             }
         };
-        out.push(Output::Log {
-            peer: target.to_string(),
-            text,
-        });
+        out.push(Output::Log { peer: target.to_string(), text });
     }
 }
 
--- a/crates/plan/src/rows.rs
+++ b/crates/plan/src/rows.rs
@@ -15,18 +15,9 @@
 /// A request to the table service that awaits its answer.
 #[derive(Debug)]
 pub(crate) enum Asked {
-    Scan {
-        started: ids::Time,
-        seen: collections::BTreeSet<ids::Target>,
-    },
-    Get {
-        target: ids::Target,
-        at: ids::Time,
-    },
-    Write {
-        rows: Vec<(ids::Target, Ledger)>,
-        at: ids::Time,
-    },
+    Scan { started: ids::Time, seen: collections::BTreeSet<ids::Target> },
+    Get { target: ids::Target, at: ids::Time },
+    Write { rows: Vec<(ids::Target, Ledger)>, at: ids::Time },
 }
 
 /// When rows are read.
@@ -50,13 +41,8 @@
             .map(|(target, _)| target.clone())
             .collect();
         for target in doubtful {
-            let request = table::Request::Get {
-                key: Ledger::key(&target),
-            };
-            let asked = Asked::Get {
-                target: target.clone(),
-                at: now,
-            };
+            let request = table::Request::Get { key: Ledger::key(&target) };
+            let asked = Asked::Get { target: target.clone(), at: now };
             let op = self.ask(asked, request, out);
             if let Some(view) = self.views.get_mut(&target) {
                 view.busy = Some(op);
@@ -72,11 +58,7 @@
         out: &mut Vec<Output>,
     ) {
         self.scan.busy = true;
-        let request = table::Request::Scan {
-            prefix: ledger::PREFIX.into(),
-            after,
-            limit: PAGE,
-        };
+        let request = table::Request::Scan { prefix: ledger::PREFIX.into(), after, limit: PAGE };
         self.ask(Asked::Scan { started, seen }, request, out);
     }
 
@@ -103,12 +85,8 @@
             return self.scan_from(started, seen, last, out);
         }
         self.scan.done = Some(started);
-        let missing: Vec<_> = self
-            .views
-            .keys()
-            .filter(|name| !seen.contains(*name))
-            .cloned()
-            .collect();
+        let missing: Vec<_> =
+            self.views.keys().filter(|name| !seen.contains(*name)).cloned().collect();
         for target in missing {
             self.learn(now, started, &target, None);
         }
@@ -208,10 +186,8 @@
             .collect();
         for target in changed {
             let group = linked(&target, links);
-            let rows: Vec<_> = group
-                .into_iter()
-                .filter_map(|name| drafts.remove_entry(&name))
-                .collect();
+            let rows: Vec<_> =
+                group.into_iter().filter_map(|name| drafts.remove_entry(&name)).collect();
             if !rows.is_empty() {
                 self.write_rows(now, rows, out);
             }
--- a/crates/plan/src/scene.rs
+++ b/crates/plan/src/scene.rs
@@ -88,28 +88,19 @@
 
     /// Memory that is being given back.
     pub(crate) fn leaving_mib(&self) -> u64 {
-        let going = self
-            .residents
-            .iter()
-            .filter(|each| each.state == State::Unloading);
+        let going = self.residents.iter().filter(|each| each.state == State::Unloading);
         going.map(|each| each.memory_mib).sum()
     }
 
     /// The ready copy of any version of `name`.
     pub(crate) fn ready(&self, name: &str) -> Option<&Resident> {
-        let mut ready = self
-            .residents
-            .iter()
-            .filter(|each| each.state == State::Ready);
+        let mut ready = self.residents.iter().filter(|each| each.state == State::Ready);
         ready.find(|each| *each.item == *name)
     }
 
     /// Whether `version` of `name` is ready.
     pub(crate) fn has_ready(&self, name: &str, version: &str) -> bool {
-        let mut ready = self
-            .residents
-            .iter()
-            .filter(|each| each.state == State::Ready);
+        let mut ready = self.residents.iter().filter(|each| each.state == State::Ready);
         ready.any(|each| *each.item == *name && *each.version == *version)
     }
 
@@ -129,12 +120,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Step {
     /// Reserve memory at a runner and load.
-    Load {
-        target: ids::Target,
-        item: sync::Arc<str>,
-        version: sync::Arc<str>,
-        memory_mib: u64,
-    },
+    Load { target: ids::Target, item: sync::Arc<str>, version: sync::Arc<str>, memory_mib: u64 },
     /// Unload from a runner, as long as other runners keep their copies.
     Unload {
         target: ids::Target,
@@ -170,10 +156,7 @@
         version: &'a str,
     ) -> impl Iterator<Item = (&'a ids::Target, &'a Site)> {
         self.sites.iter().filter(move |(_, site)| {
-            let beside = item
-                .base
-                .as_ref()
-                .is_none_or(|base| site.ready(base).is_some());
+            let beside = item.base.as_ref().is_none_or(|base| site.ready(base).is_some());
             site.serves() && beside && site.has_ready(&item.name, version)
         })
     }
@@ -212,10 +195,7 @@
     pub(crate) fn is_reachable(&self, item: &Item) -> bool {
         let mut alive = self.sites.values().filter(|site| site.alive);
         alive.any(|site| {
-            let beside = item
-                .base
-                .as_ref()
-                .is_none_or(|base| site.ready(base).is_some());
+            let beside = item.base.as_ref().is_none_or(|base| site.ready(base).is_some());
             beside && site.ready(&item.name).is_some()
         })
     }
--- a/crates/plan/tests/world/mod.rs
+++ b/crates/plan/tests/world/mod.rs
@@ -31,35 +31,11 @@
 }
 
 enum Event {
-    Request {
-        vm: usize,
-        op: ids::Op,
-        request: table::Request,
-        answered: bool,
-    },
-    Answer {
-        vm: usize,
-        op: ids::Op,
-        result: platform::Result<table::Answer>,
-    },
-    Order {
-        vm: usize,
-        op: ids::Op,
-        target: ids::Target,
-        order: engine::Order,
-        answered: bool,
-    },
-    Reply {
-        vm: usize,
-        op: ids::Op,
-        reply: engine::order::Reply,
-    },
-    Report {
-        vm: usize,
-        target: ids::Target,
-        asked: ids::Time,
-        report: engine::Report,
-    },
+    Request { vm: usize, op: ids::Op, request: table::Request, answered: bool },
+    Answer { vm: usize, op: ids::Op, result: platform::Result<table::Answer> },
+    Order { vm: usize, op: ids::Op, target: ids::Target, order: engine::Order, answered: bool },
+    Reply { vm: usize, op: ids::Op, reply: engine::order::Reply },
+    Report { vm: usize, target: ids::Target, asked: ids::Time, report: engine::Report },
 }
 
 /// One VM's planner and where it stands.
@@ -101,9 +77,7 @@
 impl World {
     pub fn new(seed: u64, bundle: bundle::Bundle, vms: usize) -> Self {
         let runners = bundle.runners.iter();
-        let runners = runners
-            .map(|each| (each.name.clone(), runner::Runner::new(each)))
-            .collect();
+        let runners = runners.map(|each| (each.name.clone(), runner::Runner::new(each))).collect();
         let mut world = Self {
             now: ids::Time::from_millis(10_000),
             rng: rand::rngs::SmallRng::seed_from_u64(seed),
@@ -139,8 +113,7 @@
 
     pub fn adopt(&mut self, vm: usize, members: &[plan::ledger::Sender]) {
         let vm = &mut self.vms[vm];
-        vm.planner
-            .adopt(self.now, &self.bundle, members, &self.drained);
+        vm.planner.adopt(self.now, &self.bundle, members, &self.drained);
     }
 
     pub fn adopt_all(&mut self) {
@@ -166,10 +139,7 @@
     }
 
     pub fn leader(&self) -> Option<&plan::Planner> {
-        self.vms
-            .iter()
-            .map(|vm| &vm.planner)
-            .find(|planner| planner.is_leader())
+        self.vms.iter().map(|vm| &vm.planner).find(|planner| planner.is_leader())
     }
 
     pub fn step(&mut self) {
@@ -215,14 +185,7 @@
         let late = self.chance(self.faults.late);
         if lost || late || !answered {
             let fault = platform::Fault::new("table", "table", platform::Kind::Unknown, "lost");
-            self.later(
-                TIMEOUT_MS,
-                Event::Answer {
-                    vm,
-                    op,
-                    result: Err(fault),
-                },
-            );
+            self.later(TIMEOUT_MS, Event::Answer { vm, op, result: Err(fault) });
         }
         if !lost {
             let way = if late {
@@ -231,15 +194,7 @@
                 self.rng.random_range(1..200)
             };
             let answered = answered && !late;
-            self.later(
-                way,
-                Event::Request {
-                    vm,
-                    op,
-                    request,
-                    answered,
-                },
-            );
+            self.later(way, Event::Request { vm, op, request, answered });
         }
     }
 
@@ -258,16 +213,7 @@
                 self.rng.random_range(1..200)
             };
             let answered = answered && !late;
-            self.later(
-                way,
-                Event::Order {
-                    vm,
-                    op,
-                    target,
-                    order,
-                    answered,
-                },
-            );
+            self.later(way, Event::Order { vm, op, target, order, answered });
         }
     }
 
@@ -283,16 +229,8 @@
                     continue;
                 };
                 if !lost {
-                    let report = engine::Report {
-                        age_ms: lag,
-                        ..report
-                    };
-                    let event = Event::Report {
-                        vm,
-                        target: target.clone(),
-                        asked,
-                        report,
-                    };
+                    let report = engine::Report { age_ms: lag, ..report };
+                    let event = Event::Report { vm, target: target.clone(), asked, report };
                     self.later(there + back, event);
                 }
             }
@@ -311,32 +249,14 @@
 
     fn take(&mut self, event: Event) {
         match event {
-            Event::Request {
-                vm,
-                op,
-                request,
-                answered,
-            } => {
+            Event::Request { vm, op, request, answered } => {
                 let answer = self.serve(&request);
                 if answered {
                     let way = self.rng.random_range(1..100);
-                    self.later(
-                        way,
-                        Event::Answer {
-                            vm,
-                            op,
-                            result: Ok(answer),
-                        },
-                    );
+                    self.later(way, Event::Answer { vm, op, result: Ok(answer) });
                 }
             }
-            Event::Order {
-                vm,
-                op,
-                target,
-                order,
-                answered,
-            } => {
+            Event::Order { vm, op, target, order, answered } => {
                 let reply = self.obey(&target, &order);
                 if answered {
                     let way = self.rng.random_range(1..100);
@@ -351,15 +271,8 @@
             Event::Reply { vm, op, reply } => {
                 self.vms[vm].planner.order(self.now, op, reply);
             }
-            Event::Report {
-                vm,
-                target,
-                asked,
-                report,
-            } => {
-                self.vms[vm]
-                    .planner
-                    .report(self.now, &target, asked, &report);
+            Event::Report { vm, target, asked, report } => {
+                self.vms[vm].planner.report(self.now, &target, asked, &report);
             }
         }
     }
@@ -378,11 +291,7 @@
     fn serve(&mut self, request: &table::Request) -> table::Answer {
         match request {
             table::Request::Get { key } => table::Answer::Row(self.row(key)),
-            table::Request::Scan {
-                prefix,
-                after,
-                limit,
-            } => {
+            table::Request::Scan { prefix, after, limit } => {
                 let keys = self.rows.keys().filter(|key| key.starts_with(&**prefix));
                 let keys = keys.filter(|key| after.as_ref().is_none_or(|after| *key > after));
                 let rows = keys.take(*limit).filter_map(|key| self.row(key)).collect();
@@ -398,8 +307,7 @@
                 for write in writes {
                     let version = write.expect.unwrap_or_default().next();
                     let value = write.value.clone().unwrap();
-                    self.rows
-                        .insert(sync::Arc::clone(&write.key), (version, value));
+                    self.rows.insert(sync::Arc::clone(&write.key), (version, value));
                 }
                 table::Answer::Written
             }
@@ -417,15 +325,9 @@
 
     /// The names of all declared items.
     pub fn items(&self) -> Vec<String> {
-        let models = self
-            .bundle
-            .models
-            .iter()
-            .map(|model| model.name.to_string());
+        let models = self.bundle.models.iter().map(|model| model.name.to_string());
         let adapters = self.bundle.adapters.iter();
-        models
-            .chain(adapters.map(|each| format!("{}:{}", each.model, each.name)))
-            .collect()
+        models.chain(adapters.map(|each| format!("{}:{}", each.model, each.name))).collect()
     }
 
     /// Whether a runner serves `item`, whatever anybody thinks.
@@ -437,8 +339,7 @@
         for (name, runner) in &self.runners {
             if runner.used_mib() > runner.memory_mib {
                 let used = runner.used_mib();
-                self.wrongs
-                    .push(format!("{}: {name} uses {used} MiB", self.now));
+                self.wrongs.push(format!("{}: {name} uses {used} MiB", self.now));
             }
         }
         if !self.judge_reach {
@@ -451,8 +352,7 @@
                     self.reached.insert(item);
                 }
             } else if self.reached.contains(&item) {
-                self.wrongs
-                    .push(format!("{}: nothing serves {item}", self.now));
+                self.wrongs.push(format!("{}: nothing serves {item}", self.now));
             }
         }
     }
--- a/crates/plan/tests/world/runner.rs
+++ b/crates/plan/tests/world/runner.rs
@@ -46,17 +46,11 @@
             state: report::State::Ready,
             memory_mib,
         };
-        self.residents.push(Resident {
-            shown,
-            until: ids::Time::default(),
-        });
+        self.residents.push(Resident { shown, until: ids::Time::default() });
     }
 
     pub fn used_mib(&self) -> u64 {
-        self.residents
-            .iter()
-            .map(|each| each.shown.memory_mib)
-            .sum()
+        self.residents.iter().map(|each| each.shown.memory_mib).sum()
     }
 
     pub fn has_ready(&self, item: &str, version: &str) -> bool {
@@ -80,11 +74,7 @@
 
     /// Number of models on their way in.
     pub fn loading(&self) -> usize {
-        let mut models = self
-            .residents
-            .iter()
-            .map(|each| &each.shown)
-            .collect::<Vec<_>>();
+        let mut models = self.residents.iter().map(|each| &each.shown).collect::<Vec<_>>();
         models.retain(|each| each.state == report::State::Loading && !each.item.contains(':'));
         models.len()
     }
@@ -105,16 +95,8 @@
         self.residents
             .retain(|each| each.shown.state != report::State::Unloading || each.until > now);
         let report = engine::Report {
-            fence: if self.fencing {
-                self.fence
-            } else {
-                ids::Fence::default()
-            },
-            residents: self
-                .residents
-                .iter()
-                .map(|each| each.shown.clone())
-                .collect(),
+            fence: if self.fencing { self.fence } else { ids::Fence::default() },
+            residents: self.residents.iter().map(|each| each.shown.clone()).collect(),
             ..engine::Report::default()
         };
         self.past.push((now, report));
@@ -159,11 +141,7 @@
         if self.residents.iter().any(same) {
             return order::Reply::Taken;
         }
-        let wait = if base.is_some() {
-            ADAPTER_LOAD_MS
-        } else {
-            MODEL_LOAD_MS
-        };
+        let wait = if base.is_some() { ADAPTER_LOAD_MS } else { MODEL_LOAD_MS };
         let shown = report::Resident {
             item: sync::Arc::clone(&order.item),
             version: sync::Arc::clone(&order.version),
