daemon: a stream that stands still for 5 s goes on elsewhere; proofs: frozen runners, dead VMs, listed leavers

A runner that was stopped in the middle of a stream held it up for 60 s, the one limit for first and later chunks. They have a limit each now (30 s, 5 s).

--- a/crates/daemon/src/client/runner.rs
+++ b/crates/daemon/src/client/runner.rs
@@ -15,6 +15,15 @@
 /// Largest text that a runner gives as the reason of a refusal, in bytes.
 const REASON_BYTES: usize = 4 * 1024;
 
+/// Longest waits for a runner.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Until its answer begins, and from then until the first chunk.
+    pub first: time::Duration,
+    /// Between two chunks.
+    pub next: time::Duration,
+}
+
 /// A chat for a runner.
 #[derive(Clone, Debug)]
 pub struct Chat {
@@ -54,18 +63,13 @@
 }
 
 /// Sends a chat and gives what is seen of it to `events`, until its last one.
-pub async fn chat(
-    client: &Client,
-    chat: Chat,
-    longest: time::Duration,
-    events: &mpsc::Sender<Event>,
-) {
-    let last = match begin(client, &chat, longest).await {
+pub async fn chat(client: &Client, chat: Chat, limits: Limits, events: &mpsc::Sender<Event>) {
+    let last = match begin(client, &chat, limits.first).await {
         Ok(response) => {
             if events.send(Event::Accepted).await.is_err() {
                 return;
             }
-            stream(response, chat.begin.resume_from, longest, events).await
+            stream(response, chat.begin.resume_from, limits, events).await
         }
         Err(event) => event,
     };
@@ -137,11 +141,12 @@
 async fn stream(
     response: http::Response<Incoming>,
     resume_from: u64,
-    longest: time::Duration,
+    limits: Limits,
     events: &mpsc::Sender<Event>,
 ) -> Event {
     let mut body = response.into_body();
     let mut parser = event_stream::Parser::default();
+    let mut longest = limits.first;
     let mut progress = Progress { chunks: resume_from, ..Progress::default() };
     loop {
         let frame = match tokio::time::timeout(longest, body.frame()).await {
@@ -163,6 +168,7 @@
             match progress.take(&event) {
                 Ok(Some(seen)) if seen.is_last() => return seen,
                 Ok(Some(seen)) => {
+                    longest = limits.next;
                     if events.send(seen).await.is_err() {
                         return broken("the attempt was dropped");
                     }
--- a/crates/daemon/src/effect.rs
+++ b/crates/daemon/src/effect.rs
@@ -18,7 +18,7 @@
 /// Limits on what targets and the platform may take.
 #[derive(Clone, Copy, Debug)]
 struct Bounds {
-    runner: time::Duration,
+    runner: runner::Limits,
     service: time::Duration,
     report: time::Duration,
     answer_bytes: usize,
@@ -78,7 +78,10 @@
             limits.platform_ms.millis(),
         );
         let bounds = Bounds {
-            runner: limits.runner_ms.millis(),
+            runner: runner::Limits {
+                first: limits.runner_ms.millis(),
+                next: limits.chunk_ms.millis(),
+            },
             service: limits.service_ms.millis(),
             report: limits.report_ms.millis(),
             answer_bytes: limits.answer_bytes.count(),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -134,8 +134,10 @@
     pub threads: Bounded<1, 256>,
     /// Longest time to connect to a target or a platform part, in ms.
     pub connect_ms: Bounded<10, 60_000>,
-    /// Longest time until a runner begins its answer, and between its chunks, in ms.
+    /// Longest time until a runner begins its answer, and until its first chunk, in ms.
     pub runner_ms: Bounded<100, 3_600_000>,
+    /// Longest time between two chunks of a runner, in ms.
+    pub chunk_ms: Bounded<100, 3_600_000>,
     /// Longest time until a plain service has answered, in ms.
     pub service_ms: Bounded<100, 3_600_000>,
     /// Largest answer of a plain service, in bytes.
@@ -159,7 +161,8 @@
             keep_alive_ms: Bounded(15_000),
             threads: Bounded(4),
             connect_ms: Bounded(1_000),
-            runner_ms: Bounded(60_000),
+            runner_ms: Bounded(30_000),
+            chunk_ms: Bounded(5_000),
             service_ms: Bounded(30_000),
             answer_bytes: Bounded(4_194_304),
             platform_ms: Bounded(3_000),
--- a/crates/proofs/src/fleet.rs
+++ b/crates/proofs/src/fleet.rs
@@ -140,7 +140,7 @@
              platform: {{table: '{table}', objects: '{objects}', vms: '{list}'}}\n\
              signers: [{{name: {SIGNER}, key: {signer}}}]\n\
              log: {{format: json, level: debug}}\n\
-             limits: {{body_bytes: 65536, keep_alive_ms: 1000}}\n\
+             limits: {{body_bytes: 65536, keep_alive_ms: 1000, chunk_ms: 1000}}\n\
              stop: {{balancer_wait_ms: 1000}}\n"
         )
     }
--- a/crates/proofs/tests/booking.rs
+++ b/crates/proofs/tests/booking.rs
@@ -112,6 +112,25 @@
     Ok(())
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn store_outage_with_two_of_five_vms_dead_stops_no_draft() -> proofs::Result<()> {
+    let mut fleet = fleet::Fleet::start(fleet::Config { vms: 5, runners: 1 }).await?;
+    let caller = fleet.caller();
+    fleet.vms[0].kill()?;
+    fleet.vms[3].kill()?;
+    fleet.table.freeze()?;
+    let begun = time::Instant::now();
+    while begun.elapsed() < time::Duration::from_secs(8) {
+        for vm in [1, 2, 4] {
+            let body = fleet::chat(2, false, "during the outage");
+            let path = "/v1/chat/completions";
+            let answer = caller.send(fleet.address(vm), "POST", path, &[], &body).await?;
+            assert_eq!(answer.status, 200, "VM {vm}: {}", answer.text());
+        }
+    }
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn vm_started_during_an_outage_refuses_and_recovers() -> proofs::Result<()> {
     let mut fleet = fleet::Fleet::start(fleet::Config::default()).await?;
--- a/crates/proofs/tests/change.rs
+++ b/crates/proofs/tests/change.rs
@@ -118,6 +118,20 @@
 async fn runner_that_says_it_leaves_gets_nothing_new_within_seconds() -> proofs::Result<()> {
     let fleet = fleet::Fleet::start(fleet::Config { vms: 2, runners: 2 }).await?;
     fleet::Fleet::control(&fleet.runners[0], "PUT", "/leaving", r#"{"leaving":true}"#).await?;
+    nothing_new_for_the_first_runner(&fleet).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn runner_listed_as_leaving_gets_nothing_new_within_seconds() -> proofs::Result<()> {
+    let fleet = fleet::Fleet::start(fleet::Config { vms: 2, runners: 2 }).await?;
+    let list = r#"[{"name":"vm-1","state":"live"},{"name":"vm-2","state":"live"},
+        {"name":"runner-1","state":"leaving"},{"name":"runner-2","state":"live"}]"#;
+    fleet::Fleet::control(&fleet.list, "PUT", "/vms", list).await?;
+    nothing_new_for_the_first_runner(&fleet).await
+}
+
+/// Waits until all VMs know that the first runner leaves, and calls.
+async fn nothing_new_for_the_first_runner(fleet: &fleet::Fleet) -> proofs::Result<()> {
     for vm in 0..2 {
         wait::until("the runner's leaving to be known", async || {
             let state = fleet.operate(vm, "GET", "/state", "").await.ok()?;
@@ -127,6 +141,7 @@
         })
         .await?;
     }
+    let before = fleet.begun().await?;
     for turn in 0..20 {
         let body = fleet::chat(2, false, &format!("turn {turn}"));
         let path = "/v1/chat/completions";
@@ -134,6 +149,7 @@
         let answer = fleet.caller().send(fleet.address(vm), "POST", path, &[], &body).await?;
         assert_eq!(answer.status, 200, "{}", answer.text());
     }
+    assert_eq!(fleet.begun().await?, [before[0], before[1] + 20]);
     let counts = fleet::Fleet::control(&fleet.runners[0], "GET", "/counts", "").await?;
     assert!(!counts.contains("calls-refused"), "none was even tried: {counts}");
     Ok(())
--- a/crates/proofs/tests/stream.rs
+++ b/crates/proofs/tests/stream.rs
@@ -11,13 +11,38 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_of_a_killed_runner_goes_on_at_another() -> proofs::Result<()> {
     let mut fleet = fleet::Fleet::start(fleet::Config::default()).await?;
+    let (stream, first, runner) = serving(&fleet).await?;
+    fleet.runners[runner].kill()?;
+    goes_on(stream, &first).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_frozen_runner_goes_on_at_another() -> proofs::Result<()> {
+    let fleet = fleet::Fleet::start(fleet::Config::default()).await?;
+    let (stream, first, runner) = serving(&fleet).await?;
+    fleet.runners[runner].freeze()?;
+    goes_on(stream, &first).await?;
+    // What the runner still sends when it wakes reaches nobody.
+    fleet.runners[runner].thaw()?;
+    let body = fleet::chat(9, true, "afterwards");
+    let whole = fleet.caller().stream(fleet.address(0), &[], &body).await?.whole().await?;
+    assert_eq!(whole.text, fleet::answer(9, "afterwards"));
+    Ok(())
+}
+
+/// A stream that has begun, its first chunk, and which runner serves it.
+async fn serving(fleet: &fleet::Fleet) -> proofs::Result<(caller::Stream, caller::Event, usize)> {
     let before = fleet.begun().await?;
     let body = fleet::chat(CHUNKS, true, PROMPT);
     let mut stream = fleet.caller().stream(fleet.address(0), &[], &body).await?;
     let first = stream.next().await?.expect("a chunk");
     let after = fleet.begun().await?;
     let serving = (0..after.len()).find(|runner| after[*runner] > before[*runner]);
-    fleet.runners[serving.expect("a runner that serves")].kill()?;
+    Ok((stream, first, serving.expect("a runner that serves")))
+}
+
+/// Reads the rest and checks that nothing is missing or doubled.
+async fn goes_on(stream: caller::Stream, first: &caller::Event) -> proofs::Result<()> {
     let whole = stream.whole().await?;
     assert!(whole.is_done, "{:?}", whole.error);
     assert_eq!(format!("{}{}", first.text(), whole.text), fleet::answer(CHUNKS, PROMPT));
