proofs: cut links, each way; daemon: a peer address to advertise

A relay in front of a VM's peer face stands for the network between them, so a VM can tell the others another address than the one it binds, as it must behind an address translation too. The fleet counts as started when its head is settled: a change made during a cut in the first second after the start is answered as unknown, for the witnesses of the first heads include the VM that is cut off.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -43,7 +43,7 @@
     log::start(&settings.log);
     let listeners = daemon::process::Listeners::bind(&settings)?;
     let incarnation = daemon::process::incarnation();
-    let peer = listeners.peer_address().to_string();
+    let peer = settings.peer.advertised.unwrap_or_else(|| listeners.peer_address()).to_string();
     let config = node::Config::new(settings.vm.as_str(), settings.centre.as_str(), incarnation)
         .with_peer(&peer)
         .with_signers(settings.signers.clone())
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -24,7 +24,7 @@
     /// Where operators come.
     pub operator: GuardedFace,
     /// Where other VMs come.
-    pub peer: GuardedFace,
+    pub peer: PeerFace,
     /// The platform's parts.
     pub platform: Platform,
     /// Who may sign a bundle.
@@ -61,6 +61,20 @@
     pub credential: Credential,
 }
 
+/// The face towards other VMs.
+#[derive(Clone, Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerFace {
+    /// IP number and port; port 0 takes a free one.
+    pub address: net::SocketAddr,
+    /// The credential of all VMs, 16 to 256 bytes.
+    pub credential: Credential,
+    /// IP number and port under which other VMs reach this one, if they are
+    /// not those of `address`.
+    #[serde(default)]
+    pub advertised: Option<net::SocketAddr>,
+}
+
 /// Addresses of the platform's parts.
 #[derive(Clone, Debug)]
 #[derive(serde::Deserialize)]
@@ -310,9 +324,10 @@
 /// Reads settings from a text, or says what is wrong and where.
 fn read(text: &str) -> Result<Settings, String> {
     let settings: Settings = serde_saphyr::from_str(text).map_err(|cause| explain(text, &cause))?;
-    if settings.peer.address.ip().is_unspecified() {
+    let reached = settings.peer.advertised.unwrap_or(settings.peer.address);
+    if reached.ip().is_unspecified() {
         let reason = "field address of peer: other VMs need the IP number of this VM here, \
-                      not the unspecified one";
+                      not the unspecified one, or in the field advertised";
         return Err(reason.to_owned());
     }
     Ok(settings)
--- a/crates/proofs/src/fleet.rs
+++ b/crates/proofs/src/fleet.rs
@@ -1,10 +1,10 @@
 //! A whole small deployment as separate processes.
 
-use std::{fs, net};
+use std::{collections, fs, net};
 
 use bundle::{key, signed};
 
-use crate::{Error, Result, caller, process, wait};
+use crate::{Error, Result, caller, process, relay, wait};
 
 /// Credential of the operators.
 pub const OPERATOR: &str = "operator-credential-of-the-proofs";
@@ -22,14 +22,25 @@
     pub vms: usize,
     /// Number of runners.
     pub runners: usize,
+    /// Whether the VMs' links can be cut.
+    pub links: bool,
 }
 
 impl Default for Config {
     fn default() -> Self {
-        Self { vms: 2, runners: 2 }
+        Self { vms: 2, runners: 2, links: false }
     }
 }
 
+/// The links of a VM that can be cut.
+#[derive(Debug)]
+pub struct Links {
+    /// From the VM to the table service.
+    pub table: relay::Relay,
+    /// From the other VMs to the VM.
+    pub peers: relay::Relay,
+}
+
 /// Platform, targets and VMs.
 #[derive(Debug)]
 pub struct Fleet {
@@ -45,6 +56,8 @@
     pub desk: process::Program,
     /// The VMs, by the order of their names.
     pub vms: Vec<process::Program>,
+    /// The VMs' links, by the VMs' names, if they can be cut.
+    pub links: collections::BTreeMap<String, Links>,
     /// A key of the account `mayors`.
     pub key: String,
     /// A key of the account `families`.
@@ -61,7 +74,7 @@
     ///
     /// A process cannot be started, or the VMs do not become ready in time.
     pub async fn start(config: Config) -> Result<Self> {
-        let mut fleet = Self::start_without_bundle(config)?;
+        let mut fleet = Self::start_without_bundle(config).await?;
         fleet.accept(&fleet.bundle()).await?;
         for vm in 0..config.vms {
             fleet.ready(vm).await?;
@@ -75,7 +88,7 @@
     /// # Errors
     ///
     /// A process cannot be started.
-    pub fn start_without_bundle(config: Config) -> Result<Self> {
+    pub async fn start_without_bundle(config: Config) -> Result<Self> {
         let directory =
             tempfile::tempdir().map_err(|cause| Error::new("make", &"directory", &cause))?;
         let path = directory.path();
@@ -99,6 +112,7 @@
                 })
                 .collect::<Result<_>>()?,
             vms: Vec::new(),
+            links: collections::BTreeMap::new(),
             key: key::Secret::new(&"mayors-1".into(), &[7; 24]).reveal().to_owned(),
             other_key: key::Secret::new(&"families-1".into(), &[8; 24]).reveal().to_owned(),
             secret: signed::Secret::new([9; 32]),
@@ -106,6 +120,14 @@
             directory,
         };
         for name in &names {
+            if config.links {
+                let links = Links {
+                    table: relay::Relay::start().await?,
+                    peers: relay::Relay::start().await?,
+                };
+                links.table.lead_to(fleet.table.address("address"));
+                fleet.links.insert(name.clone(), links);
+            }
             let vm = fleet.start_vm(name)?;
             fleet.vms.push(vm);
         }
@@ -122,13 +144,22 @@
         fs::write(&file, self.settings(name))
             .map_err(|cause| Error::new("write settings", &name, &cause))?;
         let arguments = ["--settings".to_owned(), file.display().to_string()];
-        process::Program::start("primroseplankd", name, self.directory.path(), &arguments)
+        let vm =
+            process::Program::start("primroseplankd", name, self.directory.path(), &arguments)?;
+        if let Some(links) = self.links.get(name) {
+            links.peers.lead_to(vm.address("peer"));
+        }
+        Ok(vm)
     }
 
     /// The settings of a VM.
     #[must_use]
     pub fn settings(&self, name: &str) -> String {
-        let table = self.table.address("address");
+        let links = self.links.get(name);
+        let table = links.map(|links| links.table.address());
+        let table = table.unwrap_or_else(|| self.table.address("address"));
+        let advertised = links.map(|links| format!(", advertised: '{}'", links.peers.address()));
+        let advertised = advertised.unwrap_or_default();
         let objects = self.objects.address("address");
         let list = self.list.address("address");
         let signer = self.secret.public();
@@ -136,7 +167,7 @@
             "vm: {name}\ncentre: north\n\
              caller: {{address: '127.0.0.1:0'}}\n\
              operator: {{address: '127.0.0.1:0', credential: {OPERATOR}}}\n\
-             peer: {{address: '127.0.0.1:0', credential: {PEER}}}\n\
+             peer: {{address: '127.0.0.1:0', credential: {PEER}{advertised}}}\n\
              platform: {{table: '{table}', objects: '{objects}', vms: '{list}'}}\n\
              signers: [{{name: {SIGNER}, key: {signer}}}]\n\
              log: {{format: json, level: debug}}\n\
@@ -299,13 +330,18 @@
         .await
     }
 
-    /// Waits until every VM knows every runner as ready.
+    /// Waits until every VM knows every runner as ready, and that no VM is
+    /// behind the newest head any more.
     async fn served(&self) -> Result<()> {
         for vm in 0..self.vms.len() {
-            wait::until("runners that are ready", async || {
+            wait::until("a settled start", async || {
                 let state = self.operate(vm, "GET", "/state", "").await.ok()?;
                 let state: serde_json::Value = state.json().ok()?;
-                let targets = &state["state"]["targets"];
+                let state = &state["state"];
+                if state["member"]["settled"] != state["member"]["head"]["version"] {
+                    return None;
+                }
+                let targets = &state["targets"];
                 let mut names = (1..=self.runners.len()).map(|runner| format!("runner-{runner}"));
                 names.all(|name| targets[&name]["ready"][0] == "draft").then_some(())
             })
--- a/crates/proofs/tests/booking.rs
+++ b/crates/proofs/tests/booking.rs
@@ -57,7 +57,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn booking_of_a_killed_vm_runs_once() -> proofs::Result<()> {
-    let mut fleet = fleet::Fleet::start(fleet::Config { vms: 3, runners: 1 }).await?;
+    let mut fleet =
+        fleet::Fleet::start(fleet::Config { vms: 3, runners: 1, ..fleet::Config::default() })
+            .await?;
     let late = fault::Rule { delay_answer_ms: 3_000, ..fault::Rule::new("/booking") };
     fleet::Fleet::fault(&fleet.desk, &[late]).await?;
     let sent = tokio::spawn({
@@ -86,7 +88,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn store_outage_stops_bookings_truly_and_no_draft() -> proofs::Result<()> {
-    let fleet = fleet::Fleet::start(fleet::Config { vms: 3, runners: 2 }).await?;
+    let fleet =
+        fleet::Fleet::start(fleet::Config { vms: 3, runners: 2, ..fleet::Config::default() })
+            .await?;
     let caller = fleet.caller();
     fleet.table.freeze()?;
     let begun = time::Instant::now();
@@ -114,7 +118,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn store_outage_with_two_of_five_vms_dead_stops_no_draft() -> proofs::Result<()> {
-    let mut fleet = fleet::Fleet::start(fleet::Config { vms: 5, runners: 1 }).await?;
+    let mut fleet =
+        fleet::Fleet::start(fleet::Config { vms: 5, runners: 1, ..fleet::Config::default() })
+            .await?;
     let caller = fleet.caller();
     fleet.vms[0].kill()?;
     fleet.vms[3].kill()?;
--- a/crates/proofs/tests/change.rs
+++ b/crates/proofs/tests/change.rs
@@ -30,7 +30,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn of_two_operators_one_is_accepted_and_the_other_told_so() -> proofs::Result<()> {
-    let fleet = fleet::Fleet::start(fleet::Config { vms: 3, runners: 1 }).await?;
+    let fleet =
+        fleet::Fleet::start(fleet::Config { vms: 3, runners: 1, ..fleet::Config::default() })
+            .await?;
     for round in 0..3 {
         let before = settled(&fleet).await?;
         let path = format!("/v1/accept?replaces={before}");
@@ -56,7 +58,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_answer_to_the_write_of_the_head_is_resolved_by_reading() -> proofs::Result<()> {
-    let fleet = fleet::Fleet::start(fleet::Config { vms: 3, runners: 1 }).await?;
+    let fleet =
+        fleet::Fleet::start(fleet::Config { vms: 3, runners: 1, ..fleet::Config::default() })
+            .await?;
     let before = settled(&fleet).await?;
     let lost = fault::Rule {
         contains: "\"write\"".to_owned(),
@@ -76,7 +80,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn vm_alone_without_store_and_peers_is_fenced() -> proofs::Result<()> {
-    let fleet = fleet::Fleet::start(fleet::Config { vms: 3, runners: 1 }).await?;
+    let fleet =
+        fleet::Fleet::start(fleet::Config { vms: 3, runners: 1, ..fleet::Config::default() })
+            .await?;
     fleet.vms[1].freeze()?;
     fleet.vms[2].freeze()?;
     fleet.table.freeze()?;
@@ -97,7 +103,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn drained_target_gets_nothing_new() -> proofs::Result<()> {
-    let fleet = fleet::Fleet::start(fleet::Config { vms: 2, runners: 2 }).await?;
+    let fleet =
+        fleet::Fleet::start(fleet::Config { vms: 2, runners: 2, ..fleet::Config::default() })
+            .await?;
     let answer = fleet.operate(0, "POST", "/v1/amend", r#"{"drain":"runner-1"}"#).await?;
     assert_eq!(answer.status, 200, "{}", answer.text());
     let before = fleet.begun().await?;
@@ -116,14 +124,18 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn runner_that_says_it_leaves_gets_nothing_new_within_seconds() -> proofs::Result<()> {
-    let fleet = fleet::Fleet::start(fleet::Config { vms: 2, runners: 2 }).await?;
+    let fleet =
+        fleet::Fleet::start(fleet::Config { vms: 2, runners: 2, ..fleet::Config::default() })
+            .await?;
     fleet::Fleet::control(&fleet.runners[0], "PUT", "/leaving", r#"{"leaving":true}"#).await?;
     nothing_new_for_the_first_runner(&fleet).await
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn runner_listed_as_leaving_gets_nothing_new_within_seconds() -> proofs::Result<()> {
-    let fleet = fleet::Fleet::start(fleet::Config { vms: 2, runners: 2 }).await?;
+    let fleet =
+        fleet::Fleet::start(fleet::Config { vms: 2, runners: 2, ..fleet::Config::default() })
+            .await?;
     let list = r#"[{"name":"vm-1","state":"live"},{"name":"vm-2","state":"live"},
         {"name":"runner-1","state":"leaving"},{"name":"runner-2","state":"live"}]"#;
     fleet::Fleet::control(&fleet.list, "PUT", "/vms", list).await?;
--- a/crates/proofs/tests/path.rs
+++ b/crates/proofs/tests/path.rs
@@ -57,7 +57,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn wrong_requests_get_the_error_that_a_new_user_needs() -> proofs::Result<()> {
-    let mut fleet = fleet::Fleet::start(fleet::Config { vms: 1, runners: 1 }).await?;
+    let mut fleet =
+        fleet::Fleet::start(fleet::Config { vms: 1, runners: 1, ..fleet::Config::default() })
+            .await?;
     let address = fleet.address(0);
     let body = fleet::chat(3, false, "hello");
     let path = "/v1/chat/completions";
--- a/crates/proofs/tests/secret.rs
+++ b/crates/proofs/tests/secret.rs
@@ -80,7 +80,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn faces_without_a_credential_give_nothing() -> proofs::Result<()> {
-    let fleet = fleet::Fleet::start(fleet::Config { vms: 1, runners: 1 }).await?;
+    let fleet =
+        fleet::Fleet::start(fleet::Config { vms: 1, runners: 1, ..fleet::Config::default() })
+            .await?;
     let operator = fleet.vms[0].address("operator");
     let peer = fleet.vms[0].address("peer");
     let as_caller = fleet.caller();
--- a/crates/proofs/tests/speed.rs
+++ b/crates/proofs/tests/speed.rs
@@ -18,7 +18,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn accepted_bundle_is_in_force_on_all_vms() -> proofs::Result<()> {
-    let fleet = fleet::Fleet::start(fleet::Config { vms: VMS, runners: 1 }).await?;
+    let fleet =
+        fleet::Fleet::start(fleet::Config { vms: VMS, runners: 1, ..fleet::Config::default() })
+            .await?;
     let mut accepted = Vec::new();
     for round in 0..5 {
         let bundle =
@@ -43,7 +45,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn withdrawn_key_stops_working() -> proofs::Result<()> {
-    let fleet = fleet::Fleet::start(fleet::Config { vms: VMS, runners: 2 }).await?;
+    let fleet =
+        fleet::Fleet::start(fleet::Config { vms: VMS, runners: 2, ..fleet::Config::default() })
+            .await?;
     let (stop, stopped) = tokio::sync::watch::channel(false);
     let callers: Vec<_> = (0..VMS)
         .map(|vm| {
@@ -84,7 +88,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn caller_goes_on_elsewhere_after_a_kill() -> proofs::Result<()> {
-    let mut fleet = fleet::Fleet::start(fleet::Config { vms: VMS, runners: 2 }).await?;
+    let mut fleet =
+        fleet::Fleet::start(fleet::Config { vms: VMS, runners: 2, ..fleet::Config::default() })
+            .await?;
     let caller = fleet.caller();
     let mut gaps = Vec::new();
     for vm in 0..2 {
@@ -116,7 +122,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bookings_go_on_after_an_outage_of_the_store() -> proofs::Result<()> {
-    let fleet = fleet::Fleet::start(fleet::Config { vms: VMS, runners: 1 }).await?;
+    let fleet =
+        fleet::Fleet::start(fleet::Config { vms: VMS, runners: 1, ..fleet::Config::default() })
+            .await?;
     fleet.table.freeze()?;
     tokio::time::sleep(time::Duration::from_secs(10)).await;
     fleet.table.thaw()?;
--- a/crates/proofs/tests/stop.rs
+++ b/crates/proofs/tests/stop.rs
@@ -30,7 +30,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn frozen_vm_serves_nothing_of_before_and_comes_back() -> proofs::Result<()> {
-    let fleet = fleet::Fleet::start(fleet::Config { vms: 3, runners: 1 }).await?;
+    let fleet =
+        fleet::Fleet::start(fleet::Config { vms: 3, runners: 1, ..fleet::Config::default() })
+            .await?;
     let caller = fleet.caller();
     fleet.vms[0].freeze()?;
     let sent = tokio::spawn({
@@ -54,7 +56,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_vm_is_replaced_and_the_others_go_on() -> proofs::Result<()> {
-    let mut fleet = fleet::Fleet::start(fleet::Config { vms: 3, runners: 1 }).await?;
+    let mut fleet =
+        fleet::Fleet::start(fleet::Config { vms: 3, runners: 1, ..fleet::Config::default() })
+            .await?;
     let caller = fleet.caller();
     fleet.vms[0].kill()?;
     let body = fleet::chat(5, false, "after the kill");
@@ -128,7 +132,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn rolling_restart_under_load_cuts_and_refuses_nothing() -> proofs::Result<()> {
     let vms = 5;
-    let mut fleet = fleet::Fleet::start(fleet::Config { vms, runners: 2 }).await?;
+    let mut fleet =
+        fleet::Fleet::start(fleet::Config { vms, runners: 2, ..fleet::Config::default() }).await?;
     let ready: Ready = sync::Arc::default();
     *ready.write().expect("a lock") = (0..vms).map(|vm| fleet.address(vm)).collect();
     let tally = sync::Arc::<Tally>::default();
@@ -169,7 +174,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn stop_without_calls_ends_soon_after_the_balancers_wait() -> proofs::Result<()> {
-    let mut fleet = fleet::Fleet::start(fleet::Config { vms: 2, runners: 1 }).await?;
+    let mut fleet =
+        fleet::Fleet::start(fleet::Config { vms: 2, runners: 1, ..fleet::Config::default() })
+            .await?;
     let begun = time::Instant::now();
     fleet.vms[1].terminate()?;
     assert_eq!(fleet.vms[1].wait()?.code(), Some(0));
--- a/crates/proofs/tests/stream.rs
+++ b/crates/proofs/tests/stream.rs
@@ -67,7 +67,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn caller_resumes_through_another_vm_after_a_kill() -> proofs::Result<()> {
-    let mut fleet = fleet::Fleet::start(fleet::Config { vms: 3, runners: 2 }).await?;
+    let mut fleet =
+        fleet::Fleet::start(fleet::Config { vms: 3, runners: 2, ..fleet::Config::default() })
+            .await?;
     let caller = fleet.caller();
     let body = fleet::chat(CHUNKS, true, PROMPT);
     let mut stream = caller.stream(fleet.address(0), &[], &body).await?;
@@ -95,7 +97,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn withdrawn_key_stops_on_every_vm_and_on_resume() -> proofs::Result<()> {
-    let fleet = fleet::Fleet::start(fleet::Config { vms: 3, runners: 1 }).await?;
+    let fleet =
+        fleet::Fleet::start(fleet::Config { vms: 3, runners: 1, ..fleet::Config::default() })
+            .await?;
     let caller = fleet.caller();
     let body = fleet::chat(CHUNKS, true, PROMPT);
     let mut stream = caller.stream(fleet.address(0), &[], &body).await?;
