--- a/crates/plan/src/view.rs
+++ b/crates/plan/src/view.rs
@@ -27,10 +27,32 @@
     /// When the resident was first seen in its present state.
     since: ids::Time,
     sent: Option<Sent>,
+    /// Whether the pending order has replaced one that may yet arrive.
+    replaces: bool,
     /// When the sender of its pending order was first seen to have left.
     left: Option<ids::Time>,
 }
 
+impl Local {
+    /// What is known of a resident that has just changed, or is new.
+    fn new(now: ids::Time, resident: &Resident, old: Option<Self>) -> Self {
+        let fence = resident.order.as_ref().map(|pending| pending.fence);
+        let pending = |old: &Self| old.resident.order.is_some() && fence.is_some();
+        let replaces = old
+            .as_ref()
+            .is_some_and(|old| pending(old) && !has_no_effect(old));
+        Self {
+            resident: resident.clone(),
+            since: now,
+            sent: old
+                .and_then(|old| old.sent)
+                .filter(|sent| Some(sent.fence) == fence),
+            replaces,
+            left: None,
+        }
+    }
+}
+
 /// A report as it was received.
 #[derive(Clone, Debug)]
 pub(crate) struct Seen {
@@ -56,7 +78,7 @@
     /// Whether a write to this version of the row may still take effect.
     pub(crate) in_doubt: bool,
     /// What the row may have become by a write whose outcome is not known.
-    pub(crate) intended: Ledger,
+    pub(crate) intended: Option<Ledger>,
     /// When the row's version was first known.
     learned: ids::Time,
     locals: collections::BTreeMap<Name, Local>,
@@ -90,7 +112,10 @@
 }
 
 pub(crate) fn name(resident: &Resident) -> Name {
-    (sync::Arc::clone(&resident.item), sync::Arc::clone(&resident.version))
+    (
+        sync::Arc::clone(&resident.item),
+        sync::Arc::clone(&resident.version),
+    )
 }
 
 impl View {
@@ -108,7 +133,7 @@
         }
         self.in_doubt &= self.version == version;
         if !self.in_doubt {
-            self.intended = Ledger::default();
+            self.intended = None;
         }
         self.known = true;
         self.version = version;
@@ -118,21 +143,18 @@
             let key = name(resident);
             let local = match known.remove(&key) {
                 Some(local) if local.resident == *resident => local,
-                old => Local {
-                    resident: resident.clone(),
-                    since: now,
-                    sent: old.and_then(|old| old.sent).filter(|sent| {
-                        let pending = resident.order.as_ref();
-                        pending.is_some_and(|pending| pending.fence == sent.fence)
-                    }),
-                    left: None,
-                },
+                old => Local::new(now, resident, old),
             };
             self.locals.insert(key, local);
         }
         self.ledger = ledger;
     }
 
+    /// The row as it is, or as it will be if the write under way takes effect.
+    pub(crate) fn expected(&self) -> &Ledger {
+        self.intended.as_ref().unwrap_or(&self.ledger)
+    }
+
     /// Whether decisions may be made about the row now.
     pub(crate) const fn is_settled(&self) -> bool {
         self.known && self.busy.is_none()
@@ -140,7 +162,11 @@
 
     /// Whether the row has a pending order of `me`.
     pub(crate) fn has_order_of(&self, me: &Sender) -> bool {
-        let mut pending = self.ledger.residents.iter().filter_map(|each| each.order.as_ref());
+        let mut pending = self
+            .ledger
+            .residents
+            .iter()
+            .filter_map(|each| each.order.as_ref());
         pending.any(|pending| pending.sender == *me)
     }
 
@@ -179,12 +205,15 @@
 
     /// Whether a report was taken after the row was seen to be missing.
     pub(crate) fn is_founded_by_report(&self) -> bool {
-        self.seen.as_ref().is_some_and(|seen| seen.taken > self.learned)
+        self.seen
+            .as_ref()
+            .is_some_and(|seen| seen.taken > self.learned)
     }
 
     /// Whether `version` of `item` is to go, or may be by a write under way.
     pub(crate) fn is_going(&self, item: &str, version: &str) -> bool {
-        [&self.ledger, &self.intended].into_iter().any(|ledger| {
+        let mut ledgers = std::iter::once(&self.ledger).chain(&self.intended);
+        ledgers.any(|ledger| {
             let row = ledger.get(item, version);
             row.is_some_and(|resident| resident.state == State::Unloading)
         })
@@ -213,7 +242,11 @@
             if pending.sender != scale.config.me || !is_due(scale, resident, local) {
                 continue;
             }
-            local.sent = Some(Sent { fence: pending.fence, at: scale.now, reply: None });
+            local.sent = Some(Sent {
+                fence: pending.fence,
+                at: scale.now,
+                reply: None,
+            });
             due.extend(resident.order());
         }
         due
@@ -273,8 +306,8 @@
         if self.is_gone(scale, &resident, local) {
             return None;
         }
-        if is_doubtful(scale, &resident, local) || is_orphan(scale, &resident, local) {
-            resident.state = State::Unloading;
+        let orphan = scale.fencing && is_orphan(scale, &resident, local);
+        if orphan || is_doubtful(scale, &resident, local) {
             resident.order = Some(self.order_of(scale));
         }
         Some(resident)
@@ -323,7 +356,10 @@
     /// A pending order of this planner, recorded by the next version of the row.
     pub(crate) fn order_of(&self, scale: &Scale<'_>) -> Pending {
         let next = self.version.unwrap_or_default().next();
-        Pending { sender: scale.config.me.clone(), fence: ids::Fence::new(next.get()) }
+        Pending {
+            sender: scale.config.me.clone(),
+            fence: ids::Fence::new(next.get()),
+        }
     }
 
     /// Adds what the runner shows and the row does not have.
@@ -369,33 +405,43 @@
     scale.now.since(sent.at) >= wait
 }
 
-/// Whether the order of a resident is known to have had no effect.
+/// Whether no order of a resident has had an effect, or can have one.
 fn has_no_effect(local: &Local) -> bool {
     let reply = local.sent.as_ref().and_then(|sent| sent.reply.as_ref());
-    matches!(reply, Some((order::Reply::Stale | order::Reply::Refused, _)))
+    match reply {
+        Some((order::Reply::Stale, _)) => true,
+        // It does not prove that the runner knows the newer fencing token.
+        Some((order::Reply::Refused, _)) => !local.replaces,
+        _ => false,
+    }
 }
 
 /// The moment from which a pending order can't take effect any more.
 fn dead_from(scale: &Scale<'_>, local: &Local) -> Option<ids::Time> {
-    if let Some(sent) = &local.sent {
-        return match &sent.reply {
-            Some((order::Reply::Taken | order::Reply::Stale | order::Reply::Refused, at)) => {
-                Some(*at)
-            }
-            _ => Some(sent.at + scale.delay()),
-        };
+    let Some(sent) = &local.sent else {
+        return local.left.map(|left| left + scale.delay());
+    };
+    let by_time = sent.at + scale.delay();
+    match &sent.reply {
+        Some((order::Reply::Taken | order::Reply::Stale, at)) => Some(*at),
+        Some((order::Reply::Refused, at)) if !local.replaces => Some(*at),
+        _ => Some(by_time),
     }
-    local.left.map(|left| left + scale.delay())
 }
 
 /// Whether the sender of a pending order has left and the order can't take effect any more.
 fn is_orphan(scale: &Scale<'_>, resident: &Resident, local: &Local) -> bool {
     let foreign = |pending: &Pending| pending.sender != scale.config.me;
     resident.order.as_ref().is_some_and(foreign)
-        && local.left.is_some_and(|left| scale.now > left + scale.delay())
+        && local
+            .left
+            .is_some_and(|left| scale.now > left + scale.delay())
 }
 
-/// Whether an order to load should be called off by a newer fencing token.
+/// Whether an order to load should be replaced by one with a newer fencing token.
+///
+/// The runner refuses the replaced one from then on, and loading what is there
+/// already has no effect, so nothing is loaded twice.
 fn is_doubtful(scale: &Scale<'_>, resident: &Resident, local: &Local) -> bool {
     if !scale.fencing || resident.state == State::Unloading || resident.order.is_none() {
         return false;
