docs: pages for operators and callers

A test reads every command out of the operators' page and parses it with the real command line, and looks for every field of the bundle in its table.

--- a/crates/cli/tests/program/main.rs
+++ b/crates/cli/tests/program/main.rs
@@ -1,5 +1,6 @@
 //! The real program against files and against a face with prepared answers.
 
+mod docs;
 mod fake;
 mod offline;
 mod online;
