member, node, daemon: the history of what was in force

Nothing told which bundle had been in force before, so going back needed a copy kept elsewhere. Each change of the head now writes one more row in the same transaction, with version and objects; later versions have smaller keys, so the newest are read first. Weighed: a list within the roster row, which would bound the history and grow a row that is read after every change; a row written by the author after the change, which a crash would lose. GET /v1/history and GET /v1/objects/DIGEST read it.

--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -18,6 +18,9 @@
 /// Threads that serve operators.
 const THREADS: usize = 1;
 
+/// What the paths of objects begin with.
+const OBJECTS: &str = "/v1/objects/";
+
 const JSON: &str = "application/json";
 const TEXT: &str = "text/plain; charset=utf-8";
 
@@ -140,16 +143,26 @@
         ("GET", "/v1/status") => ask(context.state(), operator::Request::Status).await,
         ("GET", "/v1/bundle") => ask(context.state(), operator::Request::Document).await,
         ("GET", "/v1/amendments") => ask(context.state(), operator::Request::Amendments).await,
+        ("GET", "/v1/history") => ask(context.state(), operator::Request::History).await,
+        ("GET", path) if path.starts_with(OBJECTS) => object(context.state(), path).await,
         ("POST", "/v1/accept") => accept(context).await,
         ("POST", "/v1/amend") => amend(context).await,
         _ => refused(
             http::StatusCode::NOT_FOUND,
-            "try GET /state, /metrics, /v1/status, /v1/bundle, /v1/amendments, \
+            "try GET /state, /metrics, /v1/status, /v1/bundle, /v1/amendments, /v1/history, \
              or POST /v1/accept, /v1/amend",
         ),
     }
 }
 
+/// Reads an object that the history names.
+async fn object(state: &State, path: &str) -> WebResponse {
+    match path[OBJECTS.len()..].parse() {
+        Ok(digest) => ask(state, operator::Request::Object(digest)).await,
+        Err(cause) => refused(http::StatusCode::BAD_REQUEST, &cause.to_string()),
+    }
+}
+
 async fn accept(context: &mut Context<'_>) -> WebResponse {
     let query = context.req().uri().query().unwrap_or_default();
     let replaces = query.split('&').find_map(|part| part.strip_prefix("replaces="));
--- a/crates/member/src/row.rs
+++ b/crates/member/src/row.rs
@@ -14,6 +14,9 @@
 /// Key of the row with the members and witnesses.
 pub const ROSTER: &str = "roster";
 
+/// What the keys of the history's rows begin with.
+pub const HISTORY: &str = "history/";
+
 /// Who serves.
 #[derive(Debug)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -45,10 +48,41 @@
         value: Some(value.into()),
     };
     platform::table::Request::Write {
-        writes: vec![row(HEAD, encode(&small)), row(ROSTER, encode(&roster))],
+        writes: vec![row(HEAD, encode(&small)), row(ROSTER, encode(&roster)), entry(head)],
     }
 }
 
+/// The row that keeps for good what `head` has in force.
+fn entry(head: &head::Head) -> platform::table::Write {
+    let entry = bundle::history::Entry {
+        version: head.version,
+        bundle: head.bundle,
+        amendments: head.amendments,
+    };
+    platform::table::Write {
+        key: history_key(head.version),
+        expect: None,
+        value: Some(encode(&entry).into()),
+    }
+}
+
+/// Key of a version's row in the history; later versions come first.
+fn history_key(version: ids::Version) -> sync::Arc<str> {
+    format!("{HISTORY}{:016x}", u64::MAX - version.get()).into()
+}
+
+/// The request that reads the newest `limit` rows of the history.
+#[must_use]
+pub fn history(limit: usize) -> platform::table::Request {
+    platform::table::Request::Scan { prefix: HISTORY.into(), after: None, limit }
+}
+
+/// The entries of the history, the newest last.
+#[must_use]
+pub fn entries(rows: &[platform::table::Row]) -> Vec<bundle::history::Entry> {
+    rows.iter().rev().filter_map(|row| decode(&row.value)).collect()
+}
+
 /// The request that reads one of the rows.
 #[must_use]
 pub fn get(key: &str) -> platform::table::Request {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -28,6 +28,8 @@
     pub(crate) document: Option<sync::Arc<str>>,
     pub(crate) fetch: system::force::Fetch,
     pub(crate) pending: collections::BTreeMap<ids::Op, operate::Pending>,
+    /// Operators that wait for a row or an object, by the operation that reads it.
+    pub(crate) reads: collections::BTreeMap<ids::Op, ids::Op>,
     pub(crate) schedule: report::Schedule,
     pub(crate) stage: stop::Stage,
     pub(crate) view: member::View,
@@ -57,6 +59,7 @@
             document: None,
             fetch: system::force::Fetch::default(),
             pending: collections::BTreeMap::new(),
+            reads: collections::BTreeMap::new(),
             schedule: report::Schedule::default(),
             stage: stop::Stage::Running,
             view: system::member::view(&config),
@@ -153,6 +156,7 @@
             1 => system::member::answer(self, now, op, result, out),
             2 => system::claim::answer(self, now, op, result, out),
             3 => system::plan::answer(self, now, op, result, out),
+            4 => system::operate::answer(self, op, result, out),
             _ => {}
         }
     }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -21,6 +21,10 @@
     Document,
     /// The amendments in force.
     Amendments,
+    /// What has been in force.
+    History,
+    /// An object that the history names.
+    Object(ids::Digest),
     /// How the VM and the fleet are.
     Status,
     /// The dump of all tables.
@@ -49,7 +53,7 @@
         /// Why.
         reason: String,
     },
-    /// The signed document in force.
+    /// The signed document in force, or the object that was asked for.
     Document(sync::Arc<str>),
     /// The amendments in force.
     Amendments(bundle::Amendments),
--- a/crates/node/src/system/operate.rs
+++ b/crates/node/src/system/operate.rs
@@ -3,7 +3,7 @@
 use std::sync;
 
 use bundle::amend;
-use platform::object;
+use platform::{object, table};
 
 use crate::{Node, Output, operator, system};
 
@@ -14,6 +14,12 @@
     change: member::Change,
 }
 
+/// Versions of the history that are told at most.
+const HISTORY_LIMIT: usize = 1_000;
+
+/// Operators that wait for a row or an object at most.
+const READS_MAX: usize = 64;
+
 /// Takes in what an operator asks for.
 pub fn request(
     node: &mut Node,
@@ -29,6 +35,15 @@
         operator::Request::Amend(change) => amend(node, op, &change, out),
         operator::Request::Document => document(node, op, out),
         operator::Request::Amendments => amendments(node, op, out),
+        operator::Request::History => {
+            let read = begin_read(node, op);
+            let request = member::row::history(HISTORY_LIMIT);
+            out.push(Output::Table { op: read, request });
+        }
+        operator::Request::Object(digest) => {
+            let read = begin_read(node, op);
+            out.push(Output::Object { op: read, request: object::Request::Get { digest } });
+        }
         operator::Request::Status => {
             let reply = operator::Reply::Status(Box::new(node.status(now)));
             out.push(Output::Operator { op, reply });
@@ -48,6 +63,10 @@
     result: platform::Result<object::Answer>,
     out: &mut Vec<Output>,
 ) {
+    if let Some(reader) = node.reads.remove(&op) {
+        out.push(Output::Operator { op: reader, reply: document_read(result) });
+        return;
+    }
     let Some(pending) = node.pending.remove(&op) else {
         return;
     };
@@ -60,6 +79,50 @@
     }
 }
 
+/// The operation that reads something for the operator of `op`.
+fn begin_read(node: &mut Node, op: ids::Op) -> ids::Op {
+    if node.reads.len() >= READS_MAX {
+        // Its answer is lost or its operator has gone.
+        node.reads.pop_first();
+    }
+    let read = node.next_op();
+    node.reads.insert(read, op);
+    read
+}
+
+/// Takes in the table service's answer to the reading of the history.
+pub fn answer(
+    node: &mut Node,
+    op: ids::Op,
+    result: platform::Result<table::Answer>,
+    out: &mut Vec<Output>,
+) {
+    let Some(reader) = node.reads.remove(&op) else {
+        return;
+    };
+    let reply = match result {
+        Ok(table::Answer::Rows(rows)) => operator::Reply::History(member::row::entries(&rows)),
+        Ok(_) => unknown("read history: odd answer"),
+        Err(fault) => unknown(fault.to_string()),
+    };
+    out.push(Output::Operator { op: reader, reply });
+}
+
+fn document_read(result: platform::Result<object::Answer>) -> operator::Reply {
+    match result {
+        Ok(object::Answer::Object(Some(text))) => operator::Reply::Document(text),
+        Ok(object::Answer::Object(None)) => {
+            operator::Reply::Refused { reason: "there is no such object".to_owned() }
+        }
+        Ok(object::Answer::Stored) => unknown("read object: odd answer"),
+        Err(fault) => unknown(fault.to_string()),
+    }
+}
+
+fn unknown(reason: impl Into<String>) -> operator::Reply {
+    operator::Reply::Unknown { reason: reason.into() }
+}
+
 fn accept(
     node: &mut Node,
     op: ids::Op,
