--- a/crates/cli/src/command/accept.rs
+++ b/crates/cli/src/command/accept.rs
@@ -14,7 +14,8 @@
     replaces: Option<u64>,
     json: bool,
 ) -> error::Result<done::Done> {
-    let text = file::read(file)?;
+    // A trailing line end would make it another document.
+    let text = file::read(file)?.trim().to_owned();
     signed::Document::parse(&text).map_err(|cause| {
         let reason = format!("{cause}; sign the bundle first");
         error::Error::new(error::Kind::Usage, "reading", &file.display(), &reason)
--- a/crates/cli/src/command/history.rs
+++ b/crates/cli/src/command/history.rs
@@ -37,7 +37,9 @@
     for index in first..distinct.len() {
         let before = index.checked_sub(1).map(|before| &distinct[before]);
         let changes = words(client, before, &distinct[index]).await?;
-        lines.push(Line { version: distinct[index].version, changes });
+        if !changes.is_empty() {
+            lines.push(Line { version: distinct[index].version, changes });
+        }
     }
     Ok(done::Done::ok(if json { super::json(&lines) } else { table(&lines) }))
 }
--- a/crates/cli/src/command/signing.rs
+++ b/crates/cli/src/command/signing.rs
@@ -34,7 +34,7 @@
 
 /// Says who signed the document in `file`, if it was with one of `keys`.
 pub(super) fn verify(file: &path::Path, keys: &[String], json: bool) -> error::Result<done::Done> {
-    let text = file::read(file)?;
+    let text = file::read(file)?.trim().to_owned();
     let refused = |cause| fault(error::Kind::Refused, "verifying", file, &cause);
     let document = signed::Document::parse(&text).map_err(refused)?;
     let signer = |key: &String| {
--- a/crates/cli/tests/program/online.rs
+++ b/crates/cli/tests/program/online.rs
@@ -211,9 +211,17 @@
     assert!(lines[0].starts_with(&format!("     2  bundle {digest} signed by alice ")));
     assert_eq!(lines[1..], ["     4  target runner-1 drained"]);
 
+    assert_eq!(ask(&face, &["history", "--show", "9"]).code, 1);
     let show = ask(&face, &["history", "--show", "2"]);
     assert_eq!((show.code, show.out.trim_end()), (0, document().as_str()));
-    assert_eq!(ask(&face, &["history", "--show", "9"]).code, 1);
+
+    // The document that was shown is accepted as the very same one.
+    let face = Face::new(&[("POST /v1/accept", IN_FORCE)]);
+    let directory = tempfile::tempdir().unwrap();
+    fs::write(directory.path().join("back.signed"), &show.out).unwrap();
+    let vm = face.address.to_string();
+    run(directory.path(), &["accept", "back.signed", "--vm", &vm]);
+    assert_eq!(face.seen()[0].body, document());
 }
 
 #[test]
