--- a/crates/quota/src/lease.rs
+++ b/crates/quota/src/lease.rs
@@ -76,6 +76,7 @@
             left: self.left,
             unused: self.unused,
             spare: self.spare,
+            ended: self.left == 0 && self.open == 0,
         }
     }
 }
@@ -134,6 +135,9 @@
         if let Some(mark) = self.mark {
             bucket.give_back(now, mark, returned);
         }
+        if state.ended {
+            self.due = 0;
+        }
     }
 
     /// Releases what has expired.
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -59,4 +59,7 @@
     /// What no call had reserved when it expired.
     #[serde(rename = "s")]
     pub spare: u64,
+    /// Whether nothing more will become of it.
+    #[serde(rename = "e")]
+    pub ended: bool,
 }
--- a/crates/quota/src/share.rs
+++ b/crates/quota/src/share.rs
@@ -104,11 +104,20 @@
         self.versions.insert(version, shares);
     }
 
+    /// The version in force; zero if none.
+    pub fn newest(&self) -> ids::Version {
+        self.versions
+            .keys()
+            .next_back()
+            .copied()
+            .unwrap_or_default()
+    }
+
     /// Forgets the versions before one that every serving VM has reached.
     pub fn settle(&mut self, version: ids::Version) {
-        let newest = self.versions.keys().next_back().copied();
+        let newest = self.newest();
         self.versions
-            .retain(|known, _| *known >= version || Some(*known) == newest);
+            .retain(|known, _| *known >= version || *known == newest);
     }
 
     /// The present share of an account.
--- a/crates/quota/src/table.rs
+++ b/crates/quota/src/table.rs
@@ -5,6 +5,9 @@
 use crate::{bucket, lease, output, share};
 
 mod borrow;
+mod dump;
+
+pub use dump::Dump;
 
 /// Binary digits of lease numbers within one incarnation.
 const NUMBER_BITS: u32 = 20;
@@ -61,6 +64,8 @@
     shares: share::Shares,
     /// Versions whose higher shares may be used from a moment on.
     raises: collections::BTreeMap<ids::Version, ids::Time>,
+    /// The newest version whose higher shares may be used.
+    raised: ids::Version,
     entries: collections::BTreeMap<ids::Account, Entry>,
     reservations: collections::BTreeMap<ids::Call, Reservation>,
     last_number: u64,
@@ -78,6 +83,7 @@
             config,
             shares: share::Shares::new(),
             raises: collections::BTreeMap::new(),
+            raised: ids::Version::new(0),
             entries: collections::BTreeMap::new(),
             reservations: collections::BTreeMap::new(),
             last_number,
@@ -94,6 +100,9 @@
         members: &[share::Member],
         limits: &[share::Limit],
     ) {
+        if version <= self.shares.newest() {
+            return;
+        }
         let mut own = collections::BTreeMap::new();
         for limit in limits {
             let homes = share::homes(limit, members, self.config.homes);
@@ -113,6 +122,7 @@
             }
         }
         self.shares.adopt(version, own);
+        self.shares.settle(self.raised);
         self.resize(now);
     }
 
@@ -150,7 +160,9 @@
     /// what was lent under older ones has expired.
     pub fn settled(&mut self, now: ids::Time, version: ids::Version) {
         let due = now + self.config.lease_for + self.config.margin;
-        self.raises.entry(version).or_insert(due);
+        if version > self.raised {
+            self.raises.entry(version).or_insert(due);
+        }
     }
 
     fn resize(&mut self, now: ids::Time) {
@@ -275,6 +287,7 @@
             return;
         };
         self.raises.retain(|known, _| *known > version);
+        self.raised = version;
         self.shares.settle(version);
         self.resize(now);
     }
--- a/crates/quota/tests/bounds.rs
+++ b/crates/quota/tests/bounds.rs
@@ -37,12 +37,15 @@
         13 => fleet.limit(RATE / 2, BURST / 2),
         _ => fleet.lag = fleet.rng.random_range(1..300),
     }
-    fleet.vms[other].demand = fleet.rng.random_range(0..RATE * 3);
+    for vm in &mut fleet.vms {
+        vm.demand = [0, 0, RATE / 10, RATE / 3, RATE * 4][fleet.rng.random_range(0..5)];
+    }
 }
 
 fn bounded(seed: u64) -> bool {
     let mut fleet = Fleet::new(VMS, seed, RATE, BURST);
     fleet.doubling = 10;
+    fleet.lengths.1 = [100, 1_000, 8_000][fleet.rng.random_range(0..3)];
     fleet.used_percent = fleet.rng.random_range(0..=100);
     fleet.sizes = (1, fleet.rng.random_range(2..BURST / 4));
     for _ in 0..40 {
@@ -61,3 +64,55 @@
         .tests(40)
         .quickcheck(bounded as fn(u64) -> bool);
 }
+
+#[test]
+fn what_a_full_bucket_would_have_lost_is_not_given_back() {
+    let mut fleet = Fleet::new(1, 1, 1_000, 10_000);
+    fleet.lengths = (12_000, 12_000);
+    fleet.call(0, 9_900, 0);
+    fleet.run(11_000);
+    fleet.call(0, 9_900, 9_900);
+    fleet.run(1_500);
+    fleet.call(0, 9_900, 9_900);
+    fleet.run(1_000);
+    assert_eq!(fleet.refusals.len(), 1);
+    assert!(fleet.within_limits());
+}
+
+#[test]
+fn room_is_given_back_once() {
+    let mut fleet = Fleet::new(1, 1, 1_000, 10_000);
+    fleet.lengths = (6_000, 6_000);
+    fleet.call(0, 4_900, 0);
+    fleet.call(0, 4_900, 0);
+    fleet.run(5_000);
+    fleet.call(0, 5_100, 5_100);
+    fleet.run(1_100);
+    fleet.call(0, 9_000, 9_000);
+    fleet.run(1_000);
+    assert!(fleet.within_limits());
+    assert_eq!(fleet.refusals.len(), 1);
+}
+
+#[test]
+fn what_is_not_used_is_given_back() {
+    let mut fleet = Fleet::new(1, 1, 10, 10_000);
+    fleet.lengths = (100, 100);
+    for _ in 0..50 {
+        fleet.call(0, 9_000, 10);
+        fleet.run(200);
+    }
+    assert_eq!(fleet.refusals.len(), 0);
+}
+
+#[test]
+fn borrowed_tokens_that_are_not_used_are_given_back() {
+    let mut fleet = Fleet::new(5, 1, 10, 10_000);
+    fleet.lengths = (100, 100);
+    for _ in 0..50 {
+        fleet.call(0, 8_000, 10);
+        fleet.run(1_500);
+    }
+    assert_eq!(fleet.refusals.len(), 0);
+    assert!(fleet.within_limits());
+}
--- a/crates/quota/tests/fleet/mod.rs
+++ b/crates/quota/tests/fleet/mod.rs
@@ -61,8 +61,8 @@
     pub sizes: (u64, u64),
     /// Part of its reservation that a call uses at least, in percent.
     pub used_percent: u64,
-    /// Longest call, in ms.
-    pub longest: u64,
+    /// Shortest and longest call, in ms.
+    pub lengths: (u64, u64),
     heads: Vec<Head>,
     pub uses: Vec<Use>,
     /// Moment, reservation and use of each call.
@@ -90,7 +90,7 @@
             cuts: collections::BTreeSet::new(),
             sizes: (100, 900),
             used_percent: 100,
-            longest: 3_000,
+            lengths: (20, 3_000),
             heads: Vec::new(),
             uses: Vec::new(),
             arrivals: Vec::new(),
@@ -292,7 +292,7 @@
                 // A VM that has been fenced meanwhile drops the call.
                 let used = if self.serves(vm) { used } else { 0 };
                 self.uses.push((self.now, used));
-                let length = self.rng.random_range(20..=self.longest);
+                let length = self.rng.random_range(self.lengths.0..=self.lengths.1);
                 let incarnation = self.vms[vm].incarnation;
                 self.post(vm, length, Event::End(incarnation, call, used));
             }
--- a/crates/quota/tests/usable.rs
+++ b/crates/quota/tests/usable.rs
@@ -1,6 +1,5 @@
 //! How much of a rate can be used, and what is refused inside it.
 
-#[expect(dead_code, reason = "each test file uses a part of the harness")]
 mod fleet;
 
 use fleet::Fleet;
