--- a/crates/member/src/head.rs
+++ b/crates/member/src/head.rs
@@ -89,7 +89,8 @@
     /// The member with this name.
     #[must_use]
     pub fn member(&self, vm: &ids::Vm) -> Option<&Member> {
-        self.members.iter().find(|member| member.vm == *vm)
+        let place = self.members.binary_search_by(|member| member.vm.cmp(vm));
+        place.ok().map(|place| &self.members[place])
     }
 
     /// Whether this incarnation is a member.
--- a/crates/member/tests/fleet/mod.rs
+++ b/crates/member/tests/fleet/mod.rs
@@ -82,6 +82,8 @@
     pub withdrawn: collections::BTreeSet<ids::Key>,
     pub reads: usize,
     pub session: String,
+    /// Whether the session names every output.
+    pub trace: bool,
     pub lag: u64,
     /// Whether it has the settings of the largest deployments.
     large: bool,
@@ -110,6 +112,7 @@
             withdrawn: collections::BTreeSet::new(),
             reads: 0,
             session: String::new(),
+            trace: false,
             lag: 5,
             large: vms > LARGE,
             objects_up: true,
@@ -355,6 +358,10 @@
     }
 
     fn take(&mut self, vm: usize, output: member::Output) {
+        if self.trace {
+            let text = serde_json::to_string(&output).unwrap();
+            self.note(vm, &text);
+        }
         match output {
             member::Output::Table { op, request } => {
                 let down = self.store == Store::Down || self.vms[vm].store_cut;
--- a/crates/member/tests/sessions.rs
+++ b/crates/member/tests/sessions.rs
@@ -89,3 +89,13 @@
     fleet.run(2_000);
     check("freeze", &fleet);
 }
+
+#[test]
+fn two_vms_start_and_accept_a_bundle_message_by_message() {
+    let mut fleet = Fleet::new(2, 6);
+    fleet.trace = true;
+    fleet.run(900);
+    fleet.accept(1, "bundle");
+    fleet.run(300);
+    check("message-by-message", &fleet);
+}
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -28,7 +28,7 @@
         /// What is lent; zero if nothing can be.
         #[serde(rename = "m")]
         amount: u64,
-        /// What the lender has left.
+        /// What the lender has left to lend.
         #[serde(rename = "l")]
         left: u64,
     },
--- a/crates/quota/src/table/borrow.rs
+++ b/crates/quota/src/table/borrow.rs
@@ -69,14 +69,15 @@
             return;
         }
         entry.bucket.refill(now);
-        let want = if entry.pending.is_empty() { want } else { 0 };
-        let amount = entry.bucket.lend(want);
+        let free = entry.pending.is_empty();
+        let amount = entry.bucket.lend(if free { want } else { 0 });
+        let left = if free { entry.bucket.balance() } else { 0 };
         let to = key.0.vm.clone();
         let message = message::Message::Give {
             account: account.clone(),
             number: key.1,
             amount,
-            left: entry.bucket.balance(),
+            left,
         };
         if amount > 0 {
             let lease_for = self.config.lease_for + self.config.margin;
--- a/crates/quota/tests/fleet/mod.rs
+++ b/crates/quota/tests/fleet/mod.rs
@@ -26,6 +26,8 @@
     pub table: Option<quota::Table>,
     pub frozen: bool,
     pub isolated: bool,
+    /// Whether new heads leave it out.
+    pub removed: bool,
     /// Tokens asked for in a second, as calls bring them.
     pub demand: u64,
     incarnation: ids::Incarnation,
@@ -105,6 +107,7 @@
                 table: None,
                 frozen: false,
                 isolated: false,
+                removed: false,
                 demand: 0,
                 incarnation: ids::Incarnation::new(0),
                 adopted: 0,
@@ -150,7 +153,7 @@
 
     /// Makes a head with another limit and all live VMs.
     pub fn limit(&mut self, rate: u64, burst: u64) {
-        let live = |vm: &usize| self.vms[*vm].table.is_some();
+        let live = |vm: &usize| self.vms[*vm].table.is_some() && !self.vms[*vm].removed;
         let members = (0..self.vms.len()).filter(live).map(|vm| self.member(vm));
         let limit = quota::Limit {
             account: account(),
--- a/crates/quota/tests/usable.rs
+++ b/crates/quota/tests/usable.rs
@@ -14,15 +14,18 @@
 fn measure(case: &str, fleet: &mut Fleet) -> (f64, f64) {
     let from = fleet.now;
     let before = (fleet.uses.len(), fleet.refusals.len());
+    let bytes = |fleet: &Fleet| fleet.vms.iter().map(|vm| vm.bytes).sum::<u64>();
+    let bytes_before = bytes(fleet);
     fleet.run(SECONDS * 1_000);
     let used = fleet.used(from) as f64 / (RATE * SECONDS) as f64;
     let granted = fleet.uses.len() - before.0;
     let refused = fleet.refusals.len() - before.1;
     let due = fleet.refused_by_one_bucket(RATE, BURST, from);
     let wrongful = refused.saturating_sub(due);
+    let traffic = (bytes(fleet) - bytes_before) / SECONDS / fleet.vms.len() as u64;
     println!(
         "{case}: {used:.3} of the rate used, {granted} granted, {refused} refused, {due} by one \
-         bucket, {wrongful} inside the rate"
+         bucket, {wrongful} inside the rate, {traffic} B/s at a VM"
     );
     assert!(fleet.within_limits(), "{case}: more than the limit");
     (used, wrongful as f64 / (granted + refused) as f64)
