--- a/crates/quota/src/table.rs
+++ b/crates/quota/src/table.rs
@@ -35,6 +35,8 @@
 struct Hint {
     left: u64,
     time: ids::Time,
+    /// Answers with nothing since the last with something.
+    refusals: u32,
 }
 
 /// An account on this VM.
--- a/crates/quota/src/table/borrow.rs
+++ b/crates/quota/src/table/borrow.rs
@@ -5,6 +5,10 @@
 use super::{Entry, Hint, Table};
 use crate::{lease, message, output, share};
 
+/// How often the interval between questions to a home that has nothing is
+/// doubled.
+const DOUBLINGS_MAX: u32 = 5;
+
 impl Table {
     /// Takes a message of another VM. A VM that does not serve lends nothing,
     /// so `serving` is to be found out at this moment.
@@ -37,8 +41,7 @@
                 amount,
                 left,
             } => {
-                let hint = Hint { left, time: now };
-                self.receive(now, &account, from, (number, amount), hint);
+                self.receive(now, &account, from, (number, amount, left));
                 self.serve(now, &account, out);
                 self.borrow(now, &account, out);
             }
@@ -92,8 +95,7 @@
         now: ids::Time,
         account: &ids::Account,
         from: &ids::Vm,
-        (number, amount): (u64, u64),
-        hint: Hint,
+        (number, amount, left): (u64, u64, u64),
     ) {
         let Some(entry) = self.entries.get_mut(account) else {
             return;
@@ -101,6 +103,12 @@
         let Some(ask) = entry.asks.remove(&number).filter(|ask| ask.to == *from) else {
             return;
         };
+        let known = entry.hints.get(from).map_or(0, |hint| hint.refusals);
+        let hint = Hint {
+            left,
+            time: now,
+            refusals: if amount == 0 { known + 1 } else { 0 },
+        };
         entry.hints.insert(from.clone(), hint);
         entry.bucket.refill(now);
         let expires = ask.sent + self.config.lease_for;
@@ -201,7 +209,7 @@
             self.asks.values().any(|ask| ask.to == *vm && recent(ask))
         };
         let free = self.homes.iter().filter(|vm| !asked(vm));
-        let have = free.map(|vm| (vm.clone(), self.estimate(now, vm)));
+        let have = free.map(|vm| (vm.clone(), self.estimate(now, vm, config)));
         let least = missing.min(self.share.cap / 8);
         let have: Vec<_> = have
             .filter(|(_, have)| *have > 0 && *have >= least)
@@ -209,12 +217,18 @@
         divide(want, have)
     }
 
-    /// What a home has, by its last word and its share.
-    fn estimate(&self, now: ids::Time, vm: &ids::Vm) -> u64 {
+    /// What a home has, by its last word and its share; nothing for a while if
+    /// it has had nothing several times, for it needs its tokens itself.
+    fn estimate(&self, now: ids::Time, vm: &ids::Vm, config: &crate::Config) -> u64 {
         let Some(hint) = self.hints.get(vm) else {
             return self.share.cap;
         };
-        let passed = u64::try_from(now.since(hint.time).as_millis()).unwrap_or(u64::MAX);
+        let passed = now.since(hint.time);
+        let pause = config.ask_every * (1 << hint.refusals.min(DOUBLINGS_MAX));
+        if hint.refusals > 0 && passed < pause {
+            return 0;
+        }
+        let passed = u64::try_from(passed.as_millis()).unwrap_or(u64::MAX);
         let fresh = self.share.refill.saturating_mul(passed);
         hint.left.saturating_add(fresh).min(self.share.cap)
     }
