--- a/crates/node/src/system/finish.rs
+++ b/crates/node/src/system/finish.rs
@@ -19,7 +19,7 @@
         return;
     };
     let is_kept = row.caller.is_none() && matches!(ending, call::Ending::Done { .. });
-    system::quota::settle(node, now, call, out);
+    system::quota::settle(node, now, call);
     note(node, call, &ending, out);
     if is_kept {
         keep(node, now, call, ending);
--- a/crates/node/src/system/member.rs
+++ b/crates/node/src/system/member.rs
@@ -42,7 +42,9 @@
         }
         peer::Message::Want { digest } => system::force::wanted(node, from, digest, out),
         peer::Message::Text { text } => system::force::text(node, now, &text, out),
-        peer::Message::Quota(message) => system::quota::peer(node, now, from, message, out),
+        peer::Message::Quota(message) => {
+            system::quota::peer(node, now, from, incarnation, message, out);
+        }
     }
 }
 
--- a/crates/node/src/system/quota.rs
+++ b/crates/node/src/system/quota.rs
@@ -6,7 +6,7 @@
 
 /// A table in which no account has a share.
 pub fn table(config: &Config) -> quota::Table {
-    quota::Table::new(quota::Config::new(config.vm.clone(), config.seed))
+    quota::Table::new(quota::Config::new(holder(&config.member())))
 }
 
 /// Asks for the tokens that a call may use at most.
@@ -25,20 +25,16 @@
 }
 
 /// Gives back what a call has not used.
-pub fn settle(node: &mut Node, now: ids::Time, call: ids::Call, out: &mut Vec<Output>) {
+pub fn settle(node: &mut Node, now: ids::Time, call: ids::Call) {
     let Some(row) = node.calls.rows.get_mut(&call) else {
         return;
     };
-    let reserved = std::mem::take(&mut row.reserved);
-    let used = row.used().min(reserved);
-    let Some(account) = row.account.clone() else {
-        return;
-    };
-    if reserved == 0 {
+    if std::mem::take(&mut row.reserved) == 0 {
         node.quota.cancel(call);
         return;
     }
-    with(node, now, out, |quota, _| quota.settle(now, &account, reserved, used));
+    let used = row.used();
+    node.quota.settle(now, call, used);
 }
 
 /// Takes accounts and members from what is in force.
@@ -46,8 +42,14 @@
     let Some(force) = &node.force else {
         return;
     };
-    let members: Vec<_> = head.members.iter().map(|member| member.vm.clone()).collect();
-    node.quota.adopt(now, head.version, &members, &force.bundle.accounts);
+    let members: Vec<_> = head.members.iter().map(holder).collect();
+    let limits = force.bundle.accounts.iter().map(|account| quota::Limit {
+        account: account.name.clone(),
+        rate: account.rate,
+        burst: account.burst,
+    });
+    let limits: Vec<_> = limits.collect();
+    node.quota.adopt(now, head.version, &members, &limits);
 }
 
 /// Notes that no VM spends by shares of an earlier version any more.
@@ -55,18 +57,19 @@
     node.quota.settled(now, version);
 }
 
-/// Takes in a message of another VM.
+/// Takes in a message of another VM. A VM that does not serve lends nothing.
 pub fn peer(
     node: &mut Node,
     now: ids::Time,
     from: &ids::Vm,
+    incarnation: ids::Incarnation,
     message: quota::Message,
     out: &mut Vec<Output>,
 ) {
-    if node.serves(now).is_err() {
-        return;
-    }
-    with(node, now, out, |quota, outputs| quota.peer(now, from, message, outputs));
+    let serving = node.serves(now).is_ok();
+    with(node, now, out, |quota, outputs| {
+        quota.peer(now, serving, from, incarnation, message, outputs);
+    });
 }
 
 /// Lets time pass.
@@ -110,19 +113,22 @@
     now: ids::Time,
     call: ids::Call,
     reason: quota::Reason,
-    retry_after: time::Duration,
+    retry_after: Option<time::Duration>,
     out: &mut Vec<Output>,
 ) {
     node.counters.bump(count::OVER_RATE);
-    let ending = match reason {
-        quota::Reason::TooLarge => call::Ending::refused(
-            call::Code::TooLarge,
-            "the call may use more tokens than the account's whole burst; lower max_tokens",
-        ),
-        quota::Reason::OverRate => {
-            call::Ending::refused(call::Code::OverRate, "the account's rate is used up")
-                .with_retry_after(retry_after)
-        }
+    let code = match reason {
+        quota::Reason::TooLarge => call::Code::TooLarge,
+        _ => call::Code::OverRate,
+    };
+    let ending = call::Ending::refused(code, reason.to_string());
+    let ending = match retry_after {
+        Some(wait) => ending.with_retry_after(wait),
+        None => ending,
     };
     system::finish::finish(node, now, call, ending, out);
 }
+
+fn holder(member: &member::Member) -> quota::Member {
+    quota::Member { vm: member.vm.clone(), incarnation: member.incarnation }
+}
