--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -1,168 +1,51 @@
-//! Rates and bursts of accounts over all VMs together.
-
-use std::{collections, time};
-
-use bundle::format;
-
-/// Settings of a [`Table`].
-#[derive(Clone, Debug)]
-pub struct Config {
-    /// This VM.
-    pub me: ids::Vm,
-    /// Seed of its random numbers.
-    pub seed: u64,
-}
-
-impl Config {
-    /// Settings of the VM `me`.
-    #[must_use]
-    pub const fn new(me: ids::Vm, seed: u64) -> Self {
-        Self { me, seed }
-    }
-}
-
-/// What VMs tell one another about rates.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(serde::Serialize, serde::Deserialize)]
-pub enum Message {}
-
-/// Why a call was not granted its tokens.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reason {
-    /// More than the account's whole burst.
-    TooLarge,
-    /// The account's rate is used up.
-    OverRate,
-}
-
-/// What a [`Table`] asks for.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Output {
-    /// Send a message to another VM.
-    Peer {
-        /// The receiver.
-        to: ids::Vm,
-        /// The message.
-        message: Message,
-    },
-    /// The call has its tokens.
-    Granted {
-        /// The call.
-        call: ids::Call,
-    },
-    /// The call does not get its tokens.
-    Short {
-        /// The call.
-        call: ids::Call,
-        /// Why.
-        reason: Reason,
-        /// When another try makes sense.
-        retry_after: time::Duration,
-    },
-}
-
-#[derive(Debug)]
-struct Bucket {
-    whole: f64,
-    rate: f64,
-    burst: f64,
-    tokens: f64,
-    filled: ids::Time,
-}
-
-/// The shares of one VM.
-#[derive(Debug)]
-pub struct Table {
-    config: Config,
-    buckets: collections::BTreeMap<ids::Account, Bucket>,
-}
-
-impl Table {
-    /// A table in which no account has a share.
-    #[must_use]
-    pub const fn new(config: Config) -> Self {
-        Self { config, buckets: collections::BTreeMap::new() }
-    }
-
-    /// Takes members and accounts of a version of the head.
-    pub fn adopt(
-        &mut self,
-        now: ids::Time,
-        _version: ids::Version,
-        members: &[ids::Vm],
-        accounts: &[format::Account],
-    ) {
-        let count = members.len().max(1) as f64;
-        let mut known = std::mem::take(&mut self.buckets);
-        for account in accounts {
-            let old = known.remove(&account.name).map_or(0.0, |bucket| bucket.tokens);
-            let burst = account.burst as f64 / count;
-            let rate = account.rate as f64 / count;
-            let whole = account.burst as f64;
-            let bucket = Bucket { whole, rate, burst, tokens: old.min(burst), filled: now };
-            self.buckets.insert(account.name.clone(), bucket);
-        }
-    }
-
-    /// Notes that no VM spends by shares of an earlier version any more.
-    pub const fn settled(&mut self, _now: ids::Time, _version: ids::Version) {}
-
-    /// Asks for tokens.
-    pub fn request(
-        &mut self,
-        now: ids::Time,
-        call: ids::Call,
-        account: &ids::Account,
-        tokens: u64,
-        out: &mut Vec<Output>,
-    ) {
-        let Some(bucket) = self.buckets.get_mut(account) else {
-            return;
-        };
-        let passed = now.since(bucket.filled).as_secs_f64();
-        bucket.tokens = bucket.rate.mul_add(passed, bucket.tokens).min(bucket.burst);
-        bucket.filled = now;
-        if tokens as f64 > bucket.whole {
-            let retry_after = time::Duration::ZERO;
-            out.push(Output::Short { call, reason: Reason::TooLarge, retry_after });
-            return;
-        }
-        let lack = tokens as f64 - bucket.tokens;
-        if lack > 0.0 {
-            let retry_after = time::Duration::from_secs_f64(lack / bucket.rate.max(1.0));
-            out.push(Output::Short { call, reason: Reason::OverRate, retry_after });
-            return;
-        }
-        bucket.tokens -= tokens as f64;
-        out.push(Output::Granted { call });
-    }
-
-    /// Forgets a request that waits.
-    pub const fn cancel(&mut self, _call: ids::Call) {}
-
-    /// Gives back what was not used.
-    pub fn settle(&mut self, _now: ids::Time, account: &ids::Account, reserved: u64, used: u64) {
-        if let Some(bucket) = self.buckets.get_mut(account) {
-            bucket.tokens = (bucket.tokens + (reserved - used) as f64).min(bucket.burst);
-        }
-    }
-
-    /// Takes in a message of another VM.
-    pub const fn peer(
-        &mut self,
-        _now: ids::Time,
-        _from: &ids::Vm,
-        _message: Message,
-        _out: &mut Vec<Output>,
-    ) {
-    }
-
-    /// Lets time pass.
-    pub const fn tick(&mut self, _now: ids::Time, _out: &mut Vec<Output>) {}
-
-    /// The table as JSON text.
-    #[must_use]
-    pub fn dump(&self, _now: ids::Time) -> String {
-        format!("{} accounts at {}", self.buckets.len(), self.config.me)
-    }
-}
+//! Rates and bursts over all VMs together, without the table service.
+//!
+//! The head divides each account's rate and burst among a few of its members,
+//! the account's *homes*. A home refills and caps a bucket with its share. A VM
+//! that is short borrows from homes, which debit before they give; what is
+//! borrowed expires, and until then takes room in the lender's bucket. So the
+//! tokens in all buckets and leases together never exceed the burst, whatever
+//! is lost, doubled, cut off or restarted.
+//!
+//! A call reserves the most that it may use and gives back the rest at its
+//! end. What is given back is limited to the room that the bucket has had ever
+//! since, as if the call had been charged rightly from the beginning.
+//!
+//! A [`Table`] is a state machine without clock or socket, as is the view of
+//! the head that tells it which version is in force.
+//!
+//! ```
+//! let me = quota::Member { vm: "vm-1".into(), incarnation: ids::Incarnation::new(1) };
+//! let accounts = [quota::Limit { account: "mayors".into(), rate: 100, burst: 1_000 }];
+//! let mut table = quota::Table::new(quota::Config::new(me.clone()));
+//! let mut out = Vec::new();
+//! let start = ids::Time::from_millis(0);
+//! table.adopt(start, ids::Version::new(1), &[me], &accounts);
+//! table.settled(start, ids::Version::new(1));
+//!
+//! // The bucket starts empty and fills at 100 tokens a second.
+//! let later = ids::Time::from_millis(3_100);
+//! table.tick(later, &mut out);
+//! let call = ids::Call::new(1);
+//! table.tick(ids::Time::from_millis(4_100), &mut out);
+//! table.request(ids::Time::from_millis(4_100), call, &"mayors".into(), 80, &mut out);
+//! assert_eq!(out, [quota::Output::Granted { call }]);
+//! ```
+
+mod bucket;
+pub mod config;
+mod lease;
+pub mod message;
+pub mod output;
+mod share;
+pub mod table;
+
+pub use config::Config;
+pub use message::Message;
+pub use output::{Output, Reason};
+pub use share::{Limit, Member};
+pub use table::Table;
+
+/// Parts of a token that are counted: shares of small rates among many VMs
+/// are fractions of a token.
+pub(crate) const NANOS: u64 = 1_000_000_000;
