proofs: a fleet counts as started once each VM has its own tokens

For about a second after the last join was settled, a VM has no share of its own and borrows. The wait is part of the set-up; joining VMs under load stay covered by the rolling restart.

--- a/crates/proofs/src/fleet.rs
+++ b/crates/proofs/src/fleet.rs
@@ -330,8 +330,8 @@
         .await
     }
 
-    /// Waits until every VM knows every runner as ready, and that no VM is
-    /// behind the newest head any more.
+    /// Waits until every VM knows every runner as ready and that no VM is
+    /// behind the newest head, and has its own share of each account's tokens.
     async fn served(&self) -> Result<()> {
         for vm in 0..self.vms.len() {
             wait::until("a settled start", async || {
@@ -341,11 +341,23 @@
                 if state["member"]["settled"] != state["member"]["head"]["version"] {
                     return None;
                 }
+                let accounts = state["quota"].as_array()?;
+                if accounts.iter().any(|account| account["share"] == 0) {
+                    return None;
+                }
                 let targets = &state["targets"];
                 let mut names = (1..=self.runners.len()).map(|runner| format!("runner-{runner}"));
                 names.all(|name| targets[&name]["ready"][0] == "draft").then_some(())
             })
             .await?;
+            let caller = self.caller();
+            wait::until("a first answer", async || {
+                let body = chat(1, false, "warm-up");
+                let path = "/v1/chat/completions";
+                let sent = caller.send(self.address(vm), "POST", path, &[], &body).await.ok()?;
+                sent.status.is_success().then_some(())
+            })
+            .await?;
         }
         Ok(())
     }
