--- a/crates/bundle/src/check/decode.rs
+++ b/crates/bundle/src/check/decode.rs
@@ -9,7 +9,7 @@
 
 use serde::de::{self, Error as _};
 
-use super::tree::{Node, Value};
+use super::tree;
 
 /// Text that stands in where one is missing; it is also a digest.
 const TEXT_STAND_IN: &str = "0000000000000000000000000000000000000000000000000000000000000000";
@@ -63,7 +63,7 @@
 ///
 /// Faults that stop the reading are repaired in `node`, and it is read anew.
 pub(super) fn read<T: de::DeserializeOwned>(
-    node: &mut Node,
+    node: &mut tree::Node,
     defects: &mut Vec<Defect>,
 ) -> Option<T> {
     for _ in 0..MOST_REPAIRS {
@@ -84,21 +84,21 @@
 ///
 /// Returns `None` if that is not possible. A fault within a stand-in is not
 /// noted.
-fn repair(node: &mut Node, error: Error, defects: &mut Vec<Defect>) -> Option<()> {
+fn repair(node: &mut tree::Node, error: Error, defects: &mut Vec<Defect>) -> Option<()> {
     let mut path = error.path.unwrap_or_default();
     let place = node.at_mut(&path)?;
     let silent = place.stand_in;
     if let Some(field) = error.missing {
         let (line, column) = (place.line, place.column);
-        let stand_in = Node { line, column, stand_in: true, value: Value::Missing };
+        let stand_in = tree::Node { line, column, stand_in: true, value: tree::Value::Missing };
         let field = field.to_owned();
         path.push(field.clone());
         match &mut place.value {
-            Value::Map(fields) => fields.push((field, stand_in)),
-            value => *value = Value::Map(vec![(field, stand_in)]),
+            tree::Value::Map(fields) => fields.push((field, stand_in)),
+            value => *value = tree::Value::Map(vec![(field, stand_in)]),
         }
     } else {
-        place.value = Value::Missing;
+        place.value = tree::Value::Missing;
         place.stand_in = true;
     }
     if !silent {
@@ -109,13 +109,13 @@
 
 /// A node to be read, and where it is.
 struct Reader<'a> {
-    node: &'a Node,
+    node: &'a tree::Node,
     path: Vec<String>,
     notes: &'a cell::RefCell<Vec<Defect>>,
 }
 
 impl<'a> Reader<'a> {
-    fn child(&self, name: String, node: &'a Node) -> Self {
+    fn child(&self, name: String, node: &'a tree::Node) -> Self {
         let mut path = self.path.clone();
         path.push(name);
         Self { node, path, notes: self.notes }
@@ -129,14 +129,14 @@
 
     /// Notes a value of the wrong kind.
     fn mistyped(&self, allowed: &str) {
-        if self.node.value != Value::Missing {
+        if self.node.value != tree::Value::Missing {
             self.note(format!("{} is not allowed here", self.node.value), allowed);
         }
     }
 
     fn integer(&self) -> u64 {
         const ALLOWED: &str = "a whole number, not negative";
-        if let Value::Integer(number) = &self.node.value
+        if let tree::Value::Integer(number) = &self.node.value
             && let Ok(number) = u64::try_from(*number)
         {
             return number;
@@ -147,10 +147,10 @@
 
     fn text(&self) -> String {
         match &self.node.value {
-            Value::Text(text) => text.clone(),
-            Value::Bool(value) => value.to_string(),
-            Value::Integer(number) => number.to_string(),
-            Value::Float(number) => number.to_string(),
+            tree::Value::Text(text) => text.clone(),
+            tree::Value::Bool(value) => value.to_string(),
+            tree::Value::Integer(number) => number.to_string(),
+            tree::Value::Float(number) => number.to_string(),
             _ => {
                 self.mistyped("a text");
                 TEXT_STAND_IN.to_owned()
@@ -158,16 +158,16 @@
         }
     }
 
-    fn map(&self) -> &'a [(String, Node)] {
-        if let Value::Map(fields) = &self.node.value {
+    fn map(&self) -> &'a [(String, tree::Node)] {
+        if let tree::Value::Map(fields) = &self.node.value {
             return fields;
         }
         self.mistyped("a map with fields");
         &[]
     }
 
-    fn list(&self) -> &'a [Node] {
-        if let Value::List(items) = &self.node.value {
+    fn list(&self) -> &'a [tree::Node] {
+        if let tree::Value::List(items) = &self.node.value {
             return items;
         }
         self.mistyped("a list");
@@ -175,7 +175,7 @@
     }
 }
 
-impl fmt::Display for Value {
+impl fmt::Display for tree::Value {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Missing | Self::Null => f.write_str("nothing"),
@@ -216,8 +216,8 @@
 
     fn deserialize_f64<V: de::Visitor<'de>>(self, visitor: V) -> Result<V::Value, Error> {
         match &self.node.value {
-            Value::Float(number) => visitor.visit_f64(*number),
-            Value::Integer(number) => visitor.visit_f64(*number as f64),
+            tree::Value::Float(number) => visitor.visit_f64(*number),
+            tree::Value::Integer(number) => visitor.visit_f64(*number as f64),
             _ => {
                 self.mistyped("a number");
                 visitor.visit_f64(1.0)
@@ -226,7 +226,7 @@
     }
 
     fn deserialize_bool<V: de::Visitor<'de>>(self, visitor: V) -> Result<V::Value, Error> {
-        if let Value::Bool(value) = self.node.value {
+        if let tree::Value::Bool(value) = self.node.value {
             return visitor.visit_bool(value);
         }
         self.mistyped("true or false");
@@ -254,7 +254,7 @@
     }
 
     fn deserialize_option<V: de::Visitor<'de>>(self, visitor: V) -> Result<V::Value, Error> {
-        if self.node.value == Value::Null {
+        if self.node.value == tree::Value::Null {
             return visitor.visit_none();
         }
         visitor.visit_some(self)
@@ -285,7 +285,7 @@
     ) -> Result<V::Value, Error> {
         let text = self.text();
         let variant = variants.iter().find(|variant| **variant == text);
-        if variant.is_none() && self.node.value != Value::Missing {
+        if variant.is_none() && self.node.value != tree::Value::Missing {
             self.note(format!("{text:?} is not allowed here"), &variants.join(" or "));
         }
         let variant = variant.or(variants.first()).copied().unwrap_or_default();
@@ -304,7 +304,7 @@
 /// The items of a list.
 struct Items<'a> {
     reader: Reader<'a>,
-    list: &'a [Node],
+    list: &'a [tree::Node],
     next: usize,
 }
 
@@ -329,7 +329,7 @@
 struct Fields<'a> {
     reader: Reader<'a>,
     known: &'static [&'static str],
-    present: &'a [(String, Node)],
+    present: &'a [(String, tree::Node)],
     next: usize,
 }
 
--- a/crates/bundle/src/check/rules.rs
+++ b/crates/bundle/src/check/rules.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, fmt, net, ops};
 
-use super::decode::Defect;
+use super::decode;
 use crate::format;
 
 /// Longest name, in bytes.
@@ -29,7 +29,7 @@
 const CALLS_PER_ACCELERATOR: ops::RangeInclusive<u64> = 1..=4_096;
 
 /// Everything that is wrong with what `bundle` says.
-pub(super) fn apply(bundle: &format::Bundle) -> Vec<Defect> {
+pub(super) fn apply(bundle: &format::Bundle) -> Vec<decode::Defect> {
     let mut rules = Rules::new(bundle);
     rules.head();
     rules.models();
@@ -53,7 +53,7 @@
     centres: collections::BTreeSet<&'a str>,
     targets: collections::BTreeMap<&'a str, String>,
     addresses: collections::BTreeMap<&'a str, String>,
-    defects: Vec<Defect>,
+    defects: Vec<decode::Defect>,
 }
 
 impl<'a> Rules<'a> {
@@ -69,7 +69,7 @@
 
     fn note(&mut self, path: Vec<String>, problem: impl Into<String>, allowed: impl Into<String>) {
         let (problem, allowed) = (problem.into(), allowed.into());
-        self.defects.push(Defect { path, problem, allowed });
+        self.defects.push(decode::Defect { path, problem, allowed });
     }
 
     fn range<T: Copy + PartialOrd + fmt::Display>(
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::{env, net, time};
 
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::BodyExt as _;
 use hyper_util::{client::legacy, rt};
 
 use crate::{args, credential, error};
@@ -16,7 +16,8 @@
 /// Largest answer, in bytes.
 const MAX_BYTES: usize = 256 * 1024 * 1024;
 
-type Http = legacy::Client<legacy::connect::HttpConnector, Full<hyper::body::Bytes>>;
+type Http =
+    legacy::Client<legacy::connect::HttpConnector, http_body_util::Full<hyper::body::Bytes>>;
 
 /// A client of the operator faces.
 #[derive(Clone, Debug)]
@@ -140,7 +141,8 @@
                 Err(cause) => return Err(unknown(&format!("the answer was lost: {cause}"))),
             };
             let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_BYTES).collect().await;
+            let body =
+                http_body_util::Limited::new(response.into_body(), MAX_BYTES).collect().await;
             let body = body.map_err(|cause| unknown(&format!("the answer broke off: {cause}")))?;
             let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
             if status == http::StatusCode::UNAUTHORIZED {
@@ -159,12 +161,12 @@
         &self,
         vm: net::SocketAddr,
         request: &Request,
-    ) -> error::Result<http::Request<Full<hyper::body::Bytes>>> {
+    ) -> error::Result<http::Request<http_body_util::Full<hyper::body::Bytes>>> {
         let built = http::Request::builder()
             .method(request.method.clone())
             .uri(format!("http://{vm}{}", request.path))
             .header(http::header::AUTHORIZATION, format!("Bearer {}", self.credential.reveal()))
-            .body(Full::from(request.body.clone()));
+            .body(http_body_util::Full::from(request.body.clone()));
         built.map_err(|_cause| {
             // The cause could show the credential.
             let reason = "the credential or an argument has characters that can not be sent";
--- a/crates/cli/tests/program/offline.rs
+++ b/crates/cli/tests/program/offline.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, path};
 
-use crate::fake::{mode, run_bare, set_mode};
+use crate::fake;
 
 const BUNDLE: &str = "\
 format: 1
@@ -19,10 +19,10 @@
 }
 
 fn signed(directory: &path::Path) -> String {
-    let made = run_bare(directory, &["signer", "new", "alice", "--output", "alice.key"]);
+    let made = fake::run_bare(directory, &["signer", "new", "alice", "--output", "alice.key"]);
     assert_eq!(made.code, 0, "{made:?}");
     let sign = ["sign", "bundle.yaml", "--key", "alice.key", "--signer", "alice"];
-    let done = run_bare(directory, &[&sign[..], &["--output", "bundle.signed"]].concat());
+    let done = fake::run_bare(directory, &[&sign[..], &["--output", "bundle.signed"]].concat());
     assert_eq!(done.code, 0, "{done:?}");
     let (_, key) = made.out.rsplit_once("key: ").unwrap();
     key.trim_end().trim_end_matches('}').to_owned()
@@ -31,32 +31,32 @@
 #[test]
 fn help_and_usage() {
     let directory = directory();
-    let help = run_bare(directory.path(), &["--help"]);
+    let help = fake::run_bare(directory.path(), &["--help"]);
     assert_eq!(help.code, 0);
     for command in ["check", "diff", "sign", "accept", "history", "key", "drain", "status"] {
         assert!(help.out.contains(command), "{}", help.out);
     }
     assert!(help.out.contains("Exit codes:"));
-    assert_eq!(run_bare(directory.path(), &["chekc"]).code, 2);
-    assert_eq!(run_bare(directory.path(), &["check", "none.yaml"]).code, 2);
+    assert_eq!(fake::run_bare(directory.path(), &["chekc"]).code, 2);
+    assert_eq!(fake::run_bare(directory.path(), &["check", "none.yaml"]).code, 2);
 }
 
 #[test]
 fn check_names_file_line_and_field() {
     let directory = directory();
-    let good = run_bare(directory.path(), &["check", "bundle.yaml"]);
+    let good = fake::run_bare(directory.path(), &["check", "bundle.yaml"]);
     assert_eq!(good.code, 0, "{good:?}");
     assert!(good.out.ends_with("bundle.yaml: ok\n"));
 
     let bad = BUNDLE.replace("rate: 100", "rate: 0").replace("format: 1", "formt: 1");
     fs::write(directory.path().join("bad.yaml"), bad).unwrap();
-    let bad = run_bare(directory.path(), &["check", "bad.yaml"]);
+    let bad = fake::run_bare(directory.path(), &["check", "bad.yaml"]);
     assert_eq!(bad.code, 1);
     assert!(bad.out.contains("bad.yaml: line 1, column 8: formt: is not a field"), "{}", bad.out);
     assert!(bad.out.contains("bad.yaml: line 4, column 46: accounts[0].rate: 0 is out of range"));
     assert!(bad.out.ends_with("bad.yaml: 3 faults\n"));
 
-    let json = run_bare(directory.path(), &["check", "bad.yaml", "--json"]);
+    let json = fake::run_bare(directory.path(), &["check", "bad.yaml", "--json"]);
     let json: serde_json::Value = serde_json::from_str(&json.out).unwrap();
     assert_eq!(json["faults"].as_array().unwrap().len(), 3);
 }
@@ -66,17 +66,18 @@
     let directory = directory();
     let key = signed(directory.path());
     let file = directory.path().join("alice.key");
-    assert_eq!(mode(&file), 0o600);
+    assert_eq!(fake::mode(&file), 0o600);
     let secret = fs::read_to_string(&file).unwrap();
     assert_ne!(secret.trim(), key);
 
-    let again = run_bare(directory.path(), &["signer", "new", "alice", "--output", "alice.key"]);
+    let again =
+        fake::run_bare(directory.path(), &["signer", "new", "alice", "--output", "alice.key"]);
     assert_eq!(again.code, 2, "{again:?}");
     assert_eq!(fs::read_to_string(&file).unwrap(), secret);
 
-    set_mode(&file, 0o640);
+    fake::set_mode(&file, 0o640);
     let sign = ["sign", "bundle.yaml", "--key", "alice.key", "--signer", "alice"];
-    let open = run_bare(directory.path(), &sign);
+    let open = fake::run_bare(directory.path(), &sign);
     assert_eq!(open.code, 2);
     assert!(open.err.contains("chmod 600 alice.key"), "{}", open.err);
 }
@@ -87,7 +88,7 @@
     signed(directory.path());
     fs::write(directory.path().join("bundle.yaml"), "format: 1\n").unwrap();
     let sign = ["sign", "bundle.yaml", "--key", "alice.key", "--signer", "alice"];
-    let refused = run_bare(directory.path(), &sign);
+    let refused = fake::run_bare(directory.path(), &sign);
     assert_eq!((refused.code, refused.out.as_str()), (1, ""));
     assert!(refused.err.contains("accounts: is missing"), "{}", refused.err);
 }
@@ -97,14 +98,14 @@
     let directory = directory();
     let key = signed(directory.path());
     let verify = ["verify", "bundle.signed", "--signer-key"];
-    let good = run_bare(directory.path(), &[&verify[..], &[&key]].concat());
+    let good = fake::run_bare(directory.path(), &[&verify[..], &[&key]].concat());
     assert_eq!(good.code, 0, "{good:?}");
     assert!(good.out.starts_with("signed by alice "), "{}", good.out);
 
     let file = directory.path().join("bundle.signed");
     let altered = fs::read_to_string(&file).unwrap().replace("rate: 100", "rate: 900");
     fs::write(&file, altered).unwrap();
-    let bad = run_bare(directory.path(), &[&verify[..], &[&key]].concat());
+    let bad = fake::run_bare(directory.path(), &[&verify[..], &[&key]].concat());
     assert_eq!(bad.code, 1, "{bad:?}");
     assert!(bad.err.contains("altered"), "{}", bad.err);
 }
@@ -114,7 +115,8 @@
     let directory = directory();
     signed(directory.path());
     fs::write(directory.path().join("new.yaml"), BUNDLE.replace("rate: 100", "rate: 200")).unwrap();
-    let diff = run_bare(directory.path(), &["diff", "new.yaml", "--against", "bundle.signed"]);
+    let diff =
+        fake::run_bare(directory.path(), &["diff", "new.yaml", "--against", "bundle.signed"]);
     assert_eq!(diff.code, 0, "{diff:?}");
     assert!(diff.out.starts_with("account mayors: rate 100 -> 200 tokens a second\n"));
 }
--- a/crates/cli/tests/program/online.rs
+++ b/crates/cli/tests/program/online.rs
@@ -3,7 +3,7 @@
 
 use std::fs;
 
-use crate::fake::{CREDENTIAL, Face, Run, run, run_bare, set_mode};
+use crate::fake;
 use bundle::signed;
 
 const BUNDLE: &str = "\
@@ -31,12 +31,12 @@
 }
 
 /// Runs the program against `face` in a directory with bundle and document.
-fn ask(face: &Face, arguments: &[&str]) -> Run {
+fn ask(face: &fake::Face, arguments: &[&str]) -> fake::Run {
     let directory = tempfile::tempdir().unwrap();
     fs::write(directory.path().join("bundle.yaml"), BUNDLE).unwrap();
     fs::write(directory.path().join("bundle.signed"), document()).unwrap();
     let vm = face.address.to_string();
-    run(directory.path(), &[arguments, &["--vm", &vm]].concat())
+    fake::run(directory.path(), &[arguments, &["--vm", &vm]].concat())
 }
 
 fn status(ready: bool, version: u64, digest: Option<ids::Digest>) -> String {
@@ -56,7 +56,7 @@
 
 #[test]
 fn accept_says_that_it_is_in_force() {
-    let face = Face::new(&[("POST /v1/accept?replaces=6", IN_FORCE)]);
+    let face = fake::Face::new(&[("POST /v1/accept?replaces=6", IN_FORCE)]);
     let done = ask(&face, &["accept", "bundle.signed", "--replaces", "6"]);
     assert_eq!(done.code, 0, "{done:?}");
     assert_eq!(done.out, "in force as version 7 on every VM that serves\n");
@@ -66,7 +66,7 @@
 #[test]
 fn accept_names_the_fenced() {
     let reply = r#"{"in-force":{"version":7,"fenced":["vm-3","vm-4"]}}"#;
-    let face = Face::new(&[("POST /v1/accept", reply)]);
+    let face = fake::Face::new(&[("POST /v1/accept", reply)]);
     let done = ask(&face, &["accept", "bundle.signed"]);
     assert_eq!(done.code, 0);
     assert!(done.out.contains("fenced") && done.out.contains("vm-3, vm-4"), "{}", done.out);
@@ -75,7 +75,7 @@
 #[test]
 fn accept_refused() {
     let reply = r#"{"refused":{"reason":"another change came first"}}"#;
-    let face = Face::new(&[("POST /v1/accept", reply)]);
+    let face = fake::Face::new(&[("POST /v1/accept", reply)]);
     let done = ask(&face, &["accept", "bundle.signed"]);
     assert_eq!(done.code, 1);
     assert!(done.err.contains("another change came first"));
@@ -86,14 +86,14 @@
 fn accept_whose_answer_is_lost_says_what_is_known() {
     let digest = ids::Digest::of(document().as_bytes());
     let there = status(true, 7, Some(digest));
-    let face = Face::new(&[("POST /v1/accept", ""), ("GET /v1/status", &there)]);
+    let face = fake::Face::new(&[("POST /v1/accept", ""), ("GET /v1/status", &there)]);
     let done = ask(&face, &["accept", "bundle.signed"]);
     assert_eq!(done.code, 3);
     assert!(done.err.contains("it is in force on vm-1 as version 7"), "{}", done.err);
 
     let not_there = status(true, 6, None);
     let unknown = r#"{"unknown":{"reason":"no answer yet"}}"#;
-    let face = Face::new(&[("POST /v1/accept", unknown), ("GET /v1/status", &not_there)]);
+    let face = fake::Face::new(&[("POST /v1/accept", unknown), ("GET /v1/status", &not_there)]);
     let done = ask(&face, &["accept", "bundle.signed"]);
     assert_eq!(done.code, 3);
     assert!(done.err.contains("it is not in force on vm-1"), "{}", done.err);
@@ -103,30 +103,31 @@
 fn the_next_vm_is_tried_if_nothing_was_sent() {
     // Nothing listens on this port, which needs rights that a test has not.
     let address = "127.0.0.1:1".to_owned();
-    let face = Face::new(&[("POST /v1/amend", IN_FORCE)]);
+    let face = fake::Face::new(&[("POST /v1/amend", IN_FORCE)]);
     let done = ask(&face, &["drain", "runner-1", "--vm", &address]);
     assert_eq!(done.code, 0, "{done:?}");
     assert_eq!(face.seen()[0].body, r#"{"drain":"runner-1"}"#);
 
     let directory = tempfile::tempdir().unwrap();
-    let done = run(directory.path(), &["state", "--vm", &address]);
+    let done = fake::run(directory.path(), &["state", "--vm", &address]);
     assert_eq!(done.code, 3, "{done:?}");
 }
 
 #[test]
 fn a_lost_answer_is_not_asked_for_elsewhere() {
-    let first = Face::new(&[("POST /v1/amend", "")]);
-    let second = Face::new(&[("POST /v1/amend", IN_FORCE)]);
+    let first = fake::Face::new(&[("POST /v1/amend", "")]);
+    let second = fake::Face::new(&[("POST /v1/amend", IN_FORCE)]);
     let directory = tempfile::tempdir().unwrap();
     let vms = [first.address.to_string(), second.address.to_string()];
-    let done = run(directory.path(), &["drain", "runner-1", "--vm", &vms[0], "--vm", &vms[1]]);
+    let done =
+        fake::run(directory.path(), &["drain", "runner-1", "--vm", &vms[0], "--vm", &vms[1]]);
     assert_eq!(done.code, 3, "{done:?}");
     assert_eq!(second.seen(), []);
 }
 
 #[test]
 fn drain_and_return() {
-    let face = Face::new(&[("POST /v1/amend", IN_FORCE)]);
+    let face = fake::Face::new(&[("POST /v1/amend", IN_FORCE)]);
     assert_eq!(ask(&face, &["drain", "runner-1"]).code, 0);
     assert_eq!(ask(&face, &["return", "runner-1"]).code, 0);
     let bodies: Vec<_> = face.seen().into_iter().map(|request| request.body).collect();
@@ -135,7 +136,7 @@
 
 #[test]
 fn a_key_is_shown_once_and_only_its_digest_is_sent() {
-    let face = Face::new(&[("POST /v1/amend", IN_FORCE), ("GET /v1/bundle", &in_force())]);
+    let face = fake::Face::new(&[("POST /v1/amend", IN_FORCE), ("GET /v1/bundle", &in_force())]);
     let done = ask(&face, &["key", "issue", "mayors", "--id", "mayors-2"]);
     assert_eq!(done.code, 0, "{done:?}");
     let key = done.out.lines().last().unwrap();
@@ -156,7 +157,7 @@
 
 #[test]
 fn a_key_whose_issue_is_not_known_is_shown_all_the_same() {
-    let face = Face::new(&[("POST /v1/amend", ""), ("GET /v1/bundle", &in_force())]);
+    let face = fake::Face::new(&[("POST /v1/amend", ""), ("GET /v1/bundle", &in_force())]);
     let done = ask(&face, &["key", "issue", "mayors"]);
     assert_eq!(done.code, 3);
     assert!(done.out.lines().last().unwrap().starts_with("pp.mayors-"), "{done:?}");
@@ -168,7 +169,7 @@
     let amendments = r#"{"amendments":{"issued":[{"account":"mayors","key":{"id":"mayors-2",
         "digest":"0000000000000000000000000000000000000000000000000000000000000002"}}],
         "withdrawn":["mayors-1"],"drained":[]}}"#;
-    let face = Face::new(&[
+    let face = fake::Face::new(&[
         ("POST /v1/amend", IN_FORCE),
         ("GET /v1/bundle", &in_force()),
         ("GET /v1/amendments", amendments),
@@ -200,7 +201,7 @@
         {"version": 4, "bundle": digest, "amendments": amended},
     ]});
     let object = serde_json::json!({"document": r#"{"drained":["runner-1"]}"#});
-    let face = Face::new(&[
+    let face = fake::Face::new(&[
         ("GET /v1/history", &history.to_string()),
         (&format!("GET /v1/objects/{digest}"), &in_force()),
         (&format!("GET /v1/objects/{amended}"), &object.to_string()),
@@ -216,24 +217,24 @@
     assert_eq!((show.code, show.out.trim_end()), (0, document().as_str()));
 
     // The document that was shown is accepted as the very same one.
-    let face = Face::new(&[("POST /v1/accept", IN_FORCE)]);
+    let face = fake::Face::new(&[("POST /v1/accept", IN_FORCE)]);
     let directory = tempfile::tempdir().unwrap();
     fs::write(directory.path().join("back.signed"), &show.out).unwrap();
     let vm = face.address.to_string();
-    run(directory.path(), &["accept", "back.signed", "--vm", &vm]);
+    fake::run(directory.path(), &["accept", "back.signed", "--vm", &vm]);
     assert_eq!(face.seen()[0].body, document());
 }
 
 #[test]
 fn status_says_what_is_wrong_and_what_to_do() {
     let digest = ids::Digest::of(b"");
-    let well = Face::new(&[("GET /v1/status", &status(true, 7, Some(digest)))]);
+    let well = fake::Face::new(&[("GET /v1/status", &status(true, 7, Some(digest)))]);
     let done = ask(&well, &["status"]);
     assert_eq!(done.code, 0, "{done:?}");
     assert!(done.out.starts_with("callers are served by 1 of 1 VMs"), "{}", done.out);
     assert!(done.out.ends_with("nothing is wrong\n"));
 
-    let ill = Face::new(&[("GET /v1/status", &status(false, 6, Some(digest)))]);
+    let ill = fake::Face::new(&[("GET /v1/status", &status(false, 6, Some(digest)))]);
     let done = ask(&ill, &["status", "--vm", &well.address.to_string()]);
     assert_eq!(done.code, 1);
     assert!(done.out.contains("served by 1 of 2"), "{}", done.out);
@@ -251,7 +252,7 @@
 
 #[test]
 fn state_is_printed_as_json() {
-    let face = Face::new(&[("GET /state", r#"{"state":{"targets":[1,2]}}"#)]);
+    let face = fake::Face::new(&[("GET /state", r#"{"state":{"targets":[1,2]}}"#)]);
     let done = ask(&face, &["state"]);
     let json: serde_json::Value = serde_json::from_str(&done.out).unwrap();
     assert_eq!(json["targets"][1], 2);
@@ -259,22 +260,22 @@
 
 #[test]
 fn the_credential_comes_from_a_file_or_the_environment() {
-    let face = Face::new(&[("GET /state", r#"{"state":{}}"#)]);
+    let face = fake::Face::new(&[("GET /state", r#"{"state":{}}"#)]);
     let vm = face.address.to_string();
     let directory = tempfile::tempdir().unwrap();
     let file = directory.path().join("credential");
-    fs::write(&file, format!("{CREDENTIAL}\n")).unwrap();
+    fs::write(&file, format!("{}\n", fake::CREDENTIAL)).unwrap();
     let arguments = ["state", "--vm", &vm, "--credential-file", "credential"];
 
-    set_mode(&file, 0o644);
-    assert_eq!(run_bare(directory.path(), &arguments).code, 2);
-    set_mode(&file, 0o600);
-    assert_eq!(run_bare(directory.path(), &arguments).code, 0);
+    fake::set_mode(&file, 0o644);
+    assert_eq!(fake::run_bare(directory.path(), &arguments).code, 2);
+    fake::set_mode(&file, 0o600);
+    assert_eq!(fake::run_bare(directory.path(), &arguments).code, 0);
 
     fs::write(&file, "another").unwrap();
-    let refused = run_bare(directory.path(), &arguments);
+    let refused = fake::run_bare(directory.path(), &arguments);
     assert_eq!(refused.code, 1, "{refused:?}");
     assert!(!refused.err.contains("another"));
 
-    assert_eq!(run_bare(directory.path(), &["state", "--vm", &vm]).code, 2);
+    assert_eq!(fake::run_bare(directory.path(), &["state", "--vm", &vm]).code, 2);
 }
--- a/crates/journal/src/entry.rs
+++ b/crates/journal/src/entry.rs
@@ -2,7 +2,7 @@
 
 use std::sync;
 
-use crate::{Call, row};
+use crate::{journal, row};
 
 /// Where an entry stands.
 #[derive(Clone, Debug)]
@@ -18,7 +18,7 @@
 /// A call that waits until an earlier claim on the same row is given back.
 #[derive(Clone, Debug)]
 pub(crate) struct Waiter {
-    pub call: Call,
+    pub call: journal::Call,
     pub deadline: ids::Time,
 }
 
@@ -50,7 +50,7 @@
 impl Entry {
     /// An entry for a call whose claim is to be written over version `base`.
     pub fn new(
-        call: &Call,
+        call: &journal::Call,
         nonce: sync::Arc<str>,
         base: Option<ids::Version>,
         deadline: ids::Time,
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -8,13 +8,7 @@
 use platform::table;
 use rand::SeedableRng as _;
 
-use crate::{
-    config,
-    entry::{Entry, Phase, Waiter},
-    group::Group,
-    output::{Output, Reason},
-    row,
-};
+use crate::{config, entry, group, output, row};
 
 /// Area of the journal's operations, in their highest byte.
 const OP_AREA: u64 = 2 << 56;
@@ -60,11 +54,11 @@
     nonces: u64,
     ops: u64,
     live: collections::BTreeSet<(ids::Vm, ids::Incarnation)>,
-    entries: collections::BTreeMap<sync::Arc<str>, Entry>,
+    entries: collections::BTreeMap<sync::Arc<str>, entry::Entry>,
     calls: collections::BTreeMap<ids::Call, sync::Arc<str>>,
     due: collections::BTreeSet<(ids::Time, sync::Arc<str>)>,
     deadlines: collections::BTreeSet<(ids::Time, sync::Arc<str>)>,
-    groups: collections::BTreeMap<ids::Op, Group>,
+    groups: collections::BTreeMap<ids::Op, group::Group>,
 }
 
 impl Journal {
@@ -96,9 +90,9 @@
         let mut summary = Summary { transactions: self.groups.len(), ..Summary::default() };
         for entry in self.entries.values() {
             match entry.phase {
-                Phase::Claim => summary.claiming += 1,
-                Phase::Run => summary.running += 1,
-                Phase::Settle(_) => summary.settling += 1,
+                entry::Phase::Claim => summary.claiming += 1,
+                entry::Phase::Run => summary.running += 1,
+                entry::Phase::Settle(_) => summary.settling += 1,
             }
         }
         summary
@@ -106,16 +100,16 @@
 
     /// Asks for the claim of a call.
     ///
-    /// [`Output::Send`], [`Output::Replay`] or [`Output::Refuse`] follows, now
+    /// [`output::Output::Send`], [`output::Output::Replay`] or [`output::Output::Refuse`] follows, now
     /// or later, unless [`Journal::unsent`] comes first.
-    pub fn begin(&mut self, now: ids::Time, call: Call, out: &mut Vec<Output>) {
+    pub fn begin(&mut self, now: ids::Time, call: Call, out: &mut Vec<output::Output>) {
         let key = row::key(&call.account, &call.route, &call.key);
         if self.entries.contains_key(&key) {
             self.join(now, &key, call, out);
             return;
         }
         if self.entries.len() >= self.config.most_claims {
-            refuse(call.call, Reason::Unavailable, out);
+            refuse(call.call, output::Reason::Unavailable, out);
             return;
         }
         let deadline = now + self.config.claim_within;
@@ -126,23 +120,23 @@
     /// Takes that nothing of a call was sent, or that its target has proved
     /// that it refused. The claim is given back.
     ///
-    /// After this the call must not be sent. Before [`Output::Send`] it means
+    /// After this the call must not be sent. Before [`output::Output::Send`] it means
     /// that the caller has gone.
-    pub fn unsent(&mut self, now: ids::Time, call: ids::Call, out: &mut Vec<Output>) {
+    pub fn unsent(&mut self, now: ids::Time, call: ids::Call, out: &mut Vec<output::Output>) {
         let Some(key) = self.calls.get(&call).map(sync::Arc::clone) else {
             return;
         };
         if self.drop_waiter(call, &key) {
-            out.push(Output::Released { call });
+            out.push(output::Output::Released { call });
             return;
         }
         match self.entries[&key].phase {
-            Phase::Claim => {
+            entry::Phase::Claim => {
                 self.abandon(now, &key);
-                out.push(Output::Released { call });
+                out.push(output::Output::Released { call });
             }
-            Phase::Run => self.settle(now, &key, row::State::Released, None),
-            Phase::Settle(_) => {}
+            entry::Phase::Run => self.settle(now, &key, row::State::Released, None),
+            entry::Phase::Settle(_) => {}
         }
         self.flush_full(now, out);
     }
@@ -154,7 +148,7 @@
         now: ids::Time,
         call: ids::Call,
         answer: crate::Answer,
-        out: &mut Vec<Output>,
+        out: &mut Vec<output::Output>,
     ) {
         let Some(key) = self.running(call) else {
             return;
@@ -165,7 +159,7 @@
     }
 
     /// Takes that a call was sent and its answer will never be known.
-    pub fn lost(&mut self, now: ids::Time, call: ids::Call, out: &mut Vec<Output>) {
+    pub fn lost(&mut self, now: ids::Time, call: ids::Call, out: &mut Vec<output::Output>) {
         let Some(key) = self.running(call) else {
             return;
         };
@@ -180,7 +174,7 @@
         now: ids::Time,
         op: ids::Op,
         result: platform::Result<table::Answer>,
-        out: &mut Vec<Output>,
+        out: &mut Vec<output::Output>,
     ) {
         // After a pause of this process the time of a claim may have run out
         // before its answer is looked at.
@@ -203,7 +197,7 @@
 
     /// Takes the passing of time: writes what is due and gives up on what
     /// took too long.
-    pub fn tick(&mut self, now: ids::Time, out: &mut Vec<Output>) {
+    pub fn tick(&mut self, now: ids::Time, out: &mut Vec<output::Output>) {
         self.expire_groups(now);
         self.expire_entries(now, out);
         self.flush(now, out);
@@ -221,34 +215,42 @@
         let nonce = self.nonce();
         self.calls.insert(call.call, sync::Arc::clone(key));
         self.deadlines.insert((deadline, sync::Arc::clone(key)));
-        let entry = Entry::new(call, nonce, base, deadline);
+        let entry = entry::Entry::new(call, nonce, base, deadline);
         self.entries.insert(sync::Arc::clone(key), entry);
         self.schedule(key, now);
     }
 
     /// Decides on a call whose row this VM already works on.
-    fn join(&mut self, now: ids::Time, key: &sync::Arc<str>, call: Call, out: &mut Vec<Output>) {
+    fn join(
+        &mut self,
+        now: ids::Time,
+        key: &sync::Arc<str>,
+        call: Call,
+        out: &mut Vec<output::Output>,
+    ) {
         let Some(entry) = self.entries.get_mut(key) else {
             return;
         };
-        let given_back = matches!(entry.phase, Phase::Settle(row::State::Released));
+        let given_back = matches!(entry.phase, entry::Phase::Settle(row::State::Released));
         if given_back && entry.waiter.is_none() {
             let deadline = now + self.config.claim_within;
             self.calls.insert(call.call, sync::Arc::clone(key));
             self.deadlines.insert((deadline, sync::Arc::clone(key)));
-            entry.waiter = Some(Waiter { call, deadline });
+            entry.waiter = Some(entry::Waiter { call, deadline });
             return;
         }
         if !given_back && entry.digest != call.digest {
-            refuse(call.call, Reason::Conflict, out);
+            refuse(call.call, output::Reason::Conflict, out);
             return;
         }
         match &entry.phase {
-            Phase::Settle(row::State::Answered(answer)) => {
-                out.push(Output::Replay { call: call.call, answer: answer.clone() });
+            entry::Phase::Settle(row::State::Answered(answer)) => {
+                out.push(output::Output::Replay { call: call.call, answer: answer.clone() });
+            }
+            entry::Phase::Settle(row::State::Unknown) => {
+                refuse(call.call, output::Reason::Unknown, out);
             }
-            Phase::Settle(row::State::Unknown) => refuse(call.call, Reason::Unknown, out),
-            _ => refuse(call.call, Reason::InProgress, out),
+            _ => refuse(call.call, output::Reason::InProgress, out),
         }
     }
 
@@ -263,7 +265,7 @@
         let Some(entry) = self.entries.get_mut(key) else {
             return;
         };
-        entry.phase = Phase::Settle(state);
+        entry.phase = entry::Phase::Settle(state);
         entry.failures = 0;
         entry.deadline = deadline;
         if let Some(deadline) = deadline {
@@ -299,7 +301,7 @@
     fn running(&self, call: ids::Call) -> Option<sync::Arc<str>> {
         let key = self.calls.get(&call)?;
         let entry = self.entries.get(key)?;
-        let running = entry.call == Some(call) && matches!(entry.phase, Phase::Run);
+        let running = entry.call == Some(call) && matches!(entry.phase, entry::Phase::Run);
         running.then(|| sync::Arc::clone(key))
     }
 
@@ -316,7 +318,7 @@
     }
 
     /// Forgets an entry.
-    fn remove(&mut self, key: &sync::Arc<str>) -> Option<Entry> {
+    fn remove(&mut self, key: &sync::Arc<str>) -> Option<entry::Entry> {
         let entry = self.entries.remove(key)?;
         if let Some(due) = entry.due {
             self.due.remove(&(due, sync::Arc::clone(key)));
@@ -341,6 +343,6 @@
     }
 }
 
-fn refuse(call: ids::Call, reason: Reason, out: &mut Vec<Output>) {
-    out.push(Output::Refuse { call, reason });
+fn refuse(call: ids::Call, reason: output::Reason, out: &mut Vec<output::Output>) {
+    out.push(output::Output::Refuse { call, reason });
 }
--- a/crates/journal/src/journal/resolution.rs
+++ b/crates/journal/src/journal/resolution.rs
@@ -4,25 +4,19 @@
 
 use platform::table;
 
-use super::{Journal, refuse};
-use crate::{
-    entry::{Entry, Phase},
-    group::Group,
-    output::{Output, Reason},
-    row,
-};
+use crate::{entry, group, journal, output, row};
 
 /// What a row in the way of a claim means for it.
 enum Verdict {
     Own,
     Free,
     Answered(crate::Answer),
-    Refused(Reason),
+    Refused(output::Reason),
 }
 
-impl Journal {
+impl journal::Journal {
     /// Ends the calls of a transaction; the rows that still await its answer.
-    pub(super) fn close(&mut self, op: ids::Op, group: Group) -> Vec<sync::Arc<str>> {
+    pub(super) fn close(&mut self, op: ids::Op, group: group::Group) -> Vec<sync::Arc<str>> {
         let mut keys = Vec::new();
         for key in group.keys {
             let Some(entry) = self.entries.get_mut(&key) else {
@@ -37,18 +31,23 @@
     }
 
     /// Goes on after a row's write took effect.
-    pub(super) fn written(&mut self, now: ids::Time, key: &sync::Arc<str>, out: &mut Vec<Output>) {
+    pub(super) fn written(
+        &mut self,
+        now: ids::Time,
+        key: &sync::Arc<str>,
+        out: &mut Vec<output::Output>,
+    ) {
         let Some(entry) = self.entries.get(key) else {
             return;
         };
         let version = entry.written_version();
         match entry.phase {
-            Phase::Claim => self.claimed(key, version, out),
-            Phase::Run => {}
-            Phase::Settle(row::State::Released) => {
+            entry::Phase::Claim => self.claimed(key, version, out),
+            entry::Phase::Run => {}
+            entry::Phase::Settle(row::State::Released) => {
                 self.settled(now, key, Some(version), true, out);
             }
-            Phase::Settle(_) => self.settled(now, key, None, true, out),
+            entry::Phase::Settle(_) => self.settled(now, key, None, true, out),
         }
     }
 
@@ -58,7 +57,7 @@
         now: ids::Time,
         keys: &[sync::Arc<str>],
         rows: Vec<table::Conflict>,
-        out: &mut Vec<Output>,
+        out: &mut Vec<output::Output>,
     ) {
         let mut rows: collections::BTreeMap<_, _> =
             rows.into_iter().map(|conflict| (conflict.key, conflict.row)).collect();
@@ -85,7 +84,7 @@
         now: ids::Time,
         key: &sync::Arc<str>,
         row: Option<&table::Row>,
-        out: &mut Vec<Output>,
+        out: &mut Vec<output::Output>,
     ) {
         let Some(entry) = self.entries.get(key) else {
             return;
@@ -97,14 +96,14 @@
         let version = row.version;
         let claim = row::Row::parse(&row.value);
         match &entry.phase {
-            Phase::Claim => {
+            entry::Phase::Claim => {
                 let verdict = claim.map(|claim| self.judge(entry, claim));
                 // Whatever stands in a row that can't be read may have run.
-                let verdict = verdict.unwrap_or(Verdict::Refused(Reason::Unknown));
+                let verdict = verdict.unwrap_or(Verdict::Refused(output::Reason::Unknown));
                 self.decide(now, key, version, verdict, out);
             }
-            Phase::Run => {}
-            Phase::Settle(wanted) => {
+            entry::Phase::Run => {}
+            entry::Phase::Settle(wanted) => {
                 let own = claim.filter(|claim| claim.nonce == entry.nonce);
                 match own.map(|own| own.state) {
                     Some(row::State::Claimed) => self.rebase(now, key, Some(version)),
@@ -131,7 +130,7 @@
         key: &sync::Arc<str>,
         version: ids::Version,
         verdict: Verdict,
-        out: &mut Vec<Output>,
+        out: &mut Vec<output::Output>,
     ) {
         match verdict {
             Verdict::Own => self.claimed(key, version, out),
@@ -142,16 +141,16 @@
     }
 
     /// What the row that is in the way of a claim means for it.
-    fn judge(&self, entry: &Entry, row: row::Row) -> Verdict {
+    fn judge(&self, entry: &entry::Entry, row: row::Row) -> Verdict {
         match row.state {
             row::State::Released => Verdict::Free,
             row::State::Claimed if row.nonce == entry.nonce => Verdict::Own,
-            _ if row.digest != entry.digest => Verdict::Refused(Reason::Conflict),
+            _ if row.digest != entry.digest => Verdict::Refused(output::Reason::Conflict),
             row::State::Answered(answer) => Verdict::Answered(answer),
             row::State::Claimed if self.is_live(&row.vm, row.incarnation) => {
-                Verdict::Refused(Reason::InProgress)
+                Verdict::Refused(output::Reason::InProgress)
             }
-            row::State::Claimed | row::State::Unknown => Verdict::Refused(Reason::Unknown),
+            row::State::Claimed | row::State::Unknown => Verdict::Refused(output::Reason::Unknown),
         }
     }
 
@@ -164,17 +163,22 @@
     }
 
     /// The claim is known to be written as `version`.
-    fn claimed(&mut self, key: &sync::Arc<str>, version: ids::Version, out: &mut Vec<Output>) {
+    fn claimed(
+        &mut self,
+        key: &sync::Arc<str>,
+        version: ids::Version,
+        out: &mut Vec<output::Output>,
+    ) {
         let Some(entry) = self.entries.get_mut(key) else {
             return;
         };
-        entry.phase = Phase::Run;
+        entry.phase = entry::Phase::Run;
         entry.base = Some(version);
         if let Some(deadline) = entry.deadline.take() {
             self.deadlines.remove(&(deadline, sync::Arc::clone(key)));
         }
         if let Some(call) = entry.call {
-            out.push(Output::Send { call });
+            out.push(output::Output::Send { call });
         }
     }
 
@@ -194,16 +198,18 @@
         key: &sync::Arc<str>,
         free: Option<ids::Version>,
         durable: bool,
-        out: &mut Vec<Output>,
+        out: &mut Vec<output::Output>,
     ) {
         let Some(entry) = self.remove(key) else {
             return;
         };
         if let Some(call) = entry.call {
             match entry.phase {
-                Phase::Settle(row::State::Released) => out.push(Output::Released { call }),
-                Phase::Settle(row::State::Answered(_)) => {
-                    out.push(Output::Stored { call, durable });
+                entry::Phase::Settle(row::State::Released) => {
+                    out.push(output::Output::Released { call });
+                }
+                entry::Phase::Settle(row::State::Answered(_)) => {
+                    out.push(output::Output::Stored { call, durable });
                 }
                 _ => {}
             }
@@ -214,17 +220,27 @@
     }
 
     /// Refuses a call whose claim is not written and never will be.
-    fn refuse_claim(&mut self, key: &sync::Arc<str>, reason: Reason, out: &mut Vec<Output>) {
+    fn refuse_claim(
+        &mut self,
+        key: &sync::Arc<str>,
+        reason: output::Reason,
+        out: &mut Vec<output::Output>,
+    ) {
         let entry = self.remove(key);
         if let Some(call) = entry.and_then(|entry| entry.call) {
-            refuse(call, reason, out);
+            journal::refuse(call, reason, out);
         }
     }
 
-    fn replay(&mut self, key: &sync::Arc<str>, answer: crate::Answer, out: &mut Vec<Output>) {
+    fn replay(
+        &mut self,
+        key: &sync::Arc<str>,
+        answer: crate::Answer,
+        out: &mut Vec<output::Output>,
+    ) {
         let entry = self.remove(key);
         if let Some(call) = entry.and_then(|entry| entry.call) {
-            out.push(Output::Replay { call, answer });
+            out.push(output::Output::Replay { call, answer });
         }
     }
 }
--- a/crates/journal/src/journal/schedule.rs
+++ b/crates/journal/src/journal/schedule.rs
@@ -5,19 +5,12 @@
 use platform::table;
 use rand::Rng as _;
 
-use super::{Journal, OP_AREA, refuse};
-use crate::{
-    config,
-    entry::Phase,
-    group::{self, Group},
-    output::{Output, Reason},
-    row,
-};
+use crate::{config, entry, group, journal, output, row};
 
 /// Doublings of the backoff after which it stays the same.
 const BACKOFF_DOUBLINGS: u32 = 10;
 
-impl Journal {
+impl journal::Journal {
     /// Plans another try of writes that failed.
     pub(super) fn failed(&mut self, now: ids::Time, keys: &[sync::Arc<str>], kind: platform::Kind) {
         for key in keys {
@@ -43,7 +36,7 @@
     /// Treats transactions without answer as of unknown outcome.
     pub(super) fn expire_groups(&mut self, now: ids::Time) {
         let limit = self.config.answer_within;
-        let late = |group: &Group| now.since(group.sent_at) >= limit;
+        let late = |group: &group::Group| now.since(group.sent_at) >= limit;
         let ops: Vec<_> =
             self.groups.iter().filter(|(_, group)| late(group)).map(|(op, _)| *op).collect();
         for op in ops {
@@ -56,7 +49,7 @@
     }
 
     /// Tells the calls whose time is up.
-    pub(super) fn expire_entries(&mut self, now: ids::Time, out: &mut Vec<Output>) {
+    pub(super) fn expire_entries(&mut self, now: ids::Time, out: &mut Vec<output::Output>) {
         while let Some((time, key)) = self.deadlines.first().cloned() {
             if time > now {
                 return;
@@ -67,17 +60,27 @@
         }
     }
 
-    fn expire_waiter(&mut self, now: ids::Time, key: &sync::Arc<str>, out: &mut Vec<Output>) {
+    fn expire_waiter(
+        &mut self,
+        now: ids::Time,
+        key: &sync::Arc<str>,
+        out: &mut Vec<output::Output>,
+    ) {
         let Some(entry) = self.entries.get_mut(key) else {
             return;
         };
         if let Some(waiter) = entry.waiter.take_if(|waiter| waiter.deadline <= now) {
             self.calls.remove(&waiter.call.call);
-            refuse(waiter.call.call, Reason::Unavailable, out);
+            journal::refuse(waiter.call.call, output::Reason::Unavailable, out);
         }
     }
 
-    fn expire_entry(&mut self, now: ids::Time, key: &sync::Arc<str>, out: &mut Vec<Output>) {
+    fn expire_entry(
+        &mut self,
+        now: ids::Time,
+        key: &sync::Arc<str>,
+        out: &mut Vec<output::Output>,
+    ) {
         let Some(entry) = self.entries.get_mut(key) else {
             return;
         };
@@ -86,32 +89,32 @@
         }
         let call = entry.call;
         match entry.phase {
-            Phase::Claim => {
+            entry::Phase::Claim => {
                 self.abandon(now, key);
                 if let Some(call) = call {
-                    refuse(call, Reason::Unavailable, out);
+                    journal::refuse(call, output::Reason::Unavailable, out);
                 }
             }
-            Phase::Run => {}
-            Phase::Settle(_) => {
+            entry::Phase::Run => {}
+            entry::Phase::Settle(_) => {
                 entry.call = None;
                 if let Some(call) = call {
                     self.calls.remove(&call);
-                    out.push(Output::Stored { call, durable: false });
+                    out.push(output::Output::Stored { call, durable: false });
                 }
             }
         }
     }
 
     /// Writes what is due if that fills a group.
-    pub(super) fn flush_full(&mut self, now: ids::Time, out: &mut Vec<Output>) {
+    pub(super) fn flush_full(&mut self, now: ids::Time, out: &mut Vec<output::Output>) {
         if self.due.len() >= config::GROUP_CLAIMS {
             self.flush(now, out);
         }
     }
 
     /// Writes what is due, in groups.
-    pub(super) fn flush(&mut self, now: ids::Time, out: &mut Vec<Output>) {
+    pub(super) fn flush(&mut self, now: ids::Time, out: &mut Vec<output::Output>) {
         let mut writes = Vec::new();
         while let Some((time, key)) = self.due.first().cloned() {
             if time > now {
@@ -145,18 +148,18 @@
         })
     }
 
-    fn send(&mut self, now: ids::Time, writes: Vec<table::Write>, out: &mut Vec<Output>) {
+    fn send(&mut self, now: ids::Time, writes: Vec<table::Write>, out: &mut Vec<output::Output>) {
         self.ops += 1;
-        let op = ids::Op::new(OP_AREA | self.ops);
+        let op = ids::Op::new(journal::OP_AREA | self.ops);
         let keys: Vec<_> = writes.iter().map(|write| sync::Arc::clone(&write.key)).collect();
         for key in &keys {
             if let Some(entry) = self.entries.get_mut(key) {
                 entry.op = Some(op);
             }
         }
-        self.groups.insert(op, Group { sent_at: now, keys });
+        self.groups.insert(op, group::Group { sent_at: now, keys });
         let request = table::Request::Write { writes };
-        out.push(Output::Table { op, request });
+        out.push(output::Output::Table { op, request });
     }
 
     /// Plans an entry's next write.
--- a/crates/journal/tests/crash.rs
+++ b/crates/journal/tests/crash.rs
@@ -3,8 +3,6 @@
 
 mod world;
 
-use world::{Schedule, World, judge};
-
 /// Follows a list of choices, then meets no fault; notes what it was asked.
 #[derive(Clone, Debug, Default)]
 struct Script {
@@ -34,7 +32,7 @@
     }
 }
 
-impl Schedule for Script {
+impl world::Schedule for Script {
     fn choose(&mut self, options: usize) -> usize {
         let step = self.options.len();
         self.options.push(options);
@@ -52,8 +50,8 @@
 fn enumerate(faults: usize, first: &[usize], lagging: bool) -> usize {
     let mut script = Script { faults_left: faults, ..Script::default() };
     for sessions in 1.. {
-        let (world, last) = World::new(script, lagging).run(first);
-        judge(&world, &last);
+        let (world, last) = world::World::new(script, lagging).run(first);
+        world::judge(&world, &last);
         script = match world.into_schedule().next(faults) {
             Some(next) => next,
             None => return sessions,
--- a/crates/journal/tests/golden.rs
+++ b/crates/journal/tests/golden.rs
@@ -15,8 +15,7 @@
 
 use std::{collections, env, fmt::Write as _, fs, path};
 
-use journal::Output;
-use platform::{Fault, Kind, table};
+use platform::table;
 
 /// Operations are shown without their area.
 const OP_MASK: u64 = (1 << 56) - 1;
@@ -70,7 +69,7 @@
         }
     }
 
-    fn act(&mut self, now: ids::Time, vm: &str, words: &[&str], out: &mut Vec<Output>) {
+    fn act(&mut self, now: ids::Time, vm: &str, words: &[&str], out: &mut Vec<journal::Output>) {
         let (journal, incarnation) = self.vms.get_mut(vm).unwrap();
         let call = |id: &str| ids::Call::new(id.parse().unwrap());
         match words {
@@ -105,40 +104,47 @@
         }
     }
 
-    fn transact(&mut self, now: ids::Time, vm: &str, op: u64, fate: &str, out: &mut Vec<Output>) {
+    fn transact(
+        &mut self,
+        now: ids::Time,
+        vm: &str,
+        op: u64,
+        fate: &str,
+        out: &mut Vec<journal::Output>,
+    ) {
         let (op, writes) = &self.writes[&(vm.to_owned(), op)];
-        let fault = |kind| Err(Fault::new("write", "table", kind, "session"));
+        let fault = |kind| Err(platform::Fault::new("write", "table", kind, "session"));
         let result = match fate {
             "take" => Ok(self.table.write(writes)),
             "take-lose" => {
                 self.table.write(writes);
-                fault(Kind::Unknown)
+                fault(platform::Kind::Unknown)
             }
             "late" => {
                 self.table.write(writes);
                 return;
             }
-            "lose" => fault(Kind::Unknown),
-            "refuse" => fault(Kind::Refused),
+            "lose" => fault(platform::Kind::Unknown),
+            "refuse" => fault(platform::Kind::Refused),
             _ => panic!("{fate}"),
         };
         self.vms.get_mut(vm).unwrap().0.table(now, *op, result, out);
     }
 
-    fn show(&mut self, vm: &str, output: Output) {
+    fn show(&mut self, vm: &str, output: journal::Output) {
         let line = match output {
-            Output::Table { op, request } => {
+            journal::Output::Table { op, request } => {
                 let table::Request::Write { writes } = request else { panic!("only writes") };
                 let short = op.get() & OP_MASK;
                 let shown: Vec<_> = writes.iter().map(show_write).collect();
                 self.writes.insert((vm.to_owned(), short), (op, writes));
                 format!("write {short}: {}", shown.join(", "))
             }
-            Output::Send { call } => format!("send {call}"),
-            Output::Replay { call, answer } => format!("replay {call} {:?}", answer.body),
-            Output::Refuse { call, reason } => format!("refuse {call}: {reason}"),
-            Output::Stored { call, durable } => format!("stored {call} durable {durable}"),
-            Output::Released { call } => format!("released {call}"),
+            journal::Output::Send { call } => format!("send {call}"),
+            journal::Output::Replay { call, answer } => format!("replay {call} {:?}", answer.body),
+            journal::Output::Refuse { call, reason } => format!("refuse {call}: {reason}"),
+            journal::Output::Stored { call, durable } => format!("stored {call} durable {durable}"),
+            journal::Output::Released { call } => format!("released {call}"),
         };
         writeln!(self.text, "  {vm} {line}").unwrap();
     }
--- a/crates/journal/tests/limits.rs
+++ b/crates/journal/tests/limits.rs
@@ -2,7 +2,7 @@
 
 use std::sync;
 
-use journal::{Output, Reason, config, row};
+use journal::{config, row};
 use platform::table;
 
 const NOW: ids::Time = ids::Time::from_millis(1_000);
@@ -14,7 +14,7 @@
     journal::Config::new("vm-1".into(), ids::Incarnation::new(1), 7)
 }
 
-fn begin(journal: &mut journal::Journal, id: u64, out: &mut Vec<Output>) {
+fn begin(journal: &mut journal::Journal, id: u64, out: &mut Vec<journal::Output>) {
     let call = journal::Call {
         call: ids::Call::new(id),
         account: "mayors".into(),
@@ -25,9 +25,9 @@
     journal.begin(NOW, call, out);
 }
 
-fn writes(out: &[Output]) -> Vec<(ids::Op, usize)> {
-    let size = |output: &Output| match output {
-        Output::Table { op, request: table::Request::Write { writes } } => {
+fn writes(out: &[journal::Output]) -> Vec<(ids::Op, usize)> {
+    let size = |output: &journal::Output| match output {
+        journal::Output::Table { op, request: table::Request::Write { writes } } => {
             Some((*op, writes.len()))
         }
         _ => None,
@@ -78,8 +78,8 @@
         begin(&mut journal, id, &mut out);
     }
     let call = ids::Call::new(2);
-    let reason = Reason::Unavailable;
-    assert_eq!(out, [Output::Refuse { call, reason }]);
+    let reason = journal::Reason::Unavailable;
+    assert_eq!(out, [journal::Output::Refuse { call, reason }]);
 }
 
 #[test]
@@ -99,7 +99,7 @@
         text.truncate(cut % text.len());
         for value in [noise, text] {
             assert_eq!(row::Row::parse(&value), None);
-            assert_eq!(refusal(&value), Reason::Unknown);
+            assert_eq!(refusal(&value), journal::Reason::Unknown);
         }
     };
     let generator = quickcheck::Gen::from_size_and_seed(100, SEED);
@@ -107,12 +107,13 @@
 }
 
 /// Why a claim is refused that finds a row with this text.
-fn refusal(value: &str) -> Reason {
+fn refusal(value: &str) -> journal::Reason {
     let mut journal = journal::Journal::new(config());
     let mut out = Vec::new();
     begin(&mut journal, 1, &mut out);
     journal.tick(NOW, &mut out);
-    let Some(Output::Table { op, request: table::Request::Write { writes } }) = out.pop() else {
+    let Some(journal::Output::Table { op, request: table::Request::Write { writes } }) = out.pop()
+    else {
         panic!("a claim is to be written")
     };
     let row = table::Row {
@@ -123,7 +124,7 @@
     let rows = vec![table::Conflict { key: sync::Arc::clone(&writes[0].key), row: Some(row) }];
     journal.table(NOW, op, Ok(table::Answer::Conflict { rows }), &mut out);
     match out.pop() {
-        Some(Output::Refuse { reason, .. }) => reason,
+        Some(journal::Output::Refuse { reason, .. }) => reason,
         other => panic!("{other:?}"),
     }
 }
--- a/crates/journal/tests/random.rs
+++ b/crates/journal/tests/random.rs
@@ -2,8 +2,6 @@
 
 mod world;
 
-use world::{Schedule, World, judge};
-
 /// Seed of the schedules.
 const SEED: u64 = 0x6a6f_7572_6e61_6c31;
 /// Steps of a session that may meet a fault.
@@ -18,7 +16,7 @@
     step: usize,
 }
 
-impl Schedule for Bytes {
+impl world::Schedule for Bytes {
     fn choose(&mut self, options: usize) -> usize {
         let byte = self.bytes.get(self.step).copied().unwrap_or_default();
         self.step += 1;
@@ -35,8 +33,8 @@
     let property = |bytes: Vec<u8>, lagging: bool, both: bool| {
         let first: &[usize] = if both { &[0, 1] } else { &[0] };
         let schedule = Bytes { bytes, step: 0 };
-        let (world, last) = World::new(schedule, lagging).run(first);
-        judge(&world, &last);
+        let (world, last) = world::World::new(schedule, lagging).run(first);
+        world::judge(&world, &last);
         drop(world.into_schedule());
     };
     let generator = quickcheck::Gen::from_size_and_seed(STEPS, SEED);
--- a/crates/journal/tests/world/mod.rs
+++ b/crates/journal/tests/world/mod.rs
@@ -5,8 +5,7 @@
 
 use std::{collections, fmt, time};
 
-use journal::{Output, Reason};
-use platform::{Fault, Kind, table};
+use platform::table;
 
 /// Virtual time between ticks.
 const TICK: time::Duration = time::Duration::from_millis(100);
@@ -25,7 +24,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Told {
     Answered(u64),
-    Refused(Reason),
+    Refused(journal::Reason),
     /// The target had it, and the answer was lost.
     Lost,
     /// The target proved that it refused.
@@ -68,8 +67,8 @@
     journal::Journal::new(config)
 }
 
-fn fault(kind: Kind) -> Fault {
-    Fault::new("write", "table", kind, "scheduled")
+fn fault(kind: platform::Kind) -> platform::Fault {
+    platform::Fault::new("write", "table", kind, "scheduled")
 }
 
 impl<S: Schedule> World<S> {
@@ -154,7 +153,7 @@
     fn with(
         &mut self,
         vm: usize,
-        act: impl FnOnce(&mut journal::Journal, ids::Time, &mut Vec<Output>),
+        act: impl FnOnce(&mut journal::Journal, ids::Time, &mut Vec<journal::Output>),
     ) {
         let mut out = Vec::new();
         let (journal, incarnation) = &mut self.vms[vm];
@@ -162,21 +161,21 @@
         let incarnation = *incarnation;
         for output in out {
             let event = match output {
-                Output::Table { op, request } => {
+                journal::Output::Table { op, request } => {
                     let table::Request::Write { writes } = request else { panic!("only writes") };
                     Event::Table(op, writes)
                 }
-                Output::Send { call } => Event::Send(call),
-                Output::Replay { call, answer } => {
+                journal::Output::Send { call } => Event::Send(call),
+                journal::Output::Replay { call, answer } => {
                     let run = std::str::from_utf8(&answer.body).unwrap().parse().unwrap();
                     self.tell(call, Told::Answered(run));
                     continue;
                 }
-                Output::Refuse { call, reason } => {
+                journal::Output::Refuse { call, reason } => {
                     self.tell(call, Told::Refused(reason));
                     continue;
                 }
-                Output::Stored { .. } | Output::Released { .. } => continue,
+                journal::Output::Stored { .. } | journal::Output::Released { .. } => continue,
             };
             self.pending.push_back(Pending { vm, incarnation, event });
         }
@@ -213,16 +212,16 @@
 
     fn table(&mut self, vm: usize, op: ids::Op, writes: Vec<table::Write>) {
         if self.now <= self.outage_until {
-            self.answer(vm, op, Err(fault(Kind::Refused)));
+            self.answer(vm, op, Err(fault(platform::Kind::Refused)));
             return;
         }
-        let unknown = Err(fault(Kind::Unknown));
+        let unknown = Err(fault(platform::Kind::Unknown));
         match self.choose(10) {
             0 => {
                 let answer = self.table.write(&writes);
                 self.answer(vm, op, Ok(answer));
             }
-            1 => self.answer(vm, op, Err(fault(Kind::Refused))),
+            1 => self.answer(vm, op, Err(fault(platform::Kind::Refused))),
             2 => self.answer(vm, op, unknown),
             3 => {
                 self.table.write(&writes);
@@ -345,7 +344,8 @@
         assert!(matches!(last, Told::Answered(_)), "{last:?}; {trace}");
     }
     // No claim is in progress for ever.
-    let stuck = [Reason::InProgress, Reason::Unavailable, Reason::Conflict];
+    let stuck =
+        [journal::Reason::InProgress, journal::Reason::Unavailable, journal::Reason::Conflict];
     let stuck = stuck.map(Told::Refused);
     assert!(!stuck.contains(last), "{last:?}; {trace}");
 }
