A VM is ready once it holds shares of the rates

Cause: a VM that has just started holds no share until the version is settled and older leases have ended, 1.1 s; it said that it was ready before, and refused calls inside the rate. Ruled out: versions left out, peers out of reach (state of the VM showed share 0, settled 3, in force 3).

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -26,6 +26,8 @@
     pub(crate) force: Option<sync::Arc<force::Force>>,
     pub(crate) head: member::Head,
     pub(crate) document: Option<sync::Arc<str>>,
+    /// The first version put in force here that had a bundle.
+    pub(crate) bundle_since: Option<ids::Version>,
     pub(crate) fetch: system::force::Fetch,
     pub(crate) pending: collections::BTreeMap<ids::Op, operate::Pending>,
     /// Operators that wait for a row or an object, by the operation that reads it.
@@ -57,6 +59,7 @@
             force: None,
             head: member::Head::default(),
             document: None,
+            bundle_since: None,
             fetch: system::force::Fetch::default(),
             pending: collections::BTreeMap::new(),
             reads: collections::BTreeMap::new(),
@@ -176,13 +179,19 @@
     }
 
     /// Whether the balancer should send calls, or why not.
+    ///
+    /// A VM that has just started holds no share of any rate. It waits for one
+    /// before it asks for calls, which it would only refuse.
     fn readiness(&self, now: ids::Time) -> Result<(), String> {
         if self.stage != stop::Stage::Running {
             return Err("stopping".to_owned());
         }
         self.serves(now)?;
-        if self.force.is_none() {
+        let Some(since) = self.bundle_since else {
             return Err("no bundle is in force yet".to_owned());
+        };
+        if self.quota.raised() < since {
+            return Err("the shares of rates are not settled yet".to_owned());
         }
         Ok(())
     }
--- a/crates/node/src/system/force.rs
+++ b/crates/node/src/system/force.rs
@@ -154,6 +154,9 @@
         Ok(force) => {
             node.counters.bump(count::CHANGES);
             node.force = force.map(sync::Arc::new);
+            if node.force.is_some() {
+                node.bundle_since.get_or_insert(head.version);
+            }
             keep(node, head);
             system::quota::adopt(node, now, head);
             system::dispatch::adopt(node);
--- a/crates/quota/src/table.rs
+++ b/crates/quota/src/table.rs
@@ -167,6 +167,12 @@
         }
     }
 
+    /// The newest version whose higher shares are in use.
+    #[must_use]
+    pub const fn raised(&self) -> ids::Version {
+        self.raised
+    }
+
     fn resize(&mut self, now: ids::Time) {
         for (account, entry) in &mut self.entries {
             entry.bucket.resize(now, self.shares.of(account));
