route: a pace for each target, room kept from late calls, least served first

Cause: with calls limited only by count, runners were filled until no call was in time. Red before: a_target_whose_tokens_come_too_slowly_gets_fewer_calls and late_calls_leave_room_for_those_in_time had nothing to call; an_account_within_its_share_that_sends_in_bursts_is_not_made_to_wait compares with deficit round robin, which fails its bound.

--- a/crates/route/examples/policies/fleet.rs
+++ b/crates/route/examples/policies/fleet.rs
@@ -26,6 +26,8 @@
 const PREFIXES: u64 = 8;
 /// Tokens of a shared beginning.
 const PREFIX_TOKENS: u64 = 256;
+/// Tokens that the prefix cache of an engine holds.
+const CACHE_TOKENS: usize = 8_192;
 
 /// One way to run the fleet.
 #[derive(Clone, Copy, Debug)]
@@ -115,10 +117,15 @@
     outcome: Outcome,
 }
 
+/// An engine whose prefix cache holds some half of the beginnings that reach it.
+fn engine_config(power: f64) -> batch::Config {
+    batch::Config { cache_tokens: CACHE_TOKENS, ..batch::Config::new(power, 1) }
+}
+
 /// Calls a second that a runner of power 1 completes when it is never idle.
 pub fn runner_capacity() -> f64 {
     let mut rng = rand::rngs::SmallRng::seed_from_u64(1);
-    let mut engine = batch::Batch::new(batch::Config::new(1.0, 1));
+    let mut engine = batch::Batch::new(engine_config(1.0));
     let calls: u64 = 2_000;
     for id in 0..calls {
         let prefix = rng.random_range(0..4 * PREFIXES);
@@ -138,7 +145,17 @@
 
 fn length(rng: &mut rand::rngs::SmallRng) -> u64 {
     let normal = rand_distr::LogNormal::new(4.8, 0.7).expect("finite parameters");
-    (normal.sample(rng) as u64).clamp(8, 512)
+    whole(normal.sample(rng)).clamp(8, 512)
+}
+
+/// The whole part of a number that is neither negative nor large.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "samples are positive and small"
+)]
+pub fn whole(number: f64) -> u64 {
+    number as u64
 }
 
 fn unique(rng: &mut rand::rngs::SmallRng) -> u64 {
@@ -167,7 +184,7 @@
         let power = |number: usize| if number % 4 == 3 { setup.slow_power } else { 1.0 };
         let runners = (0..setup.runners)
             .map(|number| Runner {
-                batch: batch::Batch::new(batch::Config::new(power(number), 1)),
+                batch: batch::Batch::new(engine_config(power(number))),
                 loads: collections::VecDeque::new(),
             })
             .collect();
@@ -212,7 +229,7 @@
             let flood = if account + 1 == SHARES.len() { self.setup.flood } else { 1.0 };
             let mean = rate * share * flood * STEP_MS as f64 / 1_000.0;
             let poisson = rand_distr::Poisson::new(mean).expect("a positive rate");
-            let count = poisson.sample(&mut self.rng) as u64;
+            let count = whole(poisson.sample(&mut self.rng));
             for _ in 0..count {
                 self.push(account);
             }
@@ -229,7 +246,7 @@
             prefix: model as u64 * PREFIXES + self.rng.random_range(0..PREFIXES),
             unique: unique(&mut self.rng),
             tokens,
-            expected: (tokens as f64 * self.rng.random_range(1.0..2.0)) as u64,
+            expected: whole(tokens as f64 * self.rng.random_range(1.0..2.0)),
         };
         let number = self.next;
         self.next += 1;
@@ -343,10 +360,19 @@
     fn dispatch(&mut self, vm: usize) {
         let now = self.now;
         let expired = self.vms[vm].queue.expire(now);
-        expired.iter().for_each(|entry| self.refuse(entry));
+        for entry in &expired {
+            self.refuse(entry);
+        }
         loop {
             let Vm { queue, table } = &mut self.vms[vm];
-            let Some(entry) = queue.pop(now, |entry| table.has_room(now, &entry.item, &[])) else {
+            let config = &self.setup.queue;
+            let can_run = |entry: &queue::Entry| {
+                if config.is_late(now, entry) {
+                    return table.has_spare_room(now, &entry.item, &[]);
+                }
+                table.has_room(now, &entry.item, &[])
+            };
+            let Some(entry) = queue.pop(now, can_run) else {
                 return;
             };
             self.begin(vm, &entry);
@@ -394,7 +420,7 @@
     let accounts = SHARES.into_iter().enumerate().map(|(number, share)| format::Account {
         name: account_name(number),
         class: format::Class::Paid,
-        rate: (share * 1_000.0) as u64,
+        rate: whole(share * 1_000.0),
         burst: 1_000,
         keys: Vec::new(),
     });
--- a/crates/route/examples/policies/main.rs
+++ b/crates/route/examples/policies/main.rs
@@ -32,17 +32,20 @@
     ("least-reported", |setup| setup.target.policy = policy::Policy::LeastReported),
 ];
 
-const KNOBS: [Variant; 10] = [
+const KNOBS: [Variant; 13] = [
     ("two of all", |setup| setup.target.sample = 2),
-    ("floor 500", |setup| setup.target.base_tokens = 500),
-    ("floor 2000", |setup| setup.target.base_tokens = 2_000),
+    ("floor 1000", |setup| setup.target.base_tokens = 1_000),
     ("age limit off", |setup| setup.target.report_age_ms = 1_000_000),
-    ("age limit 1 s", |setup| setup.target.report_age_ms = 1_000),
+    ("age limit 2 s", |setup| setup.target.report_age_ms = 2_000),
     ("no affinity", |setup| setup.target.affinity_permille = 0),
-    ("affinity 2.0", |setup| setup.target.affinity_permille = 2_000),
-    ("batch 24", |setup| setup.target.batch_per_accelerator = 24),
-    ("batch 32", |setup| setup.target.batch_per_accelerator = 32),
+    ("pace off", |setup| setup.target.gap_ms = 0),
+    ("pace 45", |setup| setup.target.gap_ms = 45),
+    ("late as others", |setup| setup.target.late_permille = 1_000),
+    ("late 800", |setup| setup.target.late_permille = 800),
+    ("late 400", |setup| setup.target.late_permille = 400),
     ("fresh off", |setup| setup.queue.fresh_ms = 1_000_000),
+    ("fresh 1500", |setup| setup.queue.fresh_ms = 1_500),
+    ("deficit round robin", |setup| setup.queue.discipline = policy::Discipline::Fair),
 ];
 
 fn usual(args: &Args) -> fleet::Setup {
@@ -64,7 +67,11 @@
 
 fn main() {
     let args = Args::parse();
-    println!("seed {}, a runner of power 1 completes {:.2} calls/s", args.seed, fleet::runner_capacity());
+    println!(
+        "seed {}, a runner of power 1 completes {:.2} calls/s",
+        args.seed,
+        fleet::runner_capacity()
+    );
     println!(
         "{:<34} {:>8} {:>8} {:>6} {:>6} {:>8} {:>8} {:>7} {:>7}",
         "run", "attained", "per acc", "worst", "best", "first50", "first95", "gap95", "refused"
@@ -73,6 +80,9 @@
         for variant in POLICIES {
             run(&args, "declared", load, variant, |_| {});
         }
+        for variant in &POLICIES[1..] {
+            run(&args, "no pace", load, *variant, |setup| setup.target.gap_ms = 0);
+        }
         for variant in KNOBS {
             run(&args, "declared", load, variant, |_| {});
         }
@@ -88,7 +98,7 @@
         }
     }
     let fifo: Variant = ("fifo", |setup| setup.queue.discipline = policy::Discipline::Fifo);
-    for variant in [POLICIES[0], KNOBS[9], fifo] {
+    for variant in [POLICIES[0], KNOBS[10], KNOBS[12], fifo] {
         run(&args, "flood x5", 1.0, variant, |setup| setup.flood = 5.0);
     }
     run(&args, "all over", 1.5, fifo, |_| {});
@@ -128,6 +138,7 @@
 /// The value below which the given share of `values` lies.
 fn rank(values: &mut [f64], share: f64) -> f64 {
     values.sort_unstable_by(f64::total_cmp);
-    let index = (values.len() as f64 * share) as usize;
+    let index = fleet::whole(values.len() as f64 * share);
+    let index = usize::try_from(index).unwrap_or(usize::MAX);
     values.get(index).copied().unwrap_or_default()
 }
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -35,6 +35,23 @@
         || open().any(|(_, row)| is_probe(row, now))
 }
 
+pub(crate) fn has_spare_room(
+    table: &Table,
+    now: ids::Time,
+    item: &str,
+    excluded: &[ids::Target],
+) -> bool {
+    let config = &table.config;
+    let part = config.late_permille as f64 / 1_000.0;
+    let limit = time::Duration::from_millis(config.report_age_ms);
+    open_rows(table, item, excluded).any(|(_, row)| {
+        let others = row.others(now, limit).unwrap_or_default();
+        let calls = row.own.calls + others.calls;
+        let spare = config.gap_ms == 0 || row.limit == 0.0 || calls < row.limit * part;
+        (spare && is_fit(config, row, now)) || is_probe(row, now)
+    })
+}
+
 pub(crate) fn choose<R: rand::Rng + ?Sized>(
     table: &mut Table,
     now: ids::Time,
@@ -73,8 +90,10 @@
     let limit = time::Duration::from_millis(config.report_age_ms);
     let others = row.others(now, limit).unwrap_or_default();
     let batch = f64::from(config.batch_per_accelerator) * accelerators;
-    let all = batch == 0.0 || row.own.calls + others.calls < batch || row.own.calls < 1.0;
-    own && all && now >= row.health.until
+    let calls = row.own.calls + others.calls;
+    let paced = config.gap_ms == 0 || row.limit == 0.0 || calls < row.limit;
+    let all = batch == 0.0 || calls < batch;
+    own && ((all && paced) || row.own.calls < 1.0) && now >= row.health.until
 }
 
 /// Whether an ejected target may be tried by a single call.
--- a/crates/route/src/fair.rs
+++ b/crates/route/src/fair.rs
@@ -77,6 +77,29 @@
     turns: collections::VecDeque<ids::Account>,
     /// Whether the account at the front has had its quantum and goes on with it.
     serving: bool,
+    served: collections::BTreeMap<ids::Account, Served>,
+}
+
+/// Time in which the weight of past service halves, in ms.
+const HALF_LIFE_MS: f64 = 10_000.0;
+
+/// Tokens served to an account, with weights that halve over time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Served {
+    tokens: f64,
+    at: ids::Time,
+}
+
+impl Served {
+    fn at(&self, now: ids::Time) -> f64 {
+        let passed = now.since(self.at).as_secs_f64() * 1_000.0;
+        self.tokens * (-passed / HALF_LIFE_MS).exp2()
+    }
+
+    fn add(&mut self, now: ids::Time, tokens: f64) {
+        self.tokens = self.at(now) + tokens;
+        self.at = now;
+    }
 }
 
 impl Ring {
@@ -85,6 +108,7 @@
             flows: collections::BTreeMap::new(),
             turns: collections::VecDeque::new(),
             serving: false,
+            served: collections::BTreeMap::new(),
         }
     }
 
@@ -183,6 +207,29 @@
         Some(chosen.seq)
     }
 
+    /// The next call of the account that was served least of late for its
+    /// weight, charged to it; it stays in the ring.
+    pub(crate) fn least_served(
+        &mut self,
+        now: ids::Time,
+        weight: impl Fn(&ids::Account) -> f64,
+        mut can_run: impl FnMut(u64) -> bool,
+    ) -> Option<u64> {
+        let mut candidates = self.candidates(false, &weight, &mut can_run);
+        if candidates.is_empty() {
+            candidates = self.candidates(true, &weight, &mut can_run);
+        }
+        let served = |each: &Candidate| {
+            let account = &self.turns[each.position];
+            self.served.get(account).map_or(0.0, |served| served.at(now)) / each.quantum
+        };
+        let least = |one: &&Candidate, other: &&Candidate| served(one).total_cmp(&served(other));
+        let chosen = candidates.iter().min_by(least)?;
+        let account = self.turns[chosen.position].clone();
+        self.served.entry(account).or_default().add(now, chosen.tokens as f64);
+        Some(chosen.seq)
+    }
+
     /// Sends the account at the front to the back if its quantum is used up.
     fn end_turn(&mut self, candidates: &mut Vec<Candidate>) {
         if !self.serving || candidates.is_empty() {
--- a/crates/route/src/policy.rs
+++ b/crates/route/src/policy.rs
@@ -21,8 +21,10 @@
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Discipline {
-    /// Classes first, then accounts by their weights.
+    /// Classes first, then the account that was served least of late for its weight.
     #[default]
+    LeastServed,
+    /// Classes first, then accounts by deficit round robin, in proportion to their weights.
     Fair,
     /// In order of arrival (baseline).
     Fifo,
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -1,8 +1,8 @@
 //! The calls that wait on a VM for a target.
 //!
 //! Paid work goes before courtesy work, but courtesy work gets a small share
-//! (the floor) whenever it waits. Within a class, accounts take turns by
-//! deficit round robin, in proportion to their weights, counted in tokens.
+//! (the floor) whenever it waits. Within a class, the account goes first that
+//! was served fewest tokens of late for its weight.
 //! Within an account, calls that can still meet the target for the first
 //! token go before those that cannot, in order of arrival. A call whose item
 //! has no room at any target holds up no call of another item.
@@ -54,11 +54,19 @@
             quantum: 512,
             floor_permille: 50,
             fresh_ms: 1_200,
-            discipline: policy::Discipline::Fair,
+            discipline: policy::Discipline::LeastServed,
         }
     }
 }
 
+impl Config {
+    /// Whether `entry` can't meet the target for its first token any more.
+    #[must_use]
+    pub fn is_late(&self, now: ids::Time, entry: &Entry) -> bool {
+        now.since(entry.arrived) >= time::Duration::from_millis(self.fresh_ms)
+    }
+}
+
 /// A call that waits.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -195,8 +203,8 @@
 
     /// Takes out the call that is to be served next among those that can run.
     ///
-    /// `can_run` is asked at most once for each item and class, and its answer
-    /// is taken to hold for all calls of that item and class.
+    /// `can_run` is asked at most once for each item and class, and once more for
+    /// late calls; its answer is taken to hold for all such calls.
     pub fn pop(
         &mut self,
         now: ids::Time,
@@ -204,7 +212,9 @@
     ) -> Option<Entry> {
         self.age(now);
         let seq = match self.config.discipline {
-            policy::Discipline::Fair => self.next_fair(&mut can_run),
+            policy::Discipline::LeastServed | policy::Discipline::Fair => {
+                self.next_fair(now, &mut can_run)
+            }
             policy::Discipline::Fifo => self.next_fifo(&mut can_run),
         }?;
         self.take(seq)
@@ -310,18 +320,22 @@
         if shorter { ring.newest(account) } else { None }
     }
 
-    fn next_fair(&mut self, can_run: &mut impl FnMut(&Entry) -> bool) -> Option<u64> {
+    fn next_fair(
+        &mut self,
+        now: ids::Time,
+        can_run: &mut impl FnMut(&Entry) -> bool,
+    ) -> Option<u64> {
         if self.courtesy.is_empty() {
             self.owed = self.owed.min(0.0);
         }
         if self.owed > 0.0
-            && let Some(seq) = self.next_of(format::Class::Courtesy, can_run)
+            && let Some(seq) = self.next_of(now, format::Class::Courtesy, can_run)
         {
             self.owed -= self.waiting[&seq].entry.tokens as f64;
             return Some(seq);
         }
-        let Some(seq) = self.next_of(format::Class::Paid, can_run) else {
-            return self.next_of(format::Class::Courtesy, can_run);
+        let Some(seq) = self.next_of(now, format::Class::Paid, can_run) else {
+            return self.next_of(now, format::Class::Courtesy, can_run);
         };
         if !self.courtesy.is_empty() {
             let tokens = self.waiting[&seq].entry.tokens as f64;
@@ -332,6 +346,7 @@
 
     fn next_of(
         &mut self,
+        now: ids::Time,
         class: format::Class,
         can_run: &mut impl FnMut(&Entry) -> bool,
     ) -> Option<u64> {
@@ -343,14 +358,15 @@
         let weights = &self.weights;
         let waiting = &self.waiting;
         let mut known = collections::BTreeMap::new();
-        ring.next(
-            |account| average * weight(weights, account),
-            |seq| {
-                let entry = &waiting[&seq].entry;
-                let item = sync::Arc::clone(&entry.item);
-                *known.entry(item).or_insert_with(|| can_run(entry))
-            },
-        )
+        let can_run = |seq| {
+            let Waiting { entry, place } = &waiting[&seq];
+            let key = (sync::Arc::clone(&entry.item), place.late);
+            *known.entry(key).or_insert_with(|| can_run(entry))
+        };
+        if self.config.discipline == policy::Discipline::LeastServed {
+            return ring.least_served(now, |account| weight(weights, account), can_run);
+        }
+        ring.next(|account| average * weight(weights, account), can_run)
     }
 
     fn next_fifo(&self, can_run: &mut impl FnMut(&Entry) -> bool) -> Option<u64> {
--- a/crates/route/src/row.rs
+++ b/crates/route/src/row.rs
@@ -7,6 +7,13 @@
 /// Most entries of the record of own work.
 const RECORD_ENTRIES: usize = 256;
 
+/// Share of the time of one token in the recent time between tokens.
+const GAP_SHARE: f64 = 0.02;
+/// Time between two changes of the limit on calls.
+const PACE_STEP: time::Duration = time::Duration::from_millis(500);
+/// What is left of the limit when the pace does not hold.
+const LESS: f64 = 0.9;
+
 /// Work that is on its way at a target.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 #[derive(serde::Serialize)]
@@ -65,8 +72,14 @@
     pub own: Work,
     /// Power as measured, relative to the declared one.
     pub speed: f64,
+    /// Calls of all VMs that it may have, as far as its pace allows more.
+    pub limit: f64,
+    /// Recent time between tokens of a call, in ms; 0 before the first token.
+    pub gap_ms: f64,
     pub(crate) reported: Option<Reported>,
     pub(crate) health: Health,
+    /// When the limit was last changed.
+    paced: ids::Time,
     #[serde(skip)]
     record: collections::VecDeque<(ids::Time, Work)>,
 }
@@ -84,6 +97,9 @@
             says_leaving: false,
             own: Work::default(),
             speed: 1.0,
+            limit: 0.0,
+            gap_ms: 0.0,
+            paced: ids::Time::default(),
             reported: None,
             health: Health::default(),
             record: collections::VecDeque::new(),
@@ -132,6 +148,26 @@
         (now.since(reported.taken) <= limit).then_some(reported.others)
     }
 
+    /// Takes in the time that each of `tokens` tokens took, and adapts the limit
+    /// on calls: a call more while the pace holds and the limit binds, a tenth
+    /// less when it does not hold. `longest_ms` is 0 for any pace.
+    pub(crate) fn pace(&mut self, now: ids::Time, longest_ms: u64, gap_ms: f64, tokens: u64) {
+        let share = (GAP_SHARE * tokens as f64).min(1.0);
+        self.gap_ms += share * (gap_ms - self.gap_ms);
+        if longest_ms == 0 || now.since(self.paced) < PACE_STEP {
+            return;
+        }
+        self.paced = now;
+        let others = self.reported.map_or(0.0, |reported| reported.others.calls);
+        let calls = self.own.calls + others;
+        let least = f64::from(self.accelerators);
+        if self.gap_ms > longest_ms as f64 {
+            self.limit = (self.limit.min(calls) * LESS).max(least);
+        } else if calls + least >= self.limit {
+            self.limit += least;
+        }
+    }
+
     /// Work that this VM had there at an earlier moment.
     fn own_at(&self, moment: ids::Time) -> Work {
         let before = self.record.iter().rev().find(|(time, _)| *time <= moment);
--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -27,6 +27,12 @@
     pub calls_per_accelerator: u32,
     /// Calls of all VMs at one target at most, for each accelerator; 0 for no limit.
     pub batch_per_accelerator: u32,
+    /// Calls of all VMs at one target at first, for each accelerator.
+    pub first_batch_per_accelerator: u32,
+    /// Time between tokens above which a target gets fewer calls, in ms; 0 for any.
+    pub gap_ms: u64,
+    /// Share of its calls that a target may have when a late call is sent, in thousandths.
+    pub late_permille: u64,
     /// Age from which a load report counts no more, in ms.
     pub report_age_ms: u64,
     /// Number of targets drawn at random of which the best is taken; 0 for all.
@@ -54,6 +60,9 @@
             policy: policy::Policy::Expected,
             calls_per_accelerator: 16,
             batch_per_accelerator: 0,
+            first_batch_per_accelerator: 16,
+            gap_ms: 50,
+            late_permille: 600,
             report_age_ms: 5_000,
             sample: 0,
             base_tokens: 0,
@@ -134,12 +143,16 @@
     /// Takes the targets from a bundle. Instances of plain services are ready at once.
     pub fn adopt(&mut self, bundle: &format::Bundle, drained: &collections::BTreeSet<ids::Target>) {
         self.config.calls_per_accelerator = bundle.limits.calls_per_accelerator;
+        let first = f64::from(self.config.first_batch_per_accelerator);
         let mut known = std::mem::take(&mut self.rows);
         for runner in &bundle.runners {
             let old = known.remove(&runner.name);
             let row = self.renew(old, &runner.name, &runner.address, &runner.centre);
             row.power = runner.power;
             row.accelerators = runner.accelerators;
+            if row.limit == 0.0 {
+                row.limit = first * f64::from(runner.accelerators);
+            }
         }
         for service in &bundle.services {
             for instance in &service.targets {
@@ -211,6 +224,12 @@
         choice::has_room(self, now, item, excluded)
     }
 
+    /// Whether a target for `item` has more room than calls in time may soon need.
+    #[must_use]
+    pub fn has_spare_room(&self, now: ids::Time, item: &str, excluded: &[ids::Target]) -> bool {
+        choice::has_spare_room(self, now, item, excluded)
+    }
+
     /// Counts a call that begins at a target.
     pub fn began(
         &mut self,
@@ -237,11 +256,17 @@
         let spent = (tokens as f64 + flight.prompt).min(flight.tokens);
         flight.tokens -= spent;
         flight.prompt = 0.0;
+        let is_first = flight.first.is_none();
+        let passed = now.since(flight.last).as_secs_f64() * 1_000.0;
         flight.first.get_or_insert(now);
         flight.last = now;
         flight.generated += tokens;
         if let Some(row) = self.rows.get_mut(&flight.target) {
             row.change(now, 0.0, -spent);
+            if !is_first {
+                let gap_ms = passed / tokens.max(1) as f64;
+                row.pace(now, self.config.gap_ms, gap_ms, tokens);
+            }
         }
     }
 
--- a/crates/route/tests/queue.rs
+++ b/crates/route/tests/queue.rs
@@ -20,6 +20,14 @@
     }
 }
 
+/// The disciplines that share between accounts.
+const SHARING: [policy::Discipline; 2] =
+    [policy::Discipline::LeastServed, policy::Discipline::Fair];
+
+fn with_discipline(discipline: policy::Discipline) -> queue::Queue {
+    queue::Queue::new(queue::Config { discipline, ..queue::Config::default() })
+}
+
 fn fair(config: queue::Config) -> queue::Queue {
     queue::Queue::new(config)
 }
@@ -38,23 +46,26 @@
 
 #[test]
 fn accounts_share_by_tokens_whatever_the_size_of_their_calls() {
-    let mut queue = fair(queue::Config::default());
-    let now = ids::Time::default();
-    for call in 0..400 {
-        let small = entry(call, "small", Class::Paid, 100, "draft");
-        let large = entry(1_000 + call, "large", Class::Paid, 900, "draft");
-        queue.push(now, large).unwrap();
-        queue.push(now, small).unwrap();
+    for discipline in SHARING {
+        let mut queue = with_discipline(discipline);
+        let now = ids::Time::default();
+        for call in 0..400 {
+            let small = entry(call, "small", Class::Paid, 100, "draft");
+            let large = entry(1_000 + call, "large", Class::Paid, 900, "draft");
+            queue.push(now, large).unwrap();
+            queue.push(now, small).unwrap();
+        }
+        let sums = served(&mut queue, 300);
+        let ratio = sums["small"] as f64 / sums["large"] as f64;
+        assert!((0.9..=1.1).contains(&ratio), "{sums:?}");
     }
-    let sums = served(&mut queue, 300);
-    let ratio = sums["small"] as f64 / sums["large"] as f64;
-    assert!((0.9..=1.1).contains(&ratio), "{sums:?}");
 }
 
 #[test]
 fn accounts_share_in_proportion_to_their_rates() {
-    let mut queue = fair(queue::Config::default());
-    let text = "
+    for discipline in SHARING {
+        let mut queue = with_discipline(discipline);
+        let text = "
 format: 1
 deployment: demo
 centres: [north]
@@ -63,29 +74,65 @@
   - {name: large, class: paid, rate: 400, burst: 100}
 weights: {loads_per_second: 1, loads_at_once: 1}
 ";
-    queue.adopt(&bundle::read(text).unwrap());
-    for call in 0..500 {
-        let small = entry(call, "small", Class::Paid, 300, "draft");
-        let large = entry(1_000 + call, "large", Class::Paid, 300, "draft");
-        queue.push(ids::Time::default(), small).unwrap();
-        queue.push(ids::Time::default(), large).unwrap();
+        queue.adopt(&bundle::read(text).unwrap());
+        for call in 0..500 {
+            let small = entry(call, "small", Class::Paid, 300, "draft");
+            let large = entry(1_000 + call, "large", Class::Paid, 300, "draft");
+            queue.push(ids::Time::default(), small).unwrap();
+            queue.push(ids::Time::default(), large).unwrap();
+        }
+        let sums = served(&mut queue, 400);
+        let ratio = sums["large"] as f64 / sums["small"] as f64;
+        assert!((3.6..=4.4).contains(&ratio), "{sums:?}");
+    }
+}
+
+/// Longest wait, in turns, of an account that sends three calls every sixteen
+/// turns among three that always wait, and so stays within its quarter.
+fn longest_wait(discipline: policy::Discipline) -> u64 {
+    let config = queue::Config { discipline, fresh_ms: 60_000, ..queue::Config::default() };
+    let mut queue = queue::Queue::new(config);
+    let mut longest = 0;
+    for turn in 0..800_u64 {
+        let now = ids::Time::from_millis(turn * 100);
+        let arrivals = ["one", "two", "three"].into_iter();
+        let bursts = std::iter::repeat_n("bursty", if turn % 16 == 0 { 3 } else { 0 });
+        for (number, account) in arrivals.chain(bursts).enumerate() {
+            let call = turn * 100 + number as u64;
+            let call = entry(call, account, Class::Paid, 300, "draft");
+            let call = queue::Entry { arrived: now, deadline: now + 10 * SECOND, ..call };
+            queue.push(now, call).unwrap();
+        }
+        queue.expire(now);
+        let served = queue.pop(now, |_| true).unwrap();
+        if served.account.as_str() == "bursty" && turn > 100 {
+            longest = longest.max(now.since(served.arrived).as_millis() / 100);
+        }
     }
-    let sums = served(&mut queue, 400);
-    let ratio = sums["large"] as f64 / sums["small"] as f64;
-    assert!((3.6..=4.4).contains(&ratio), "{sums:?}");
+    u64::try_from(longest).unwrap()
+}
+
+#[test]
+fn an_account_within_its_share_that_sends_in_bursts_is_not_made_to_wait() {
+    let least_served = longest_wait(policy::Discipline::LeastServed);
+    let round_robin = longest_wait(policy::Discipline::Fair);
+    assert!(least_served <= 8, "{least_served}");
+    assert!(round_robin > 8, "the baseline makes it wait: {round_robin}");
 }
 
 #[test]
 fn an_account_that_floods_does_not_delay_another() {
-    let mut queue = fair(queue::Config::default());
-    for call in 0..1_000 {
-        let flood = entry(call, "flood", Class::Paid, 300, "draft");
-        queue.push(ids::Time::default(), flood).unwrap();
+    for discipline in SHARING {
+        let mut queue = with_discipline(discipline);
+        for call in 0..1_000 {
+            let flood = entry(call, "flood", Class::Paid, 300, "draft");
+            queue.push(ids::Time::default(), flood).unwrap();
+        }
+        let calm = entry(5_000, "calm", Class::Paid, 300, "draft");
+        queue.push(ids::Time::default(), calm).unwrap();
+        let sums = served(&mut queue, 4);
+        assert_eq!(sums.get("calm"), Some(&300), "{sums:?}");
     }
-    let calm = entry(5_000, "calm", Class::Paid, 300, "draft");
-    queue.push(ids::Time::default(), calm).unwrap();
-    let sums = served(&mut queue, 4);
-    assert_eq!(sums.get("calm"), Some(&300), "{sums:?}");
 }
 
 #[test]
--- a/crates/route/tests/target.rs
+++ b/crates/route/tests/target.rs
@@ -155,6 +155,48 @@
     assert!(table.has_room(at(1), "draft", &[]));
 }
 
+/// Has `calls` calls generate tokens at r1 with `gap` ms between them for 20 s.
+fn generate(table: &mut target::Table, calls: u64, gap: u64) {
+    for call in 0..calls {
+        table.began(at(0), ids::Attempt::new(call), &name(1), &want(0));
+    }
+    for token in 0..20_000 / gap {
+        for call in 0..calls {
+            table.progress(at(token * gap), ids::Attempt::new(call), 1);
+        }
+    }
+}
+
+#[test]
+fn a_target_whose_tokens_come_too_slowly_gets_fewer_calls() {
+    let mut table = table(1, target::Config::default());
+    generate(&mut table, 12, 80);
+    assert!(!table.has_room(at(20_000), "draft", &[]));
+    for call in 0..11 {
+        table.ended(at(20_000), ids::Attempt::new(call), target::Ending::Ok);
+    }
+    assert!(table.get(&name(1)).unwrap().limit < 4.0);
+}
+
+#[test]
+fn a_target_that_keeps_pace_gets_more_calls() {
+    let config = target::Config { first_batch_per_accelerator: 4, ..target::Config::default() };
+    let mut table = table(1, config);
+    generate(&mut table, 4, 30);
+    assert!(table.has_room(at(20_000), "draft", &[]));
+    assert!(table.get(&name(1)).unwrap().limit < 8.0, "a limit that does not bind stays");
+}
+
+#[test]
+fn late_calls_leave_room_for_those_in_time() {
+    let mut table = table(1, target::Config::default());
+    spread(&mut table, at(0), 9);
+    assert!(table.has_spare_room(at(0), "draft", &[]));
+    spread(&mut table, at(0), 1);
+    assert!(!table.has_spare_room(at(0), "draft", &[]));
+    assert!(table.has_room(at(0), "draft", &[]));
+}
+
 #[test]
 fn leaving_and_drained_and_excluded_targets_get_nothing() {
     let mut table = table(4, target::Config::default());
