--- a/crates/node/src/system/dispatch.rs
+++ b/crates/node/src/system/dispatch.rs
@@ -135,8 +135,13 @@
 
 /// Takes out of the queue the call that is to be served next, if it can be.
 fn next(node: &mut Node, now: ids::Time) -> Option<ids::Call> {
-    let Node { queue, targets, .. } = node;
-    let entry = queue.pop(now, |entry| targets.has_room(now, &entry.item, &[]))?;
+    let Node { queue, targets, config, .. } = node;
+    let entry = queue.pop(now, |entry| {
+        if config.queue.is_late(now, entry) {
+            return targets.has_spare_room(now, &entry.item, &[]);
+        }
+        targets.has_room(now, &entry.item, &[])
+    })?;
     Some(entry.call)
 }
 
