--- a/crates/member/src/view/dump.rs
+++ b/crates/member/src/view/dump.rs
@@ -6,7 +6,8 @@
 use crate::{head, output};
 
 /// The state of a view, for operators.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 pub struct Dump {
     /// The newest head that is known.
     pub head: Option<head::Head>,
@@ -29,7 +30,8 @@
 }
 
 /// What is known of another VM.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 pub struct Peer {
     /// Its incarnation.
     pub incarnation: ids::Incarnation,
@@ -64,9 +66,7 @@
             age_ms: self.evidence.map(millis),
             table_answers: self.store_up,
             peers: peers.collect(),
-            unlisted_ms: unlisted
-                .map(|(vm, since)| (vm.clone(), millis(*since)))
-                .collect(),
+            unlisted_ms: unlisted.map(|(vm, since)| (vm.clone(), millis(*since))).collect(),
             changes: self.queue.len() + self.waiting.len() + usize::from(self.proposal.is_some()),
         }
     }
--- a/crates/member/src/view/fresh.rs
+++ b/crates/member/src/view/fresh.rs
@@ -41,9 +41,8 @@
         if self.is_witness() {
             return self.colleagues(now, head);
         }
-        let mut sources: Vec<_> = super::tree::parent(head, me, self.config.fanout)
-            .into_iter()
-            .collect();
+        let mut sources: Vec<_> =
+            super::tree::parent(head, me, self.config.fanout).into_iter().collect();
         if old && !head.witnesses.is_empty() {
             let chosen = self.rng.random_range(0..head.witnesses.len());
             sources.push(head.witnesses[chosen].clone());
@@ -72,10 +71,7 @@
 
     /// Reads the head.
     pub(super) fn read(&mut self, now: ids::Time, out: &mut Vec<output::Output>) {
-        let read = Read {
-            sent: now,
-            head: None,
-        };
+        let read = Read { sent: now, head: None };
         self.request_read(read, row::HEAD, out);
     }
 
@@ -97,11 +93,7 @@
         let up = result.is_ok();
         if up != self.store_up {
             self.store_up = up;
-            let state = if up {
-                "answers again"
-            } else {
-                "does not answer"
-            };
+            let state = if up { "answers again" } else { "does not answer" };
             out.push(output::Output::Log(format!("table service {state}")));
         }
         let Ok(platform::table::Answer::Row(row)) = result else {
@@ -136,10 +128,7 @@
             out.push(output::Output::Log("the head row cannot be read".into()));
             return;
         };
-        let read = Read {
-            sent,
-            head: Some(small),
-        };
+        let read = Read { sent, head: Some(small) };
         self.request_read(read, row::ROSTER, out);
     }
 
@@ -152,10 +141,7 @@
         let number = self.last_ask;
         let version = self.version();
         let message = message::Message::Ask { number, version };
-        let ask = Ask {
-            to: to.clone(),
-            sent: now,
-        };
+        let ask = Ask { to: to.clone(), sent: now };
         self.asks.insert(number, ask);
         out.push(output::Output::Peer { to, message });
     }
@@ -194,13 +180,7 @@
             message::Message::Ask { number, version } => {
                 self.reply(now, from, number, version, out);
             }
-            message::Message::Reply {
-                number,
-                version,
-                adopted,
-                settled,
-                age,
-            } => {
+            message::Message::Reply { number, version, adopted, settled, age } => {
                 self.settled_elsewhere(settled, out);
                 self.take_reply(from, (number, version, adopted), age);
                 self.teach(from, version, out);
--- a/crates/node/src/output.rs
+++ b/crates/node/src/output.rs
@@ -1,9 +1,16 @@
 //! What the decision core tells the shell to do.
 
-use std::sync;
+use std::{sync, time};
+
+/// Longest time between a decision and the act that follows from it.
+///
+/// The core decides to send a call only if the VM may serve for at least this
+/// long. A shell that was paused for longer drops what was decided before.
+pub const ACT_WITHIN: time::Duration = time::Duration::from_millis(500);
 
 /// What the shell is to do.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Output {
     /// Send a call to a target, or go on with it there.
@@ -105,7 +112,8 @@
 }
 
 /// A call to be sent to a target.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Begin {
     /// The attempt, to be named in its events.
     pub attempt: ids::Attempt,
--- /dev/null
+++ b/crates/node/src/system/quota.rs
@@ -0,0 +1,135 @@
+//! Rates and bursts of the accounts.
+
+use std::time;
+
+use crate::{Config, Node, Output, call, calls, count, peer, system};
+
+/// A table in which no account has a share.
+pub fn table(config: &Config) -> quota::Table {
+    let member::Member { vm, incarnation, .. } = config.member();
+    quota::Table::new(quota::Config::new(quota::Member { vm, incarnation }))
+}
+
+/// Asks for the tokens that a call may use at most.
+///
+/// Calls on routes open to all count for no account.
+pub fn request(node: &mut Node, now: ids::Time, call: ids::Call, out: &mut Vec<Output>) {
+    let Some(row) = node.calls.rows.get_mut(&call) else {
+        return;
+    };
+    let Some(account) = row.account.clone() else {
+        return system::claim::begin(node, now, call, out);
+    };
+    row.stage = calls::Stage::Quota;
+    let tokens = row.need.tokens();
+    with(node, now, out, |quota, outputs| quota.request(now, call, &account, tokens, outputs));
+}
+
+/// Gives back what a call has not used.
+pub fn settle(node: &mut Node, now: ids::Time, call: ids::Call) {
+    let Some(row) = node.calls.rows.get_mut(&call) else {
+        return;
+    };
+    let reserved = std::mem::take(&mut row.reserved);
+    let used = row.used().min(reserved);
+    if reserved == 0 {
+        node.quota.cancel(call);
+    }
+    node.quota.settle(now, call, used);
+}
+
+/// Takes accounts and members from what is in force.
+pub fn adopt(node: &mut Node, now: ids::Time, head: &member::Head) {
+    let Some(force) = &node.force else {
+        return;
+    };
+    let seat = |member: &member::Member| quota::Member {
+        vm: member.vm.clone(),
+        incarnation: member.incarnation,
+    };
+    let members: Vec<_> = head.members.iter().map(seat).collect();
+    let limits: Vec<_> = force.bundle.accounts.iter().map(quota::Limit::from).collect();
+    node.quota.adopt(now, head.version, &members, &limits);
+}
+
+/// Notes that no VM spends by shares of an earlier version any more.
+pub fn settled(node: &mut Node, now: ids::Time, version: ids::Version) {
+    node.quota.settled(now, version);
+}
+
+/// Takes in a message of another VM.
+pub fn peer(
+    node: &mut Node,
+    now: ids::Time,
+    from: &ids::Vm,
+    incarnation: ids::Incarnation,
+    message: quota::Message,
+    out: &mut Vec<Output>,
+) {
+    let serving = node.serves(now).is_ok();
+    with(node, now, out, |quota, outputs| {
+        quota.peer(now, serving, from, incarnation, message, outputs);
+    });
+}
+
+/// Lets time pass.
+pub fn tick(node: &mut Node, now: ids::Time, out: &mut Vec<Output>) {
+    with(node, now, out, |quota, outputs| quota.tick(now, outputs));
+}
+
+fn with(
+    node: &mut Node,
+    now: ids::Time,
+    out: &mut Vec<Output>,
+    run: impl FnOnce(&mut quota::Table, &mut Vec<quota::Output>),
+) {
+    let mut outputs = Vec::new();
+    run(&mut node.quota, &mut outputs);
+    for output in outputs {
+        match output {
+            quota::Output::Peer { to, message } => {
+                let message = peer::Message::Quota(message);
+                out.push(Output::Peer { to, message });
+            }
+            quota::Output::Granted { call } => granted(node, now, call, out),
+            quota::Output::Short { call, reason, retry_after } => {
+                short(node, now, call, reason, retry_after, out);
+            }
+        }
+    }
+}
+
+fn granted(node: &mut Node, now: ids::Time, call: ids::Call, out: &mut Vec<Output>) {
+    let Some(row) = node.calls.rows.get_mut(&call) else {
+        node.quota.settle(now, call, 0);
+        return;
+    };
+    row.reserved = row.need.tokens();
+    system::plan::demand(node, now, call);
+    system::claim::begin(node, now, call, out);
+}
+
+fn short(
+    node: &mut Node,
+    now: ids::Time,
+    call: ids::Call,
+    reason: quota::Reason,
+    retry_after: Option<time::Duration>,
+    out: &mut Vec<Output>,
+) {
+    node.counters.bump(count::OVER_RATE);
+    let ending = match reason {
+        quota::Reason::TooLarge => call::Ending::refused(
+            call::Code::TooLarge,
+            "the call may use more tokens than the account's whole burst; lower max_tokens",
+        ),
+        quota::Reason::Exhausted | quota::Reason::Unreachable | quota::Reason::Unknown => {
+            call::Ending::refused(call::Code::OverRate, reason.to_string())
+        }
+    };
+    let ending = match retry_after {
+        Some(wait) => ending.with_retry_after(wait),
+        None => ending,
+    };
+    system::finish::finish(node, now, call, ending, out);
+}
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -28,10 +28,7 @@
 impl Bucket {
     /// An empty bucket without a share.
     pub fn new(now: ids::Time) -> Self {
-        Self {
-            refilled: now,
-            ..Self::default()
-        }
+        Self { refilled: now, ..Self::default() }
     }
 
     /// Adds what the share yields.
--- a/crates/quota/src/table.rs
+++ b/crates/quota/src/table.rs
@@ -149,10 +149,7 @@
             demand: (0, 0),
             second: 0,
         };
-        let entry = self
-            .entries
-            .entry(limit.account.clone())
-            .or_insert_with(fresh);
+        let entry = self.entries.entry(limit.account.clone()).or_insert_with(fresh);
         entry.limit = limit.clone();
         entry.homes = homes;
         entry.share = share;
@@ -184,10 +181,7 @@
         tokens: u64,
         out: &mut Vec<output::Output>,
     ) {
-        let known = self
-            .entries
-            .get_mut(account)
-            .filter(|entry| entry.limit.burst > 0);
+        let known = self.entries.get_mut(account).filter(|entry| entry.limit.burst > 0);
         let Some(entry) = known else {
             refuse(call, output::Reason::Unknown, None, out);
             return;
@@ -196,15 +190,15 @@
             refuse(call, output::Reason::TooLarge, None, out);
             return;
         }
+        if tokens == 0 {
+            out.push(output::Output::Granted { call });
+            return;
+        }
         let need = tokens * crate::NANOS;
         entry.ask_for(now, need);
         entry.bucket.refill(now);
         let deadline = now + self.config.wait_for;
-        entry.pending.push_back(Pending {
-            call,
-            need,
-            deadline,
-        });
+        entry.pending.push_back(Pending { call, need, deadline });
         self.serve(now, account, out);
         self.borrow(now, account, out);
     }
@@ -221,11 +215,7 @@
             let (call, need) = (first.call, first.need);
             entry.pending.pop_front();
             let (own, leases) = entry.take(now, need);
-            let reservation = Reservation {
-                account: account.clone(),
-                own,
-                leases,
-            };
+            let reservation = Reservation { account: account.clone(), own, leases };
             self.reservations.insert(call, reservation);
             out.push(output::Output::Granted { call });
         }
@@ -300,19 +290,11 @@
             return;
         };
         let waiting = mem::take(&mut entry.pending);
-        let (late, waiting): (Vec<_>, Vec<_>) = waiting
-            .into_iter()
-            .partition(|pending| now >= pending.deadline);
+        let (late, waiting): (Vec<_>, Vec<_>) =
+            waiting.into_iter().partition(|pending| now >= pending.deadline);
         entry.pending = waiting.into();
-        let silent = entry
-            .asks
-            .values()
-            .any(|ask| now.since(ask.sent) >= self.config.wait_for / 2);
-        let reason = if silent {
-            output::Reason::Unreachable
-        } else {
-            output::Reason::Exhausted
-        };
+        let silent = entry.asks.values().any(|ask| now.since(ask.sent) >= self.config.wait_for / 2);
+        let reason = if silent { output::Reason::Unreachable } else { output::Reason::Exhausted };
         for pending in late {
             let wait = entry.wait(now, pending.need);
             refuse(pending.call, reason, Some(wait), out);
@@ -345,11 +327,8 @@
 
     /// Takes tokens, leases that expire soonest first.
     fn take(&mut self, now: ids::Time, need: u64) -> ((u64, u64), Vec<(u64, u64)>) {
-        let mut order: Vec<_> = self
-            .leases
-            .iter()
-            .map(|(number, lease)| (lease.expires, *number))
-            .collect();
+        let mut order: Vec<_> =
+            self.leases.iter().map(|(number, lease)| (lease.expires, *number)).collect();
         order.sort_unstable();
         let mut rest = need;
         let mut parts = Vec::new();
@@ -409,9 +388,5 @@
     retry_after: Option<time::Duration>,
     out: &mut Vec<output::Output>,
 ) {
-    out.push(output::Output::Short {
-        call,
-        reason,
-        retry_after,
-    });
+    out.push(output::Output::Short { call, reason, retry_after });
 }
--- a/crates/quota/tests/bounds.rs
+++ b/crates/quota/tests/bounds.rs
@@ -60,11 +60,7 @@
     fleet.doubling = 10;
     fleet.lengths.1 = [100, 1_000, 8_000][fleet.rng.random_range(0..3)];
     let hungry = fleet.rng.random();
-    fleet.used_percent = if hungry {
-        100
-    } else {
-        fleet.rng.random_range(0..=100)
-    };
+    fleet.used_percent = if hungry { 100 } else { fleet.rng.random_range(0..=100) };
     fleet.sizes = (1, fleet.rng.random_range(2..burst / 4));
     for _ in 0..40 {
         disturb(&mut fleet, burst);
--- a/crates/quota/tests/shares.rs
+++ b/crates/quota/tests/shares.rs
@@ -3,19 +3,12 @@
 use std::time;
 
 fn member(vm: &str, incarnation: u64) -> quota::Member {
-    quota::Member {
-        vm: vm.into(),
-        incarnation: ids::Incarnation::new(incarnation),
-    }
+    quota::Member { vm: vm.into(), incarnation: ids::Incarnation::new(incarnation) }
 }
 
 fn limit(rate: u64, burst: u64) -> Vec<quota::Limit> {
     let account = "growers".into();
-    vec![quota::Limit {
-        account,
-        rate,
-        burst,
-    }]
+    vec![quota::Limit { account, rate, burst }]
 }
 
 /// What the bucket holds after a minute.
@@ -58,11 +51,7 @@
     table.settled(now, version(1));
     assert_eq!(share(&mut table, &mut now), 100);
     table.adopt(now, version(3), std::slice::from_ref(&one), &limit(10, 100));
-    assert_eq!(
-        share(&mut table, &mut now),
-        0,
-        "version 2 is not known here"
-    );
+    assert_eq!(share(&mut table, &mut now), 0, "version 2 is not known here");
     table.settled(now, version(3));
     assert_eq!(share(&mut table, &mut now), 100);
 }
