A new account starts with what it would have gathered

A bucket starts empty, so an account that a bundle adds could not be used until its share had refilled: 51 s for a call of 512 tokens at a rate of 10. A home that knows that no VM goes by a version with the account starts it with what it has yielded since then. So it counts only for homes of the version that brought the account, until that is settled.

--- a/crates/node/src/system/quota.rs
+++ b/crates/node/src/system/quota.rs
@@ -40,15 +40,13 @@
 
 /// Takes accounts and members from what is in force.
 pub fn adopt(node: &mut Node, now: ids::Time, head: &member::Head) {
-    let Some(force) = &node.force else {
-        return;
-    };
     let seat = |member: &member::Member| quota::Member {
         vm: member.vm.clone(),
         incarnation: member.incarnation,
     };
     let members: Vec<_> = head.members.iter().map(seat).collect();
-    let limits: Vec<_> = force.bundle.accounts.iter().map(quota::Limit::from).collect();
+    let accounts = node.force.iter().flat_map(|force| &force.bundle.accounts);
+    let limits: Vec<_> = accounts.map(quota::Limit::from).collect();
     node.quota.adopt(now, head.version, &members, &limits);
 }
 
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -16,6 +16,7 @@
     balance: u64,
     lent: u64,
     refilled: ids::Time,
+    vacant: Option<ids::Time>,
     /// Number of notes of the room so far.
     notes: u64,
     /// The least room since each note, less what was given back since: the
@@ -26,9 +27,10 @@
 }
 
 impl Bucket {
-    /// An empty bucket without a share.
-    pub fn new(now: ids::Time) -> Self {
-        Self { refilled: now, ..Self::default() }
+    /// A bucket without a share. If the account was nowhere to be used since
+    /// `vacant`, its first share comes with what it has yielded since then.
+    pub fn new(now: ids::Time, vacant: Option<ids::Time>) -> Self {
+        Self { refilled: now, vacant, ..Self::default() }
     }
 
     /// Adds what the share yields.
@@ -46,10 +48,21 @@
     pub fn resize(&mut self, now: ids::Time, share: share::Share) {
         self.refill(now);
         self.share = share;
+        if share.cap > 0
+            && let Some(vacant) = self.vacant.take()
+        {
+            self.refilled = vacant;
+            self.refill(now);
+        }
         self.cut();
         self.note();
     }
 
+    /// From now on, the account can be used elsewhere.
+    pub const fn occupy(&mut self) {
+        self.vacant = None;
+    }
+
     fn cut(&mut self) {
         let most = self.share.cap.saturating_sub(self.lent);
         self.balance = self.balance.min(most);
--- a/crates/quota/src/table.rs
+++ b/crates/quota/src/table.rs
@@ -43,6 +43,8 @@
 #[derive(Debug)]
 struct Entry {
     limit: share::Limit,
+    /// The version that brought the account.
+    since: ids::Version,
     /// The other homes.
     homes: Vec<ids::Vm>,
     /// The share of each home.
@@ -68,6 +70,8 @@
     raises: collections::BTreeMap<ids::Version, ids::Time>,
     /// The newest version whose higher shares may be used.
     raised: ids::Version,
+    /// Since when no VM goes by a version that is not known here.
+    known: Option<ids::Time>,
     entries: collections::BTreeMap<ids::Account, Entry>,
     reservations: collections::BTreeMap<ids::Call, Reservation>,
     last_number: u64,
@@ -86,6 +90,7 @@
             shares: share::Shares::new(),
             raises: collections::BTreeMap::new(),
             raised: ids::Version::new(0),
+            known: None,
             entries: collections::BTreeMap::new(),
             reservations: collections::BTreeMap::new(),
             last_number,
@@ -105,16 +110,25 @@
         if version <= self.shares.newest() {
             return;
         }
+        if version > self.shares.newest().next() {
+            self.known = None;
+            self.occupy(version);
+        }
         let mut own = collections::BTreeMap::new();
         for limit in limits {
             let homes = share::homes(limit, members, self.config.homes);
             let share = share::share(limit, homes.len());
-            if homes.contains(&self.config.me) {
+            let home = homes.contains(&self.config.me);
+            if home {
                 own.insert(limit.account.clone(), share);
             }
+            let vacant = self.known.filter(|_| home);
+            let fresh = || Entry::new(now, version, vacant, limit);
+            let entry = self.entries.entry(limit.account.clone()).or_insert_with(fresh);
+            entry.limit = limit.clone();
+            entry.share = share;
             let others = homes.into_iter().map(|home| home.vm);
-            let others = others.filter(|vm| *vm != self.config.me.vm).collect();
-            self.update(now, limit, others, share);
+            entry.homes = others.filter(|vm| *vm != self.config.me.vm).collect();
         }
         let known = |account: &ids::Account| limits.iter().any(|limit| limit.account == *account);
         for (account, entry) in &mut self.entries {
@@ -128,31 +142,11 @@
         self.resize(now);
     }
 
-    fn update(
-        &mut self,
-        now: ids::Time,
-        limit: &share::Limit,
-        homes: Vec<ids::Vm>,
-        share: share::Share,
-    ) {
-        let fresh = || Entry {
-            limit: limit.clone(),
-            homes: Vec::new(),
-            share,
-            bucket: bucket::Bucket::new(now),
-            leases: collections::BTreeMap::new(),
-            asks: collections::BTreeMap::new(),
-            lends: collections::BTreeMap::new(),
-            pending: collections::VecDeque::new(),
-            hints: collections::BTreeMap::new(),
-            next_ask: now,
-            demand: (0, 0),
-            second: 0,
-        };
-        let entry = self.entries.entry(limit.account.clone()).or_insert_with(fresh);
-        entry.limit = limit.clone();
-        entry.homes = homes;
-        entry.share = share;
+    /// From now on, accounts that this or an earlier version brought are used.
+    fn occupy(&mut self, version: ids::Version) {
+        for entry in self.entries.values_mut().filter(|entry| entry.since <= version) {
+            entry.bucket.occupy();
+        }
     }
 
     /// Every serving VM has reached this version. Higher shares are used once
@@ -280,8 +274,12 @@
         };
         self.raises.retain(|known, _| *known > version);
         self.raised = version;
+        if version >= self.shares.newest() {
+            self.known.get_or_insert(now);
+        }
         self.shares.settle(version);
         self.resize(now);
+        self.occupy(version);
     }
 
     /// Refuses the calls that have waited for long enough.
@@ -319,6 +317,29 @@
 }
 
 impl Entry {
+    fn new(
+        now: ids::Time,
+        since: ids::Version,
+        vacant: Option<ids::Time>,
+        limit: &share::Limit,
+    ) -> Self {
+        Self {
+            limit: limit.clone(),
+            since,
+            homes: Vec::new(),
+            share: share::Share::default(),
+            bucket: bucket::Bucket::new(now, vacant),
+            leases: collections::BTreeMap::new(),
+            asks: collections::BTreeMap::new(),
+            lends: collections::BTreeMap::new(),
+            pending: collections::VecDeque::new(),
+            hints: collections::BTreeMap::new(),
+            next_ask: now,
+            demand: (0, 0),
+            second: 0,
+        }
+    }
+
     /// What can be spent now.
     fn available(&self, now: ids::Time) -> u64 {
         let leases: u64 = self.leases.values().map(|lease| lease.live(now)).sum();
--- a/crates/quota/tests/shares.rs
+++ b/crates/quota/tests/shares.rs
@@ -67,3 +67,65 @@
     table.adopt(now, ids::Version::new(7), &[one], &limit(10, 100));
     assert_eq!(share(&mut table, &mut now), 100);
 }
+
+#[test]
+fn a_new_account_starts_with_what_it_would_have_gathered() {
+    let mut now = ids::Time::from_millis(1);
+    let one = member("one", 1);
+    let mut table = quota::Table::new(quota::Config::new(one.clone()));
+    let members = [one];
+    let version = ids::Version::new;
+    table.adopt(now, version(1), &members, &[]);
+    table.settled(now, version(1));
+    now = now + time::Duration::from_secs(2);
+    table.tick(now, &mut Vec::new());
+    now = now + time::Duration::from_secs(5);
+    table.adopt(now, version(2), &members, &limit(10, 100));
+    table.settled(now, version(2));
+    now = now + time::Duration::from_secs(2);
+    table.tick(now, &mut Vec::new());
+    assert_eq!(table.dump(now)[0].balance, 70, "7 s at a rate of 10");
+    table.adopt(now, version(3), &members, &[]);
+    table.settled(now, version(3));
+    assert_eq!(share(&mut table, &mut now), 0);
+    table.adopt(now, version(4), &members, &limit(10, 100));
+    table.settled(now, version(4));
+    now = now + time::Duration::from_secs(2);
+    table.tick(now, &mut Vec::new());
+    assert_eq!(table.dump(now)[0].balance, 0, "it was there before");
+}
+
+#[test]
+fn a_later_home_does_not_gather_for_the_time_before() {
+    let mut now = ids::Time::from_millis(1);
+    let all: Vec<_> = (0..9).map(|vm| member(&format!("vm-{vm}"), 1)).collect();
+    let mut tables: Vec<_> =
+        all.iter().map(|me| quota::Table::new(quota::Config::new(me.clone()))).collect();
+    let limits = limit(100, 1_000);
+    let mut put = |version: u64, members: &[quota::Member], limits: &[quota::Limit]| {
+        let version = ids::Version::new(version);
+        for table in &mut tables {
+            table.adopt(now, version, members, limits);
+            table.settled(now, version);
+        }
+        now = now + time::Duration::from_mins(1);
+        for table in &mut tables {
+            table.tick(now, &mut Vec::new());
+        }
+        let dumps = tables.iter().map(|table| table.dump(now));
+        let balances = dumps.map(|dump| dump.first().map_or(0, |entry| entry.balance));
+        balances.collect::<Vec<_>>()
+    };
+    put(1, &all, &[]);
+    let first = put(2, &all, &limits);
+    assert_eq!(first.iter().sum::<u64>(), 1_000);
+    // The homes of the account are replaced by others.
+    let others: Vec<_> = all
+        .iter()
+        .zip(&first)
+        .filter(|(_, balance)| **balance == 0)
+        .map(|(vm, _)| vm.clone())
+        .collect();
+    let second = put(3, &others, &limits);
+    assert_eq!(second.iter().sum::<u64>(), 0, "they start empty");
+}
