--- a/crates/quota/src/table/borrow.rs
+++ b/crates/quota/src/table/borrow.rs
@@ -22,34 +22,19 @@
         out: &mut Vec<output::Output>,
     ) {
         match message {
-            message::Message::Ask {
-                account,
-                number,
-                want,
-            } => {
-                let borrower = share::Member {
-                    vm: from.clone(),
-                    incarnation,
-                };
+            message::Message::Ask { account, number, want } => {
+                let borrower = share::Member { vm: from.clone(), incarnation };
                 if serving {
                     self.lend(now, &account, (borrower, number), want, out);
                 }
             }
-            message::Message::Give {
-                account,
-                number,
-                amount,
-                left,
-            } => {
+            message::Message::Give { account, number, amount, left } => {
                 self.receive(now, &account, from, (number, amount, left));
                 self.serve(now, &account, out);
                 self.borrow(now, &account, out);
             }
             message::Message::Report { account, leases } => {
-                let borrower = share::Member {
-                    vm: from.clone(),
-                    incarnation,
-                };
+                let borrower = share::Member { vm: from.clone(), incarnation };
                 self.take_report(now, &account, &borrower, &leases);
                 self.serve(now, &account, out);
             }
@@ -76,12 +61,8 @@
         let amount = entry.bucket.lend(if free { want } else { 0 });
         let left = if free { entry.bucket.balance() } else { 0 };
         let to = key.0.vm.clone();
-        let message = message::Message::Give {
-            account: account.clone(),
-            number: key.1,
-            amount,
-            left,
-        };
+        let message =
+            message::Message::Give { account: account.clone(), number: key.1, amount, left };
         if amount > 0 {
             let lease_for = self.config.lease_for + self.config.margin;
             let lend = lease::Lend::new(amount, now, lease_for, self.config.return_for);
@@ -104,11 +85,7 @@
             return;
         };
         let known = entry.hints.get(from).map_or(0, |hint| hint.refusals);
-        let hint = Hint {
-            left,
-            time: now,
-            refusals: if amount == 0 { known + 1 } else { 0 },
-        };
+        let hint = Hint { left, time: now, refusals: if amount == 0 { known + 1 } else { 0 } };
         entry.hints.insert(from.clone(), hint);
         entry.bucket.refill(now);
         let expires = ask.sent + self.config.lease_for;
@@ -157,16 +134,9 @@
         for (to, want) in wants {
             self.last_number += 1;
             let number = self.last_number;
-            let ask = lease::Ask {
-                to: to.clone(),
-                sent: now,
-            };
+            let ask = lease::Ask { to: to.clone(), sent: now };
             entry.asks.insert(number, ask);
-            let message = message::Message::Ask {
-                account: account.clone(),
-                number,
-                want,
-            };
+            let message = message::Message::Ask { account: account.clone(), number, want };
             out.push(output::Output::Peer { to, message });
         }
     }
@@ -211,9 +181,7 @@
         let free = self.homes.iter().filter(|vm| !asked(vm));
         let have = free.map(|vm| (vm.clone(), self.estimate(now, vm, config)));
         let least = missing.min(self.share.cap / 8);
-        let have: Vec<_> = have
-            .filter(|(_, have)| *have > 0 && *have >= least)
-            .collect();
+        let have: Vec<_> = have.filter(|(_, have)| *have > 0 && *have >= least).collect();
         divide(want, have)
     }
 
@@ -246,7 +214,5 @@
         let part = u128::from(want) * u128::from(have) / total.max(1) + 1;
         u64::try_from(part).unwrap_or(u64::MAX)
     };
-    have.into_iter()
-        .map(|(vm, have)| (vm, part(have)))
-        .collect()
+    have.into_iter().map(|(vm, have)| (vm, part(have))).collect()
 }
