--- a/crates/quota/src/share.rs
+++ b/crates/quota/src/share.rs
@@ -24,11 +24,7 @@
 
 impl From<&bundle::format::Account> for Limit {
     fn from(account: &bundle::format::Account) -> Self {
-        Self {
-            account: account.name.clone(),
-            rate: account.rate,
-            burst: account.burst,
-        }
+        Self { account: account.name.clone(), rate: account.rate, burst: account.burst }
     }
 }
 
@@ -44,10 +40,7 @@
 impl Share {
     /// The lower of both in each respect.
     pub fn min(self, other: Self) -> Self {
-        Self {
-            refill: self.refill.min(other.refill),
-            cap: self.cap.min(other.cap),
-        }
+        Self { refill: self.refill.min(other.refill), cap: self.cap.min(other.cap) }
     }
 }
 
@@ -87,9 +80,7 @@
 impl Shares {
     /// No version yet.
     pub const fn new() -> Self {
-        Self {
-            versions: collections::BTreeMap::new(),
-        }
+        Self { versions: collections::BTreeMap::new() }
     }
 
     /// Adds the shares under a version that is put in force. If versions were
@@ -106,18 +97,13 @@
 
     /// The version in force; zero if none.
     pub fn newest(&self) -> ids::Version {
-        self.versions
-            .keys()
-            .next_back()
-            .copied()
-            .unwrap_or_default()
+        self.versions.keys().next_back().copied().unwrap_or_default()
     }
 
     /// Forgets the versions before one that every serving VM has reached.
     pub fn settle(&mut self, version: ids::Version) {
         let newest = self.newest();
-        self.versions
-            .retain(|known, _| *known >= version || *known == newest);
+        self.versions.retain(|known, _| *known >= version || *known == newest);
     }
 
     /// The present share of an account.
--- a/crates/quota/tests/fleet/mod.rs
+++ b/crates/quota/tests/fleet/mod.rs
@@ -129,10 +129,7 @@
     }
 
     pub fn member(&self, vm: usize) -> quota::Member {
-        quota::Member {
-            vm: Self::name(vm),
-            incarnation: self.vms[vm].incarnation,
-        }
+        quota::Member { vm: Self::name(vm), incarnation: self.vms[vm].incarnation }
     }
 
     pub fn kill(&mut self, vm: usize) {
@@ -155,17 +152,8 @@
     pub fn limit(&mut self, rate: u64, burst: u64) {
         let live = |vm: &usize| self.vms[*vm].table.is_some() && !self.vms[*vm].removed;
         let members = (0..self.vms.len()).filter(live).map(|vm| self.member(vm));
-        let limit = quota::Limit {
-            account: account(),
-            rate,
-            burst,
-        };
-        self.heads.push(Head {
-            members: members.collect(),
-            limit,
-            made: self.now,
-            settled: None,
-        });
+        let limit = quota::Limit { account: account(), rate, burst };
+        self.heads.push(Head { members: members.collect(), limit, made: self.now, settled: None });
         let version = self.heads.len() as u64;
         for vm in 0..self.vms.len() {
             let delay = self.rng.random_range(1..400);
@@ -181,10 +169,7 @@
 
     pub fn serves(&self, vm: usize) -> bool {
         let entry = &self.vms[vm];
-        let head = entry
-            .adopted
-            .checked_sub(1)
-            .map(|at| &self.heads[usize::try_from(at).unwrap()]);
+        let head = entry.adopted.checked_sub(1).map(|at| &self.heads[usize::try_from(at).unwrap()]);
         let member = head.is_some_and(|head| head.members.contains(&self.member(vm)));
         entry.table.is_some() && !entry.frozen && member && self.now < entry.fresh_until
     }
@@ -308,14 +293,9 @@
     }
 
     fn send(&mut self, vm: usize, to: &ids::Vm, message: &quota::Message) {
-        let to = (0..self.vms.len())
-            .find(|vm| Self::name(*vm) == *to)
-            .unwrap();
+        let to = (0..self.vms.len()).find(|vm| Self::name(*vm) == *to).unwrap();
         let incarnation = self.vms[vm].incarnation;
-        let frame = wire::Frame {
-            incarnation: incarnation.get(),
-            message,
-        };
+        let frame = wire::Frame { incarnation: incarnation.get(), message };
         let bytes = wire::encode(&frame).unwrap().len() as u64;
         for end in [vm, to] {
             self.vms[end].bytes += bytes;
@@ -333,8 +313,7 @@
 
     fn post(&mut self, vm: usize, delay: u64, event: Event) {
         self.sequence += 1;
-        self.events
-            .insert((self.now + delay, self.sequence), (vm, event));
+        self.events.insert((self.now + delay, self.sequence), (vm, event));
     }
 
     fn deliver(&mut self, vm: usize, event: Event) {
@@ -381,11 +360,7 @@
         let mut level = 0.0_f64;
         let mut most = 0.0_f64;
         let mut last = from;
-        for (time, used) in self
-            .uses
-            .iter()
-            .filter(|(time, _)| (from..to).contains(time))
-        {
+        for (time, used) in self.uses.iter().filter(|(time, _)| (from..to).contains(time)) {
             level = (level - rate as f64 * (time - last) as f64 / 1_000.0).max(0.0);
             last = *time;
             level += *used as f64;
@@ -398,12 +373,7 @@
     /// was settled until the next was made, and with the highest limit always.
     pub fn within_limits(&self) -> bool {
         let rate = self.heads.iter().map(|head| head.limit.rate).max().unwrap();
-        let burst = self
-            .heads
-            .iter()
-            .map(|head| head.limit.burst)
-            .max()
-            .unwrap();
+        let burst = self.heads.iter().map(|head| head.limit.burst).max().unwrap();
         let mut within = self.most_beyond(rate, 0, u64::MAX) <= burst as f64;
         for (place, head) in self.heads.iter().enumerate() {
             let end = self.heads.get(place + 1).map_or(u64::MAX, |next| next.made);
--- a/crates/quota/tests/usable.rs
+++ b/crates/quota/tests/usable.rs
@@ -50,10 +50,7 @@
 #[test]
 fn even_load_is_not_refused() {
     let mut fleet = Fleet::new(5, 3, RATE, BURST);
-    fleet
-        .vms
-        .iter_mut()
-        .for_each(|vm| vm.demand = RATE * 7 / 50);
+    fleet.vms.iter_mut().for_each(|vm| vm.demand = RATE * 7 / 50);
     let (_, wrongful) = measure("even load on 5 VMs, 0.7 of the rate", &mut fleet);
     assert!(wrongful <= 0.001);
 }
@@ -61,10 +58,7 @@
 #[test]
 fn an_even_overload_uses_the_rate() {
     let mut fleet = Fleet::new(5, 4, RATE, BURST);
-    fleet
-        .vms
-        .iter_mut()
-        .for_each(|vm| vm.demand = RATE * 3 / 10);
+    fleet.vms.iter_mut().for_each(|vm| vm.demand = RATE * 3 / 10);
     let (used, _) = measure("even load on 5 VMs, 1.5 times the rate", &mut fleet);
     assert!(used >= 0.95);
 }
@@ -73,10 +67,7 @@
 fn calls_that_use_a_part_are_charged_for_it() {
     let mut fleet = Fleet::new(5, 5, RATE, BURST);
     fleet.used_percent = 10;
-    fleet
-        .vms
-        .iter_mut()
-        .for_each(|vm| vm.demand = RATE * 6 / 25);
+    fleet.vms.iter_mut().for_each(|vm| vm.demand = RATE * 6 / 25);
     let case = "even load on 5 VMs, reserving 1.2 and using 0.66 of the rate";
     let (_, wrongful) = measure(case, &mut fleet);
     assert!(wrongful <= 0.01);
@@ -97,10 +88,7 @@
     let mut fleet = Fleet::new(5, 7, RATE, BURST);
     fleet.kill(4);
     fleet.vms[0].demand = RATE;
-    let (used, _) = measure(
-        "one of 5 VMs dead but a member, all calls on one",
-        &mut fleet,
-    );
+    let (used, _) = measure("one of 5 VMs dead but a member, all calls on one", &mut fleet);
     assert!(used >= 0.75);
 }
 
@@ -117,10 +105,7 @@
 #[test]
 fn a_restart_costs_little() {
     let mut fleet = Fleet::new(5, 11, RATE, BURST);
-    fleet
-        .vms
-        .iter_mut()
-        .for_each(|vm| vm.demand = RATE * 7 / 50);
+    fleet.vms.iter_mut().for_each(|vm| vm.demand = RATE * 7 / 50);
     fleet.kill(1);
     fleet.restart(1);
     fleet.join();
@@ -134,9 +119,7 @@
     let mut fleet = Fleet::new(5, 12, RATE, BURST);
     fleet.vms[0].demand = RATE * 7 / 10;
     for vm in 0..2 {
-        fleet
-            .cuts
-            .extend((2..5).flat_map(|other| [(vm, other), (other, vm)]));
+        fleet.cuts.extend((2..5).flat_map(|other| [(vm, other), (other, vm)]));
     }
     let case = "all calls on one of 5 VMs that reaches one other, 0.7 of the rate";
     let (used, _) = measure(case, &mut fleet);
