--- a/crates/quota/src/lease.rs
+++ b/crates/quota/src/lease.rs
@@ -28,15 +28,7 @@
 impl Lease {
     /// Fresh tokens.
     pub const fn new(lender: ids::Vm, amount: u64, expires: ids::Time) -> Self {
-        Self {
-            lender,
-            left: amount,
-            unused: 0,
-            spare: 0,
-            expires,
-            open: 0,
-            changed: false,
-        }
+        Self { lender, left: amount, unused: 0, spare: 0, expires, open: 0, changed: false }
     }
 
     /// What can be spent now.
@@ -122,13 +114,8 @@
         bucket.restore(restored);
         self.lent -= restored;
         self.keep(state.left, bucket);
-        let unused = state
-            .unused
-            .saturating_sub(self.unused)
-            .min(self.due - restored);
-        let returned = (spare - restored)
-            .saturating_add(unused)
-            .min(self.due - restored);
+        let unused = state.unused.saturating_sub(self.unused).min(self.due - restored);
+        let returned = (spare - restored).saturating_add(unused).min(self.due - restored);
         self.spare += spare;
         self.unused += unused;
         self.due -= restored + returned;
--- a/crates/quota/src/output.rs
+++ b/crates/quota/src/output.rs
@@ -41,7 +41,7 @@
     Ord,
     serde::Serialize,
     serde::Deserialize,
-    displaydoc::Display,
+    displaydoc::Display
 )]
 #[serde(rename_all = "kebab-case")]
 pub enum Reason {
