--- a/crates/plan/src/view.rs
+++ b/crates/plan/src/view.rs
@@ -38,15 +38,11 @@
     fn new(now: ids::Time, resident: &Resident, old: Option<Self>) -> Self {
         let fence = resident.order.as_ref().map(|pending| pending.fence);
         let pending = |old: &Self| old.resident.order.is_some() && fence.is_some();
-        let replaces = old
-            .as_ref()
-            .is_some_and(|old| pending(old) && !has_no_effect(old));
+        let replaces = old.as_ref().is_some_and(|old| pending(old) && !has_no_effect(old));
         Self {
             resident: resident.clone(),
             since: now,
-            sent: old
-                .and_then(|old| old.sent)
-                .filter(|sent| Some(sent.fence) == fence),
+            sent: old.and_then(|old| old.sent).filter(|sent| Some(sent.fence) == fence),
             replaces,
             left: None,
         }
@@ -112,10 +108,7 @@
 }
 
 pub(crate) fn name(resident: &Resident) -> Name {
-    (
-        sync::Arc::clone(&resident.item),
-        sync::Arc::clone(&resident.version),
-    )
+    (sync::Arc::clone(&resident.item), sync::Arc::clone(&resident.version))
 }
 
 impl View {
@@ -162,11 +155,7 @@
 
     /// Whether the row has a pending order of `me`.
     pub(crate) fn has_order_of(&self, me: &Sender) -> bool {
-        let mut pending = self
-            .ledger
-            .residents
-            .iter()
-            .filter_map(|each| each.order.as_ref());
+        let mut pending = self.ledger.residents.iter().filter_map(|each| each.order.as_ref());
         pending.any(|pending| pending.sender == *me)
     }
 
@@ -205,9 +194,7 @@
 
     /// Whether a report was taken after the row was seen to be missing.
     pub(crate) fn is_founded_by_report(&self) -> bool {
-        self.seen
-            .as_ref()
-            .is_some_and(|seen| seen.taken > self.learned)
+        self.seen.as_ref().is_some_and(|seen| seen.taken > self.learned)
     }
 
     /// Whether `version` of `item` is to go, or may be by a write under way.
@@ -242,11 +229,7 @@
             if pending.sender != scale.config.me || !is_due(scale, resident, local) {
                 continue;
             }
-            local.sent = Some(Sent {
-                fence: pending.fence,
-                at: scale.now,
-                reply: None,
-            });
+            local.sent = Some(Sent { fence: pending.fence, at: scale.now, reply: None });
             due.extend(resident.order());
         }
         due
@@ -356,10 +339,7 @@
     /// A pending order of this planner, recorded by the next version of the row.
     pub(crate) fn order_of(&self, scale: &Scale<'_>) -> Pending {
         let next = self.version.unwrap_or_default().next();
-        Pending {
-            sender: scale.config.me.clone(),
-            fence: ids::Fence::new(next.get()),
-        }
+        Pending { sender: scale.config.me.clone(), fence: ids::Fence::new(next.get()) }
     }
 
     /// Adds what the runner shows and the row does not have.
@@ -433,9 +413,7 @@
 fn is_orphan(scale: &Scale<'_>, resident: &Resident, local: &Local) -> bool {
     let foreign = |pending: &Pending| pending.sender != scale.config.me;
     resident.order.as_ref().is_some_and(foreign)
-        && local
-            .left
-            .is_some_and(|left| scale.now > left + scale.delay())
+        && local.left.is_some_and(|left| scale.now > left + scale.delay())
 }
 
 /// Whether an order to load should be replaced by one with a newer fencing token.
--- a/crates/plan/tests/ledger.rs
+++ b/crates/plan/tests/ledger.rs
@@ -18,10 +18,7 @@
 const DELAY_MS: u64 = 10_000;
 
 fn sender(vm: &str) -> Sender {
-    Sender {
-        vm: vm.into(),
-        incarnation: ids::Incarnation::new(1),
-    }
+    Sender { vm: vm.into(), incarnation: ids::Incarnation::new(1) }
 }
 
 fn target(number: usize) -> ids::Target {
@@ -51,10 +48,7 @@
 
 impl Desk {
     fn new(vm: &str, bundle: &bundle::Bundle) -> Self {
-        let config = plan::Config {
-            order_delay_ms: DELAY_MS,
-            ..plan::Config::new(sender(vm))
-        };
+        let config = plan::Config { order_delay_ms: DELAY_MS, ..plan::Config::new(sender(vm)) };
         let now = ids::Time::from_millis(100_000);
         let mut planner = plan::Planner::new(config);
         planner.adopt(now, bundle, &[sender(vm)], &collections::BTreeSet::new());
@@ -69,8 +63,7 @@
 
     fn put(&mut self, target: &ids::Target, residents: Vec<Resident>) {
         let text = Ledger { residents }.text();
-        self.rows
-            .insert(Ledger::key(target), (ids::Version::new(5), text));
+        self.rows.insert(Ledger::key(target), (ids::Version::new(5), text));
     }
 
     fn take(&mut self, out: Vec<plan::Output>) {
@@ -120,12 +113,9 @@
             table::Request::Get { key } => {
                 table::Answer::Row(self.rows.get(key).map(|found| row(key, found)))
             }
-            table::Request::Scan { .. } => table::Answer::Rows(
-                self.rows
-                    .iter()
-                    .map(|(key, found)| row(key, found))
-                    .collect(),
-            ),
+            table::Request::Scan { .. } => {
+                table::Answer::Rows(self.rows.iter().map(|(key, found)| row(key, found)).collect())
+            }
             table::Request::Write { writes } => {
                 let stale = writes.iter().any(|write| {
                     self.rows.get(&write.key).map(|(version, _)| *version) != write.expect
@@ -136,8 +126,7 @@
                 for write in writes {
                     let next = write.expect.unwrap_or_default().next();
                     let value = write.value.clone().unwrap();
-                    self.rows
-                        .insert(sync::Arc::clone(&write.key), (next, value));
+                    self.rows.insert(sync::Arc::clone(&write.key), (next, value));
                 }
                 table::Answer::Written
             }
@@ -173,18 +162,12 @@
 
     fn state(&self, target: &ids::Target, item: &str) -> Option<State> {
         let (_, text) = self.rows.get(&Ledger::key(target))?;
-        Ledger::read(text)
-            .unwrap()
-            .get(item, "v1")
-            .map(|each| each.state)
+        Ledger::read(text).unwrap().get(item, "v1").map(|each| each.state)
     }
 }
 
 fn pending(vm: &str, fence: u64) -> Pending {
-    Pending {
-        sender: sender(vm),
-        fence: ids::Fence::new(fence),
-    }
+    Pending { sender: sender(vm), fence: ids::Fence::new(fence) }
 }
 
 fn ready(item: &str) -> Resident {
@@ -192,10 +175,7 @@
 }
 
 fn in_state(item: &str, state: State, order: Pending) -> Resident {
-    Resident {
-        order: Some(order),
-        ..Resident::new(item, "v1", state, 700)
-    }
+    Resident { order: Some(order), ..Resident::new(item, "v1", state, 700) }
 }
 
 /// A desk at which a load of `m` at `r0` was ordered and r1 is out of reach.
@@ -237,20 +217,12 @@
     desk.wait(3_000);
     desk.report(&target(0), 0, &[]);
     desk.tick();
-    let other = Ledger {
-        residents: vec![in_state("other", State::Reserved, pending("vm-2", 6))],
-    };
-    desk.rows.insert(
-        Ledger::key(&target(0)),
-        (ids::Version::new(6), other.text()),
-    );
+    let other = Ledger { residents: vec![in_state("other", State::Reserved, pending("vm-2", 6))] };
+    desk.rows.insert(Ledger::key(&target(0)), (ids::Version::new(6), other.text()));
     desk.answer();
     assert!(desk.orders.is_empty());
     desk.turn();
-    assert!(
-        desk.orders.is_empty(),
-        "700 of 1000 MiB are reserved by another"
-    );
+    assert!(desk.orders.is_empty(), "700 of 1000 MiB are reserved by another");
 }
 
 #[test]
@@ -264,12 +236,8 @@
     desk.wait(60_000);
     let freed = Ledger::default().text();
     desk.answer();
-    assert!(
-        desk.orders.is_empty(),
-        "the row may have changed in a minute"
-    );
-    desk.rows
-        .insert(Ledger::key(&target(0)), (ids::Version::new(7), freed));
+    assert!(desk.orders.is_empty(), "the row may have changed in a minute");
+    desk.rows.insert(Ledger::key(&target(0)), (ids::Version::new(7), freed));
     desk.turn();
     assert!(desk.orders.is_empty(), "and it has");
 }
@@ -281,23 +249,14 @@
     for _ in 0..9 {
         desk.report(&target(0), 0, &[]);
         desk.turn();
-        assert_eq!(
-            desk.state(&target(0), "m"),
-            Some(State::Reserved),
-            "{}",
-            desk.now
-        );
+        assert_eq!(desk.state(&target(0), "m"), Some(State::Reserved), "{}", desk.now);
         assert!(desk.orders.is_empty(), "and is not sent again");
     }
     desk.wait(2_000);
     desk.report(&target(0), 0, &[]);
     desk.turn();
     desk.turn();
-    assert_eq!(
-        desk.orders.len(),
-        1,
-        "released, reserved anew and ordered anew"
-    );
+    assert_eq!(desk.orders.len(), 1, "released, reserved anew and ordered anew");
 }
 
 #[test]
@@ -344,11 +303,7 @@
         desk.turn();
     }
     let state = desk.state(&target(0), "old");
-    assert_eq!(
-        state,
-        Some(State::Unloading),
-        "an order to load may still arrive"
-    );
+    assert_eq!(state, Some(State::Unloading), "an order to load may still arrive");
     desk.report(&target(0), order.fence.get(), &[]);
     desk.turn();
     desk.turn();
@@ -381,16 +336,12 @@
 
 #[test]
 fn memory_of_another_sender_stays_reserved_while_it_may_send() {
-    for (members, free) in [
-        (vec![sender("vm-1"), sender("vm-2")], false),
-        (vec![sender("vm-1")], true),
-    ] {
+    for (members, free) in
+        [(vec![sender("vm-1"), sender("vm-2")], false), (vec![sender("vm-1")], true)]
+    {
         let declared = bundle(ONE, false);
         let mut desk = Desk::new("vm-1", &declared);
-        desk.put(
-            &target(0),
-            vec![in_state("x", State::Reserved, pending("vm-2", 5))],
-        );
+        desk.put(&target(0), vec![in_state("x", State::Reserved, pending("vm-2", 5))]);
         let drained = collections::BTreeSet::new();
         desk.planner.adopt(desk.now, &declared, &members, &drained);
         if !desk.planner.is_leader() {
@@ -430,20 +381,12 @@
         panic!("{request:?}");
     };
     assert_eq!(writes.len(), 2, "{writes:?}");
-    let gone = Ledger {
-        residents: vec![in_state("m", State::Unloading, pending("vm-2", 6))],
-    };
-    let keeper = writes
-        .iter()
-        .find(|write| !write.value.as_ref().unwrap().contains("unloading"));
+    let gone = Ledger { residents: vec![in_state("m", State::Unloading, pending("vm-2", 6))] };
+    let keeper = writes.iter().find(|write| !write.value.as_ref().unwrap().contains("unloading"));
     let keeper = sync::Arc::clone(&keeper.unwrap().key);
-    desk.rows
-        .insert(keeper, (ids::Version::new(6), gone.text()));
+    desk.rows.insert(keeper, (ids::Version::new(6), gone.text()));
     desk.answer();
-    assert!(
-        desk.orders.is_empty(),
-        "another planner unloads the other copy"
-    );
+    assert!(desk.orders.is_empty(), "another planner unloads the other copy");
 }
 
 #[test]
--- a/crates/plan/tests/planner.rs
+++ b/crates/plan/tests/planner.rs
@@ -60,11 +60,8 @@
     let mut world = World::new(1, bundle(4, 40_000, 5, true), 1);
     settle(&mut world, 30_000);
     for item in world.items() {
-        let served: Vec<_> = world
-            .runners
-            .iter()
-            .filter(|(_, runner)| runner.serves(&item))
-            .collect();
+        let served: Vec<_> =
+            world.runners.iter().filter(|(_, runner)| runner.serves(&item)).collect();
         assert!(served.len() >= 2, "{item}: {}", served.len());
         let ready = world.leader().unwrap().ready(world.now, &item);
         assert_eq!(ready.len(), served.len(), "{item}");
@@ -80,10 +77,7 @@
     settle(&mut world, 60_000);
     for window in world.loads.windows(5) {
         let passed = window[4].since(window[0]).as_millis();
-        assert!(
-            passed + 300 >= 8_000,
-            "five loads within {passed} ms at one in two seconds"
-        );
+        assert!(passed + 300 >= 8_000, "five loads within {passed} ms at one in two seconds");
     }
 }
 
@@ -109,10 +103,7 @@
     runner.preload("gone", "v1", 20_000);
     settle(&mut world, 30_000);
     assert!(world.runners[&target(0)].has_ready("m0", "v1"));
-    assert!(
-        !world.runners[&target(0)].has_ready("gone", "v1"),
-        "not declared"
-    );
+    assert!(!world.runners[&target(0)].has_ready("gone", "v1"), "not declared");
 }
 
 #[test]
@@ -161,11 +152,7 @@
     world.runners.get_mut(&target(1)).unwrap().die();
     settle(&mut world, 30_000 + world::ORDER_DELAY_MS);
     for item in world.items() {
-        let copies = world
-            .runners
-            .values()
-            .filter(|runner| runner.serves(&item))
-            .count();
+        let copies = world.runners.values().filter(|runner| runner.serves(&item)).count();
         assert!(copies >= 2, "{item}: {copies}");
     }
     world.runners.get_mut(&target(1)).unwrap().alive = true;
@@ -182,11 +169,7 @@
         world.step();
     }
     let copies = |world: &World, item: &str| {
-        world
-            .runners
-            .values()
-            .filter(|runner| runner.serves(item))
-            .count()
+        world.runners.values().filter(|runner| runner.serves(item)).count()
     };
     assert!(copies(&world, "m0") >= 3, "{}", copies(&world, "m0"));
     let mut more = bundle(4, 26_000, 6, true);
@@ -208,11 +191,7 @@
 fn life(seed: u64, fate: Fate) -> World {
     let mut world = World::new(seed, bundle(4, 40_000, 5, fate.fencing), 3);
     world.judge_reach = !fate.deaths;
-    world.faults = Faults {
-        lost: 50,
-        answer_lost: 50,
-        late: 50,
-    };
+    world.faults = Faults { lost: 50, answer_lost: 50, late: 50 };
     let mut version = 1;
     for _ in 0..12 {
         let pause = world.rng.random_range(2_000..15_000);
@@ -303,10 +282,7 @@
 #[test]
 fn memory_and_reach_hold_with_runners_that_check_fencing_tokens() {
     lives(|Seed(seed)| {
-        let fate = Fate {
-            fencing: true,
-            deaths: false,
-        };
+        let fate = Fate { fencing: true, deaths: false };
         holds(seed, fate)
     });
 }
@@ -314,10 +290,7 @@
 #[test]
 fn memory_and_reach_hold_with_runners_that_check_nothing() {
     lives(|Seed(seed)| {
-        let fate = Fate {
-            fencing: false,
-            deaths: false,
-        };
+        let fate = Fate { fencing: false, deaths: false };
         holds(seed, fate)
     });
 }
@@ -325,10 +298,7 @@
 #[test]
 fn memory_holds_and_everything_comes_back_when_runners_die() {
     lives(|Seed(seed)| {
-        let fate = Fate {
-            fencing: seed % 2 == 0,
-            deaths: true,
-        };
+        let fate = Fate { fencing: seed % 2 == 0, deaths: true };
         holds(seed, fate)
     });
 }
