--- a/crates/quota/tests/fleet/mod.rs
+++ b/crates/quota/tests/fleet/mod.rs
@@ -1,7 +1,7 @@
 //! A few tables that exchange messages, under heads that change, and a judge
 //! who adds up what all VMs let through. Time is virtual.
 
-use std::collections;
+use std::{collections, fmt::Write as _};
 
 use rand::{Rng as _, SeedableRng as _};
 
@@ -66,6 +66,8 @@
     /// Shortest and longest call, in ms.
     pub lengths: (u64, u64),
     heads: Vec<Head>,
+    /// What happened, if it is to be noted.
+    pub session: Option<String>,
     pub uses: Vec<Use>,
     /// Moment, reservation and use of each call.
     arrivals: Vec<(u64, u64, u64)>,
@@ -94,6 +96,7 @@
             used_percent: 100,
             lengths: (20, 3_000),
             heads: Vec::new(),
+            session: None,
             uses: Vec::new(),
             arrivals: Vec::new(),
             refusals: Vec::new(),
@@ -250,6 +253,7 @@
     pub fn call(&mut self, vm: usize, tokens: u64, used: u64) {
         self.sequence += 1;
         let call = ids::Call::new(self.sequence);
+        self.note(vm, &format!("call {call} may use {tokens} and will use {used}"));
         self.open.insert((vm, call), (tokens, used));
         self.arrivals.push((self.now, tokens, used));
         self.with(vm, |table, now, out| {
@@ -273,7 +277,14 @@
         }
     }
 
+    fn note(&mut self, vm: usize, text: &str) {
+        if let Some(session) = &mut self.session {
+            writeln!(session, "{:>6} {} {text}", self.now, Self::name(vm)).unwrap();
+        }
+    }
+
     fn take(&mut self, vm: usize, output: quota::Output) {
+        self.note(vm, &serde_json::to_string(&output).unwrap());
         match output {
             quota::Output::Granted { call } => {
                 let (_, used) = self.open.remove(&(vm, call)).unwrap();
--- a/crates/quota/tests/usable.rs
+++ b/crates/quota/tests/usable.rs
@@ -8,6 +8,9 @@
 const BURST: u64 = 40_000;
 const SECONDS: u64 = 120;
 
+/// What a full bucket at the beginning is worth, in parts of the rate.
+const HEAD_START: f64 = BURST as f64 / (RATE * SECONDS) as f64;
+
 /// Runs and prints what was used and refused; the used part of the rate, and
 /// the part of the calls that were refused beyond those that one bucket for all
 /// VMs would have refused.
@@ -36,7 +39,7 @@
     let mut fleet = Fleet::new(5, 1, RATE, BURST);
     fleet.vms[0].demand = RATE * 3 / 2;
     let (used, _) = measure("all calls on one of 5 VMs, 1.5 times the rate", &mut fleet);
-    assert!(used >= 0.95);
+    assert!(used >= 0.95 + HEAD_START);
 }
 
 #[test]
@@ -60,7 +63,7 @@
     let mut fleet = Fleet::new(5, 4, RATE, BURST);
     fleet.vms.iter_mut().for_each(|vm| vm.demand = RATE * 3 / 10);
     let (used, _) = measure("even load on 5 VMs, 1.5 times the rate", &mut fleet);
-    assert!(used >= 0.95);
+    assert!(used >= 0.95 + HEAD_START);
 }
 
 #[test]
@@ -147,5 +150,5 @@
     let used = fleet.used(from) as f64 / 300.0;
     println!("a rate of 1 on 5 VMs: {used:.3} of the rate used");
     assert!(fleet.within_limits());
-    assert!(used >= 0.95);
+    assert!(used >= 0.95 + 3.0 / 300.0);
 }
