--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -24,7 +24,7 @@
     /// Where operators come.
     pub operator: GuardedFace,
     /// Where other VMs come.
-    pub peer: GuardedFace,
+    pub peer: PeerFace,
     /// The platform's parts.
     pub platform: Platform,
     /// Who may sign a bundle.
@@ -61,6 +61,20 @@
     pub credential: Credential,
 }
 
+/// The face towards other VMs.
+#[derive(Clone, Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerFace {
+    /// IP number and port; port 0 takes a free one.
+    pub address: net::SocketAddr,
+    /// The credential of all VMs, 16 to 256 bytes.
+    pub credential: Credential,
+    /// IP number and port under which other VMs reach this one, if they are
+    /// not those of `address`.
+    #[serde(default)]
+    pub advertised: Option<net::SocketAddr>,
+}
+
 /// Addresses of the platform's parts.
 #[derive(Clone, Debug)]
 #[derive(serde::Deserialize)]
@@ -134,8 +148,10 @@
     pub threads: Bounded<1, 256>,
     /// Longest time to connect to a target or a platform part, in ms.
     pub connect_ms: Bounded<10, 60_000>,
-    /// Longest time until a runner begins its answer, and between its chunks, in ms.
+    /// Longest time until a runner begins its answer, and until its first chunk, in ms.
     pub runner_ms: Bounded<100, 3_600_000>,
+    /// Longest time between two chunks of a runner, in ms.
+    pub chunk_ms: Bounded<100, 3_600_000>,
     /// Longest time until a plain service has answered, in ms.
     pub service_ms: Bounded<100, 3_600_000>,
     /// Largest answer of a plain service, in bytes.
@@ -159,7 +175,8 @@
             keep_alive_ms: Bounded(15_000),
             threads: Bounded(4),
             connect_ms: Bounded(1_000),
-            runner_ms: Bounded(60_000),
+            runner_ms: Bounded(30_000),
+            chunk_ms: Bounded(5_000),
             service_ms: Bounded(30_000),
             answer_bytes: Bounded(4_194_304),
             platform_ms: Bounded(3_000),
@@ -307,9 +324,10 @@
 /// Reads settings from a text, or says what is wrong and where.
 fn read(text: &str) -> Result<Settings, String> {
     let settings: Settings = serde_saphyr::from_str(text).map_err(|cause| explain(text, &cause))?;
-    if settings.peer.address.ip().is_unspecified() {
+    let reached = settings.peer.advertised.unwrap_or(settings.peer.address);
+    if reached.ip().is_unspecified() {
         let reason = "field address of peer: other VMs need the IP number of this VM here, \
-                      not the unspecified one";
+                      not the unspecified one, or in the field advertised";
         return Err(reason.to_owned());
     }
     Ok(settings)
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -26,8 +26,12 @@
     pub(crate) force: Option<sync::Arc<force::Force>>,
     pub(crate) head: member::Head,
     pub(crate) document: Option<sync::Arc<str>>,
+    /// The first version put in force here that had a bundle.
+    pub(crate) bundle_since: Option<ids::Version>,
     pub(crate) fetch: system::force::Fetch,
     pub(crate) pending: collections::BTreeMap<ids::Op, operate::Pending>,
+    /// Operators that wait for a row or an object, by the operation that reads it.
+    pub(crate) reads: collections::BTreeMap<ids::Op, ids::Op>,
     pub(crate) schedule: report::Schedule,
     pub(crate) stage: stop::Stage,
     pub(crate) view: member::View,
@@ -55,8 +59,10 @@
             force: None,
             head: member::Head::default(),
             document: None,
+            bundle_since: None,
             fetch: system::force::Fetch::default(),
             pending: collections::BTreeMap::new(),
+            reads: collections::BTreeMap::new(),
             schedule: report::Schedule::default(),
             stage: stop::Stage::Running,
             view: system::member::view(&config),
@@ -153,6 +159,7 @@
             1 => system::member::answer(self, now, op, result, out),
             2 => system::claim::answer(self, now, op, result, out),
             3 => system::plan::answer(self, now, op, result, out),
+            4 => system::operate::answer(self, op, result, out),
             _ => {}
         }
     }
@@ -172,13 +179,19 @@
     }
 
     /// Whether the balancer should send calls, or why not.
+    ///
+    /// A VM that has just started holds no share of any rate. It waits for one
+    /// before it asks for calls, which it would only refuse.
     fn readiness(&self, now: ids::Time) -> Result<(), String> {
         if self.stage != stop::Stage::Running {
             return Err("stopping".to_owned());
         }
         self.serves(now)?;
-        if self.force.is_none() {
+        let Some(since) = self.bundle_since else {
             return Err("no bundle is in force yet".to_owned());
+        };
+        if self.quota.raised() < since {
+            return Err("the shares of rates are not settled yet".to_owned());
         }
         Ok(())
     }
--- a/crates/node/src/system/quota.rs
+++ b/crates/node/src/system/quota.rs
@@ -6,8 +6,7 @@
 
 /// A table in which no account has a share.
 pub fn table(config: &Config) -> quota::Table {
-    let member::Member { vm, incarnation, .. } = config.member();
-    quota::Table::new(quota::Config::new(quota::Member { vm, incarnation }))
+    quota::Table::new(quota::Config::new(holder(&config.member())))
 }
 
 /// Asks for the tokens that a call may use at most.
@@ -30,23 +29,24 @@
     let Some(row) = node.calls.rows.get_mut(&call) else {
         return;
     };
-    let reserved = std::mem::take(&mut row.reserved);
-    let used = row.used().min(reserved);
-    if reserved == 0 {
+    if std::mem::take(&mut row.reserved) == 0 {
         node.quota.cancel(call);
+        return;
     }
+    let used = row.used();
     node.quota.settle(now, call, used);
 }
 
 /// Takes accounts and members from what is in force.
 pub fn adopt(node: &mut Node, now: ids::Time, head: &member::Head) {
-    let seat = |member: &member::Member| quota::Member {
-        vm: member.vm.clone(),
-        incarnation: member.incarnation,
-    };
-    let members: Vec<_> = head.members.iter().map(seat).collect();
+    let members: Vec<_> = head.members.iter().map(holder).collect();
     let accounts = node.force.iter().flat_map(|force| &force.bundle.accounts);
-    let limits: Vec<_> = accounts.map(quota::Limit::from).collect();
+    let limits = accounts.map(|account| quota::Limit {
+        account: account.name.clone(),
+        rate: account.rate,
+        burst: account.burst,
+    });
+    let limits: Vec<_> = limits.collect();
     node.quota.adopt(now, head.version, &members, &limits);
 }
 
@@ -55,7 +55,7 @@
     node.quota.settled(now, version);
 }
 
-/// Takes in a message of another VM.
+/// Takes in a message of another VM. A VM that does not serve lends nothing.
 pub fn peer(
     node: &mut Node,
     now: ids::Time,
@@ -99,7 +99,6 @@
 
 fn granted(node: &mut Node, now: ids::Time, call: ids::Call, out: &mut Vec<Output>) {
     let Some(row) = node.calls.rows.get_mut(&call) else {
-        node.quota.settle(now, call, 0);
         return;
     };
     row.reserved = row.need.tokens();
@@ -116,18 +115,18 @@
     out: &mut Vec<Output>,
 ) {
     node.counters.bump(count::OVER_RATE);
-    let ending = match reason {
-        quota::Reason::TooLarge => call::Ending::refused(
-            call::Code::TooLarge,
-            "the call may use more tokens than the account's whole burst; lower max_tokens",
-        ),
-        quota::Reason::Exhausted | quota::Reason::Unreachable | quota::Reason::Unknown => {
-            call::Ending::refused(call::Code::OverRate, reason.to_string())
-        }
+    let code = match reason {
+        quota::Reason::TooLarge => call::Code::TooLarge,
+        _ => call::Code::OverRate,
     };
+    let ending = call::Ending::refused(code, reason.to_string());
     let ending = match retry_after {
         Some(wait) => ending.with_retry_after(wait),
         None => ending,
     };
     system::finish::finish(node, now, call, ending, out);
 }
+
+fn holder(member: &member::Member) -> quota::Member {
+    quota::Member { vm: member.vm.clone(), incarnation: member.incarnation }
+}
