node: the status tells drains and rollouts under way

Any VM derives them from its tables when it is asked: targets that get no new work with its own calls open there, and items that are not, or not only, ready in the declared version, from the runners' reports. So another operator can look from any VM.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -252,6 +252,8 @@
             open_calls: self.calls.open(),
             queued_calls: self.queue.len(),
             unreachable,
+            drains: system::progress::drains(self),
+            rollouts: system::progress::rollouts(self, now),
             alarms,
         }
     }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -87,6 +87,60 @@
     pub queued_calls: usize,
     /// Models without a ready copy, as seen here.
     pub unreachable: Vec<sync::Arc<str>>,
+    /// Targets that get no new work, with what is still open there.
+    #[serde(default)]
+    pub drains: Vec<Drain>,
+    /// Models and adapters that are not, or not only, ready as declared.
+    #[serde(default)]
+    pub rollouts: Vec<Rollout>,
     /// What is wrong, each with what to do.
     pub alarms: Vec<String>,
 }
+
+/// A target that gets no new work, as one VM sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Drain {
+    /// The target.
+    pub target: ids::Target,
+    /// Whether an operator has drained it; otherwise it is leaving.
+    pub drained: bool,
+    /// Calls of this VM that are open there.
+    pub open_calls: usize,
+}
+
+/// A model or adapter on its way to the declared version, as one VM sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Rollout {
+    /// `MODEL` or `MODEL:ADAPTER`.
+    pub item: sync::Arc<str>,
+    /// The declared version; none for what is declared no more.
+    pub version: Option<sync::Arc<str>>,
+    /// Ready copies of the declared version that the bundle asks for.
+    pub copies: usize,
+    /// All copies that the runners report, by runner.
+    pub residents: Vec<Copy>,
+}
+
+impl Rollout {
+    /// Runners whose copy of the declared version is in `state`.
+    pub fn declared(&self, state: engine::report::State) -> impl Iterator<Item = &ids::Target> {
+        let version = self.version.clone();
+        let fits =
+            move |copy: &&Copy| copy.state == state && Some(&copy.version) == version.as_ref();
+        self.residents.iter().filter(fits).map(|copy| &copy.target)
+    }
+}
+
+/// A copy of a model or adapter on a runner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Copy {
+    /// The runner.
+    pub target: ids::Target,
+    /// Version of the copy.
+    pub version: sync::Arc<str>,
+    /// Where it stands.
+    pub state: engine::report::State,
+}
--- a/crates/node/src/system/mod.rs
+++ b/crates/node/src/system/mod.rs
@@ -9,6 +9,7 @@
 pub mod member;
 pub mod operate;
 pub mod plan;
+pub mod progress;
 pub mod quota;
 pub mod report;
 pub mod stop;
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -265,6 +265,14 @@
         offers
     }
 
+    /// The latest report of every runner that is not silent.
+    pub fn reports(&self, now: ids::Time) -> impl Iterator<Item = (&ids::Target, &engine::Report)> {
+        self.views.iter().filter_map(move |(target, view)| {
+            let seen = self.fresh(now, view)?;
+            Some((target, &seen.report))
+        })
+    }
+
     /// The rows as this planner knows them, for the dump.
     pub fn rows(&self) -> impl Iterator<Item = (&ids::Target, &Ledger)> {
         self.views.iter().map(|(target, view)| (target, &view.ledger))
