--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -136,9 +136,18 @@
         command: Key,
     },
     /// Give a target no new work; its open work ends.
+    ///
+    /// The drain belongs to the fleet and goes on if this command is ended. Give all --vm to see
+    /// the calls of all VMs.
     Drain {
         /// Name of the runner, or of the instance of a service.
         target: String,
+        /// Wait until no call is open at the target, for --timeout at most.
+        #[arg(long)]
+        wait: bool,
+        /// Only say how far the drain has come; change nothing.
+        #[arg(long)]
+        status: bool,
     },
     /// Give a drained target work again.
     Return {
@@ -147,7 +156,7 @@
     },
     /// Print a VM's tables as JSON, without secrets.
     State,
-    /// Say whether callers are served, what is wrong and what to do.
+    /// Say whether callers are served, what is under way, what is wrong and what to do.
     ///
     /// Asks every --vm. Exits with 1 if something is wrong.
     Status,
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -4,8 +4,10 @@
 mod amend;
 mod check;
 mod diff;
+mod drain;
 mod history;
 mod key;
+mod progress;
 mod signing;
 mod status;
 
@@ -44,7 +46,10 @@
             history::show(&client()?, version).await
         }
         args::Command::Key { command } => key::run(&client()?, command, json).await,
-        args::Command::Drain { target } => amend::drain(&client()?, &target, json).await,
+        args::Command::Drain { target, wait, status } => {
+            let want = drain::Want { change: !status, wait, timeout: remote.timeout() };
+            drain::run(&client()?, &target.as_str().into(), want, json).await
+        }
         args::Command::Return { target } => amend::give_back(&client()?, &target, json).await,
         args::Command::State => status::state(&client()?).await,
         args::Command::Status => status::run(&client()?, json).await,
--- a/crates/cli/src/command/amend.rs
+++ b/crates/cli/src/command/amend.rs
@@ -1,6 +1,4 @@
-//! `primroseplank drain` and `return`, and what all amendments share.
-
-use std::fmt::Write as _;
+//! `primroseplank return`, and what all amendments share.
 
 use bundle::amend;
 use node::operator;
@@ -16,23 +14,6 @@
     client.send(&client::Request::post("/v1/amend", body)).await
 }
 
-/// Gives `target` no new work.
-pub(super) async fn drain(
-    client: &client::Client,
-    target: &str,
-    json: bool,
-) -> error::Result<done::Done> {
-    let reply = send(client, &amend::Change::Drain(target.into())).await?;
-    let mut done = super::accept::outcome("draining", reply, json)?;
-    if !json {
-        _ = writeln!(
-            done.text,
-            "{target} gets no new work; `primroseplank return {target}` undoes it"
-        );
-    }
-    Ok(done)
-}
-
 /// Gives `target` work again.
 pub(super) async fn give_back(
     client: &client::Client,
--- /dev/null
+++ b/crates/cli/src/command/progress.rs
@@ -0,0 +1,123 @@
+//! How far drains and rollouts have come, put together from what the VMs say.
+
+use std::{collections, fmt};
+
+use engine::report;
+use node::operator;
+
+/// The drain of one target, over all VMs that were asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
+pub(super) struct Drain {
+    target: ids::Target,
+    /// Whether all VMs that answered give it no new work.
+    closed: bool,
+    /// Calls that are open there, by VM.
+    open_calls: collections::BTreeMap<String, usize>,
+    /// Members that were not asked or did not answer.
+    silent: Vec<String>,
+}
+
+impl Drain {
+    /// The drain of `target` as `statuses` show it.
+    pub(super) fn new(target: &ids::Target, statuses: &[&operator::Status]) -> Self {
+        let of = |status: &operator::Status| {
+            status.drains.iter().find(|drain| drain.target == *target).cloned()
+        };
+        let drains: Vec<_> = statuses.iter().filter_map(|status| of(status)).collect();
+        let names = statuses.iter().map(|status| status.vm.clone());
+        let calls = statuses.iter().map(|status| of(status).map_or(0, |drain| drain.open_calls));
+        Self {
+            target: target.clone(),
+            closed: !statuses.is_empty() && drains.len() == statuses.len(),
+            open_calls: names.zip(calls).collect(),
+            silent: silent(statuses),
+        }
+    }
+
+    /// Whether it is known that no call is open there and none will be.
+    pub(super) fn is_done(&self) -> bool {
+        self.closed && self.silent.is_empty() && self.open_calls.values().all(|calls| *calls == 0)
+    }
+}
+
+impl fmt::Display for Drain {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let calls: usize = self.open_calls.values().sum();
+        let new = if self.closed { "no new work" } else { "still new work on some VM" };
+        write!(f, "{}: {new}, ", self.target)?;
+        match calls {
+            0 => write!(f, "no call open")?,
+            _ => write!(f, "{calls} calls open ({})", counts(&self.open_calls))?,
+        }
+        if !self.silent.is_empty() {
+            let names = self.silent.join(", ");
+            write!(f, "; not known of {names}: give every VM as --vm")?;
+        }
+        Ok(())
+    }
+}
+
+fn counts(open: &collections::BTreeMap<String, usize>) -> String {
+    let some = open.iter().filter(|(_, calls)| **calls > 0);
+    some.map(|(vm, calls)| format!("{vm} {calls}")).collect::<Vec<_>>().join(", ")
+}
+
+/// Members of the fleet that are not among `statuses`.
+fn silent(statuses: &[&operator::Status]) -> Vec<String> {
+    let Some(newest) = statuses.iter().max_by_key(|status| status.version) else {
+        return Vec::new();
+    };
+    let members = newest.members.iter().map(ToString::to_string);
+    members.filter(|member| !statuses.iter().any(|status| status.vm == *member)).collect()
+}
+
+/// Every drain and rollout that is under way, each in a line.
+pub(super) fn lines(statuses: &[&operator::Status]) -> Vec<String> {
+    let drains = statuses.iter().flat_map(|status| &status.drains);
+    let targets: collections::BTreeSet<_> = drains.map(|drain| &drain.target).collect();
+    let drains = targets.into_iter().map(|target| Drain::new(target, statuses).to_string());
+    // All VMs hear of the same runners, the one with the newest version knows what is declared.
+    let newest = statuses.iter().max_by_key(|status| status.version);
+    let rollouts = newest.into_iter().flat_map(|status| status.rollouts.iter().map(rollout));
+    drains.chain(rollouts).collect()
+}
+
+/// Which version of an item is where.
+fn rollout(rollout: &operator::Rollout) -> String {
+    let mut parts = Vec::new();
+    if let Some(version) = &rollout.version {
+        let ready: Vec<_> = rollout.declared(report::State::Ready).collect();
+        let loading: Vec<_> = rollout.declared(report::State::Loading).collect();
+        let copies = rollout.copies;
+        parts.push(format!("{} of {copies} copies of {version} ready{}", ready.len(), on(&ready)));
+        if !loading.is_empty() {
+            parts.push(format!("loading{}", on(&loading)));
+        } else if ready.len() < copies {
+            parts.push("waiting for memory or for the weight store".to_owned());
+        }
+    } else {
+        parts.push("declared no more".to_owned());
+    }
+    let declared = |copy: &&operator::Copy| Some(&copy.version) != rollout.version.as_ref();
+    for copy in rollout.residents.iter().filter(declared) {
+        parts.push(format!("{} {} on {}", copy.version, state(copy.state), copy.target));
+    }
+    format!("{}: {}", rollout.item, parts.join(", "))
+}
+
+const fn state(state: report::State) -> &'static str {
+    match state {
+        report::State::Loading => "loading",
+        report::State::Ready => "still ready",
+        report::State::Unloading => "unloading",
+    }
+}
+
+fn on(targets: &[&ids::Target]) -> String {
+    if targets.is_empty() {
+        return String::new();
+    }
+    let names: Vec<_> = targets.iter().map(|target| target.as_str()).collect();
+    format!(" on {}", names.join(", "))
+}
--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -7,7 +7,7 @@
 use crate::{client, done, error};
 
 /// What a VM says of itself, or why it says nothing.
-struct Seen {
+pub(super) struct Seen {
     address: net::SocketAddr,
     status: error::Result<operator::Status>,
 }
@@ -23,13 +23,24 @@
 
 /// Asks every VM that is given.
 pub(super) async fn run(client: &client::Client, json: bool) -> error::Result<done::Done> {
+    let seen = ask_all(client).await;
+    let text = if json { as_json(&seen) } else { screen(&seen) };
+    Ok(done::Done::new(exit(&seen), text))
+}
+
+/// What each VM that is given says.
+pub(super) async fn ask_all(client: &client::Client) -> Vec<Seen> {
     let mut seen = Vec::new();
     for address in client.vms() {
         let status = ask(client, *address).await;
         seen.push(Seen { address: *address, status });
     }
-    let text = if json { as_json(&seen) } else { screen(&seen) };
-    Ok(done::Done::new(exit(&seen), text))
+    seen
+}
+
+/// The statuses of the VMs that answered.
+pub(super) fn known(seen: &[Seen]) -> Vec<&operator::Status> {
+    seen.iter().filter_map(|seen| seen.status.as_ref().ok()).collect()
 }
 
 async fn ask(client: &client::Client, address: net::SocketAddr) -> error::Result<operator::Status> {
@@ -136,6 +147,13 @@
             versions.join(" and ")
         ));
     }
+    let under_way = super::progress::lines(&known(seen));
+    if !under_way.is_empty() {
+        text.push_str("under way:\n");
+    }
+    for line in under_way {
+        _ = writeln!(text, "  - {line}");
+    }
     text.push_str(if wrong.is_empty() { "nothing is wrong\n" } else { "what is wrong:\n" });
     for wrong in wrong {
         _ = writeln!(text, "  - {wrong}");
--- a/crates/cli/tests/program/online.rs
+++ b/crates/cli/tests/program/online.rs
@@ -5,6 +5,8 @@
 
 use crate::fake;
 use bundle::signed;
+use engine::report;
+use node::operator;
 
 const BUNDLE: &str = "\
 format: 1
@@ -279,3 +281,79 @@
 
     assert_eq!(fake::run_bare(directory.path(), &["state", "--vm", &vm]).code, 2);
 }
+
+/// The status of a member of a fleet of two that has `open_calls` at a drained runner.
+fn draining(vm: &str, open_calls: usize) -> String {
+    let drain = operator::Drain { target: "runner-1".into(), drained: true, open_calls };
+    let status = operator::Status {
+        vm: vm.to_owned(),
+        ready: true,
+        bundle: Some(ids::Digest::of(b"")),
+        members: vec!["vm-1".into(), "vm-2".into()],
+        drains: vec![drain],
+        rollouts: vec![rollout()],
+        ..operator::Status::default()
+    };
+    serde_json::json!({ "status": status }).to_string()
+}
+
+/// A model of which one copy of two is ready as declared.
+fn rollout() -> operator::Rollout {
+    let copy = |target: &str, version: &str, state| operator::Copy {
+        target: target.into(),
+        version: version.into(),
+        state,
+    };
+    operator::Rollout {
+        item: "draft".into(),
+        version: Some("v2".into()),
+        copies: 2,
+        residents: vec![
+            copy("runner-1", "v2", report::State::Ready),
+            copy("runner-2", "v1", report::State::Ready),
+            copy("runner-2", "v2", report::State::Loading),
+        ],
+    }
+}
+
+#[test]
+fn status_tells_how_far_drains_and_rollouts_are() {
+    let first = fake::Face::new(&[("GET /v1/status", &draining("vm-1", 2))]);
+    let second = fake::Face::new(&[("GET /v1/status", &draining("vm-2", 1))]);
+    let done = ask(&first, &["status", "--vm", &second.address.to_string()]);
+    assert_eq!(done.code, 0, "{done:?}");
+    assert!(done.out.contains("runner-1: no new work, 3 calls open (vm-1 2, vm-2 1)"), "{done:?}");
+    let rollout = "draft: 1 of 2 copies of v2 ready on runner-1, loading on runner-2, \
+                   v1 still ready on runner-2";
+    assert!(done.out.contains(rollout), "{done:?}");
+}
+
+#[test]
+fn drain_waits_until_no_vm_has_a_call_there() {
+    let face = |vm, open_calls| {
+        let status = draining(vm, open_calls);
+        fake::Face::new(&[("POST /v1/amend", IN_FORCE), ("GET /v1/status", &status)])
+    };
+    let faces = |first, second| (face("vm-1", first), face("vm-2", second));
+    let (first, second) = faces(0, 0);
+    let other = second.address.to_string();
+    let done = ask(&first, &["drain", "runner-1", "--wait", "--vm", &other]);
+    assert_eq!((done.code, &*done.out), (0, "runner-1: no new work, no call open\n"), "{done:?}");
+
+    // A member that was not asked may have calls there.
+    let wait = ["drain", "runner-1", "--wait", "--timeout", "1"];
+    let done = ask(&first, &wait);
+    assert_eq!(done.code, 3, "{done:?}");
+    assert!(done.err.contains("not known of vm-2"), "{done:?}");
+
+    let (first, second) = faces(0, 4);
+    let other = second.address.to_string();
+    let done = ask(&first, &[&wait[..], &["--vm", &other]].concat());
+    assert_eq!(done.code, 3, "{done:?}");
+    assert!(done.err.contains("4 calls open (vm-2 4)"), "{done:?}");
+    let done = ask(&first, &["drain", "runner-1", "--status", "--vm", &other]);
+    assert_eq!(done.code, 0, "{done:?}");
+    let seen = [first.seen(), second.seen()].concat();
+    let changes = seen.iter().filter(|request| request.line.starts_with("POST")).count();
+    assert_eq!(changes, 1, "looking changes nothing");
+}
