--- a/crates/daemon/src/metric.rs
+++ b/crates/daemon/src/metric.rs
@@ -32,6 +32,10 @@
 /// What was held back because the process had been paused.
 pub const PAUSED: &str = "primroseplank_paused_sends_total";
 
+/// The metrics of this crate; those of the decision core are [`node::count::ALL`].
+pub const ALL: &[&str] =
+    &[QUEUE, FIRST_TOKEN, CALLS, TOKENS, OPEN, READY, SLOW, DROPPED, LOST, PAUSED];
+
 /// Makes the recorder the process's own and describes every metric.
 ///
 /// # Errors
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -15,6 +15,8 @@
 const BODY_BYTES: usize = 4 * 1024 * 1024;
 /// Longest time for a document or a change to arrive.
 const BODY_TIME: time::Duration = time::Duration::from_secs(30);
+/// Most operators that wait for an answer at once.
+const WAITING: usize = 1_024;
 /// Threads that serve operators.
 const THREADS: usize = 1;
 
@@ -42,12 +44,17 @@
         }
     }
 
-    fn open(&self) -> (ids::Op, oneshot::Receiver<operator::Reply>) {
+    /// A place for an operator; none while too many wait.
+    fn open(&self) -> Option<(ids::Op, oneshot::Receiver<operator::Reply>)> {
         let number = self.next.fetch_add(1, sync::atomic::Ordering::Relaxed);
         let op = ids::Op::new(AREA | number);
         let (sender, receiver) = oneshot::channel();
-        self.lock().insert(op, sender);
-        (op, receiver)
+        let mut replies = self.lock();
+        if replies.len() >= WAITING {
+            return None;
+        }
+        replies.insert(op, sender);
+        Some((op, receiver))
     }
 
     fn close(&self, op: ids::Op) {
@@ -224,7 +231,10 @@
 
 /// Asks the decision core and turns its answer into a response.
 async fn ask(state: &State, request: operator::Request) -> WebResponse {
-    let (op, receiver) = state.waiting.open();
+    let Some((op, receiver)) = state.waiting.open() else {
+        let reason = "too many operators wait for an answer; ask again later";
+        return refused(http::StatusCode::SERVICE_UNAVAILABLE, reason);
+    };
     let input = node::Input::Operator { op, request };
     let answered = async {
         if !state.inbox.send(input).await {
