--- a/crates/proofs/src/fleet.rs
+++ b/crates/proofs/src/fleet.rs
@@ -10,6 +10,8 @@
 pub const OPERATOR: &str = "operator-credential-of-the-proofs";
 /// Credential of the VMs.
 pub const PEER: &str = "vm-credential-of-the-proofs";
+/// Memory of a runner, in MiB.
+pub const RUNNER_MIB: u64 = 8_000;
 /// Name of the signer.
 const SIGNER: &str = "alice";
 /// When the proofs' bundles were signed, in seconds since the epoch.
@@ -50,6 +52,8 @@
     pub objects: process::Program,
     /// The list of VMs.
     pub list: process::Program,
+    /// The weight store.
+    pub weights: process::Program,
     /// The runners.
     pub runners: Vec<process::Program>,
     /// The plain service.
@@ -97,6 +101,8 @@
             let arguments: Vec<String> = arguments.iter().map(ToString::to_string).collect();
             process::Program::start("standin", name, path, &arguments)
         };
+        let weights = standin("weights", "weights", &["--loads-per-second", "10"])?;
+        let store = weights.address("address").to_string();
         let names: Vec<String> = (1..=config.vms).map(|vm| format!("vm-{vm}")).collect();
         let listed: Vec<&str> = names.iter().flat_map(|name| ["--vm", name]).collect();
         let mut fleet = Self {
@@ -107,10 +113,13 @@
             runners: (1..=config.runners)
                 .map(|runner| {
                     let name = format!("runner-{runner}");
+                    let memory = RUNNER_MIB.to_string();
                     let more = ["--name", &name, "--fencing", "--load", "draft@v1=1200"];
-                    standin(&name, "runner", &more)
+                    let more = [&more[..], &["--weights", &store, "--memory-mib", &memory]];
+                    standin(&name, "runner", &more.concat())
                 })
                 .collect::<Result<_>>()?,
+            weights,
             vms: Vec::new(),
             links: collections::BTreeMap::new(),
             key: key::Secret::new(&"mayors-1".into(), &[7; 24]).reveal().to_owned(),
@@ -186,7 +195,7 @@
             let address = runner.address("address");
             format!(
                 "  - {{name: runner-{number}, centre: north, address: '{address}', \
-                 accelerators: 1, memory_mib: 8000, fencing: true}}"
+                 accelerators: 1, memory_mib: {RUNNER_MIB}, fencing: true}}"
             )
         };
         let runners: Vec<String> = (1..).zip(&self.runners).map(runner).collect();
