--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -62,7 +62,8 @@
 }
 
 /// The face towards other VMs.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PeerFace {
     /// IP number and port; port 0 takes a free one.
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -1,7 +1,8 @@
 //! What VMs tell one another about tokens. Amounts are in billionths.
 
 /// A message between VMs. It may be lost, late or doubled.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Message {
     /// Asks to borrow.
     #[serde(rename = "a")]
@@ -45,7 +46,8 @@
 }
 
 /// What has become of a lease so far.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct State {
     /// Number of the lease.
     #[serde(rename = "n")]
--- a/crates/quota/src/output.rs
+++ b/crates/quota/src/output.rs
@@ -3,7 +3,8 @@
 use std::time;
 
 /// What is to be done.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Output {
     /// The call's tokens are reserved.
@@ -30,19 +31,8 @@
 }
 
 /// Why a call's tokens cannot be had.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    serde::Serialize,
-    serde::Deserialize,
-    displaydoc::Display
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize, displaydoc::Display)]
 #[serde(rename_all = "kebab-case")]
 pub enum Reason {
     /// the account's rate and burst are used up
--- a/crates/quota/src/share.rs
+++ b/crates/quota/src/share.rs
@@ -3,7 +3,8 @@
 use std::{cmp, collections};
 
 /// One incarnation of a VM.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Member {
     /// The VM's name.
     pub vm: ids::Vm,
@@ -12,7 +13,8 @@
 }
 
 /// What an account may use over all VMs together.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Limit {
     /// The account.
     pub account: ids::Account,
--- a/crates/quota/src/table/dump.rs
+++ b/crates/quota/src/table/dump.rs
@@ -3,7 +3,8 @@
 use super::Table;
 
 /// An account's tokens on one VM, for operators.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct Dump {
     /// The account.
     pub account: ids::Account,
