--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -105,6 +105,9 @@
     pub target: ids::Target,
     /// Whether an operator has drained it; otherwise it is leaving.
     pub drained: bool,
+    /// What it still has to serve, as no other target is ready to.
+    #[serde(default)]
+    pub serving: Vec<sync::Arc<str>>,
     /// Calls of this VM that are open there.
     pub open_calls: usize,
 }
--- a/crates/node/src/system/progress.rs
+++ b/crates/node/src/system/progress.rs
@@ -10,15 +10,19 @@
 /// Targets that get no new work, with the calls of this VM that are open there.
 #[must_use]
 pub fn drains(node: &Node) -> Vec<operator::Drain> {
+    let Some(force) = &node.force else {
+        return Vec::new();
+    };
     let open = open_calls(node);
-    let closed = node.targets.iter().filter(|(_, row)| !row.is_open());
-    closed
-        .map(|(target, row)| operator::Drain {
-            target: target.clone(),
-            drained: row.drained,
-            open_calls: open.get(target).copied().unwrap_or_default(),
-        })
-        .collect()
+    let drain = |(target, row): (&ids::Target, &route::target::Row)| {
+        let drained = force.amendments.drained.contains(target);
+        // A drained runner stays open for what only it has a copy of.
+        let serving = row.ready.iter().filter(|_| row.is_open()).cloned().collect();
+        let open_calls = open.get(target).copied().unwrap_or_default();
+        let is_closing = drained || !row.is_open();
+        is_closing.then(|| operator::Drain { target: target.clone(), drained, serving, open_calls })
+    };
+    node.targets.iter().filter_map(drain).collect()
 }
 
 /// Calls of this VM that are open at each target.
