--- a/crates/cli/src/command/progress.rs
+++ b/crates/cli/src/command/progress.rs
@@ -1,6 +1,6 @@
 //! How far drains and rollouts have come, put together from what the VMs say.
 
-use std::{collections, fmt};
+use std::{collections, fmt, sync};
 
 use engine::report;
 use node::operator;
@@ -10,8 +10,10 @@
 #[derive(serde::Serialize)]
 pub(super) struct Drain {
     target: ids::Target,
-    /// Whether all VMs that answered give it no new work.
-    closed: bool,
+    /// Whether all VMs that answered know that it is to get no new work.
+    known: bool,
+    /// What it still has to serve on some VM, as no other target is ready to.
+    serving: collections::BTreeSet<sync::Arc<str>>,
     /// Calls that are open there, by VM.
     open_calls: collections::BTreeMap<String, usize>,
     /// Members that were not asked or did not answer.
@@ -29,7 +31,8 @@
         let calls = statuses.iter().map(|status| of(status).map_or(0, |drain| drain.open_calls));
         Self {
             target: target.clone(),
-            closed: !statuses.is_empty() && drains.len() == statuses.len(),
+            known: !statuses.is_empty() && drains.len() == statuses.len(),
+            serving: drains.iter().flat_map(|drain| &drain.serving).cloned().collect(),
             open_calls: names.zip(calls).collect(),
             silent: silent(statuses),
         }
@@ -37,15 +40,20 @@
 
     /// Whether it is known that no call is open there and none will be.
     pub(super) fn is_done(&self) -> bool {
-        self.closed && self.silent.is_empty() && self.open_calls.values().all(|calls| *calls == 0)
+        let closed = self.known && self.serving.is_empty() && self.silent.is_empty();
+        closed && self.open_calls.values().all(|calls| *calls == 0)
     }
 }
 
 impl fmt::Display for Drain {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let calls: usize = self.open_calls.values().sum();
-        let new = if self.closed { "no new work" } else { "still new work on some VM" };
-        write!(f, "{}: {new}, ", self.target)?;
+        write!(f, "{}: ", self.target)?;
+        match self.serving.len() {
+            _ if !self.known => f.write_str("not drained on every VM, ")?,
+            0 => f.write_str("no new work, ")?,
+            items => write!(f, "still serves {items} items that no other has ready, ")?,
+        }
         match calls {
             0 => write!(f, "no call open")?,
             _ => write!(f, "{calls} calls open ({})", counts(&self.open_calls))?,
--- a/crates/cli/tests/program/online.rs
+++ b/crates/cli/tests/program/online.rs
@@ -284,7 +284,12 @@
 
 /// The status of a member of a fleet of two that has `open_calls` at a drained runner.
 fn draining(vm: &str, open_calls: usize) -> String {
-    let drain = operator::Drain { target: "runner-1".into(), drained: true, open_calls };
+    let drain = operator::Drain {
+        target: "runner-1".into(),
+        drained: true,
+        serving: Vec::new(),
+        open_calls,
+    };
     let status = operator::Status {
         vm: vm.to_owned(),
         ready: true,
--- a/crates/proofs/src/fleet.rs
+++ b/crates/proofs/src/fleet.rs
@@ -1,6 +1,6 @@
 //! A whole small deployment as separate processes.
 
-use std::{fs, net};
+use std::{fs, net, path};
 
 use bundle::{key, signed};
 
@@ -118,9 +118,17 @@
     ///
     /// It cannot be started.
     pub fn start_vm(&self, name: &str) -> Result<process::Program> {
+        self.start_vm_with(name, &self.settings(name))
+    }
+
+    /// Starts a VM's process with other settings than [`Fleet::settings`].
+    ///
+    /// # Errors
+    ///
+    /// It cannot be started.
+    pub fn start_vm_with(&self, name: &str, settings: &str) -> Result<process::Program> {
         let file = self.directory.path().join(format!("{name}.yaml"));
-        fs::write(&file, self.settings(name))
-            .map_err(|cause| Error::new("write settings", &name, &cause))?;
+        fs::write(&file, settings).map_err(|cause| Error::new("write settings", &name, &cause))?;
         let arguments = ["--settings".to_owned(), file.display().to_string()];
         process::Program::start("primroseplankd", name, self.directory.path(), &arguments)
     }
@@ -203,6 +211,34 @@
         accepted.map_err(|error| Error::new("accept", &error, &said))
     }
 
+    /// Where the files of this deployment are.
+    #[must_use]
+    pub fn directory(&self) -> &path::Path {
+        self.directory.path()
+    }
+
+    /// The signing key of this deployment's signer, as its file has it.
+    #[must_use]
+    pub fn signing_key(&self) -> String {
+        self.secret.reveal()
+    }
+
+    /// Runs the operators' command line in [`Fleet::directory`]; it finds the
+    /// VMs and the credential as the operators' page tells.
+    ///
+    /// # Errors
+    ///
+    /// It cannot be started.
+    pub fn command(&self, line: &str) -> Result<process::Run> {
+        let vms: Vec<_> = self.vms.iter().map(|vm| vm.address("operator").to_string()).collect();
+        let vms = vms.join(",");
+        let environment = [("PRIMROSEPLANK_VM", &*vms), ("PRIMROSEPLANK_CREDENTIAL", OPERATOR)];
+        let arguments: Vec<_> = line.split(' ').skip(1).collect();
+        tokio::task::block_in_place(|| {
+            process::run("primroseplank", self.directory(), &arguments, &environment)
+        })
+    }
+
     /// Sends a request to a VM's operator face.
     ///
     /// # Errors
--- a/crates/proofs/src/process.rs
+++ b/crates/proofs/src/process.rs
@@ -155,6 +155,43 @@
     }
 }
 
+/// How a program that runs to its end has ended.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Exit code; none after a signal.
+    pub code: Option<i32>,
+    /// Its standard output.
+    pub out: String,
+    /// Its standard error.
+    pub err: String,
+}
+
+/// Runs the program `binary` in `directory` to its end, with no environment
+/// but `environment`.
+///
+/// # Errors
+///
+/// It cannot be started.
+pub fn run(
+    binary: &str,
+    directory: &path::Path,
+    arguments: &[&str],
+    environment: &[(&str, &str)],
+) -> Result<Run> {
+    let output = process::Command::new(directory_of_programs()?.join(binary))
+        .args(arguments)
+        .current_dir(directory)
+        .env_clear()
+        .envs(environment.iter().copied())
+        .output()
+        .map_err(|cause| Error::new("run", &binary, &cause))?;
+    Ok(Run {
+        code: output.status.code(),
+        out: String::from_utf8_lossy(&output.stdout).into_owned(),
+        err: String::from_utf8_lossy(&output.stderr).into_owned(),
+    })
+}
+
 /// The directory above the one of the running test.
 fn directory_of_programs() -> Result<path::PathBuf> {
     let test = env::current_exe().map_err(|cause| Error::new("find", &"programs", &cause))?;
