--- a/crates/node/src/system/progress.rs
+++ b/crates/node/src/system/progress.rs
@@ -46,7 +46,7 @@
     for (target, report) in node.planner.reports(now) {
         for resident in &report.residents {
             let item = sync::Arc::clone(&resident.item);
-            let rollout = items.entry(item).or_insert_with_key(|item| undeclared(item));
+            let rollout = items.entry(item).or_insert_with_key(undeclared);
             rollout.residents.push(operator::Copy {
                 target: target.clone(),
                 version: sync::Arc::clone(&resident.version),
