daemon, node: a stream that nobody holds is not made up

A caller that came back for a stream without the text so far had its call sent on with an empty continue_text, so a runner that did not hold the stream went on from nothing and the caller got a text that did not fit the part it had. The empty text is no longer sent: such a runner refuses, and once all tries were refused the call ends not-run with unknown-stream.

--- a/crates/daemon/src/client/runner.rs
+++ b/crates/daemon/src/client/runner.rs
@@ -41,7 +41,10 @@
         fields.insert("stream".to_owned(), true.into());
         fields.remove("max_completion_tokens");
         fields.insert("max_tokens".to_owned(), self.begin.max_tokens.into());
-        if self.begin.resume_from > 0 {
+        // Without the text so far, a runner that does not hold the stream has to refuse: it
+        // would go on from nothing.
+        fields.remove("continue_text");
+        if self.begin.resume_from > 0 && !self.begin.text.is_empty() {
             fields.insert("continue_text".to_owned(), self.begin.text.clone().into());
         }
         let uri = format!("http://{}/v1/chat/completions", self.begin.address);
--- a/crates/node/src/system/attempt.rs
+++ b/crates/node/src/system/attempt.rs
@@ -183,7 +183,14 @@
     }
     system::claim::release(node, now, call, out);
     let message = format!("no target could take the call: {reason}");
-    system::finish::fail(node, now, call, call::Code::TargetFailed, message, out);
+    let is_lost_stream = node.calls.rows.get(&call).is_some_and(is_lost_stream);
+    let code = if is_lost_stream { call::Code::UnknownStream } else { call::Code::TargetFailed };
+    system::finish::fail(node, now, call, code, message, out);
+}
+
+/// Whether a call was to go on with a stream that no target holds, without the text so far.
+fn is_lost_stream(row: &calls::Row) -> bool {
+    row.next_chunk() > 0 && row.text().is_empty() && !row.may_have_run()
 }
 
 /// Ends an attempt and tells the target's row how.
