--- a/crates/proofs/tests/ops.rs
+++ b/crates/proofs/tests/ops.rs
@@ -54,7 +54,16 @@
 /// Drafts that are streamed without a pause.
 struct Traffic {
     ended: sync::Arc<atomic::AtomicBool>,
-    workers: Vec<tokio::task::JoinHandle<proofs::Result<(usize, Vec<String>)>>>,
+    workers: Vec<tokio::task::JoinHandle<proofs::Result<Drafts>>>,
+}
+
+/// What became of a worker's drafts.
+#[derive(Debug, Default)]
+struct Drafts {
+    /// Number of drafts that were whole.
+    whole: usize,
+    /// What was wrong with the others.
+    failed: Vec<String>,
 }
 
 impl Traffic {
@@ -73,35 +82,34 @@
     async fn whole(self) -> proofs::Result<()> {
         self.ended.store(true, atomic::Ordering::Relaxed);
         for worker in self.workers {
-            let (whole, failed) = worker.await.expect("a task")?;
-            assert!(failed.is_empty(), "{whole} whole, then {failed:?}");
-            assert!(whole > 0, "drafts were streamed");
+            let drafts = worker.await.expect("a task")?;
+            assert!(drafts.failed.is_empty() && drafts.whole > 0, "{drafts:?}");
         }
         Ok(())
     }
 }
 
-/// Streams drafts until the end, and gives how many were whole and what failed.
+/// Streams drafts until the end.
 async fn draft(
     caller: caller::Caller,
     address: std::net::SocketAddr,
     number: usize,
     ended: sync::Arc<atomic::AtomicBool>,
-) -> proofs::Result<(usize, Vec<String>)> {
-    let (mut whole, mut failed) = (0, Vec::new());
+) -> proofs::Result<Drafts> {
+    let mut drafts = Drafts::default();
     while !ended.load(atomic::Ordering::Relaxed) {
-        let prompt = format!("draft {number} after {whole}");
+        let prompt = format!("draft {number} after {}", drafts.whole);
         let body = fleet::chat(TOKENS, true, &prompt);
         let stream = caller.stream(address, &[], &body).await?;
         let status = stream.status();
         let end = stream.whole().await?;
         if end.is_done && end.text == fleet::answer(TOKENS, &prompt) {
-            whole += 1;
+            drafts.whole += 1;
         } else {
-            failed.push(format!("{prompt}: {status}, {:?}", end.error));
+            drafts.failed.push(format!("{prompt}: {status}, {:?}", end.error));
         }
     }
-    Ok((whole, failed))
+    Ok(drafts)
 }
 
 /// The versions of the model that a runner holds, as it reports itself.
@@ -117,7 +125,9 @@
 async fn bundle_is_changed_and_taken_back_while_drafts_are_streamed() -> proofs::Result<()> {
     let fleet = fleet::Fleet::start(fleet::Config { vms: 3, runners: 2 }).await?;
     let before = version_in_force(&fleet)?;
-    prepare(&fleet, &fleet.bundle().replace("version: v1", "version: v2"));
+    // The second copy is loaded seconds after the first one, so that both versions are in use.
+    let slow = fleet.bundle().replace("loads_per_second: 10,", "loads_per_second: 0.25,");
+    prepare(&fleet, &slow.replace("version: v1", "version: v2"));
     let traffic = Traffic::start(&fleet);
 
     done(&fleet, "primroseplank check bundle.yaml")?;
@@ -131,6 +141,12 @@
     let accept = format!("primroseplank accept bundle.signed --replaces {before}");
     let after = version(&done(&fleet, &accept)?);
     assert_eq!(after, before + 1);
+    wait::until("a status amid the rollout", async || {
+        let status = fleet.command("primroseplank status").ok()?.out;
+        let both = status.contains("draft: 1 of 2 copies of v2 ready on runner-");
+        (both && status.contains("v1 still ready on runner-")).then_some(())
+    })
+    .await?;
     over(&fleet, "draft:").await?;
     for runner in &fleet.runners {
         assert_eq!(held(runner).await?, ["\"v2\" \"ready\""], "the old version is gone");
