--- a/crates/node/src/system/quota.rs
+++ b/crates/node/src/system/quota.rs
@@ -39,11 +39,9 @@
 
 /// Takes accounts and members from what is in force.
 pub fn adopt(node: &mut Node, now: ids::Time, head: &member::Head) {
-    let Some(force) = &node.force else {
-        return;
-    };
     let members: Vec<_> = head.members.iter().map(holder).collect();
-    let limits = force.bundle.accounts.iter().map(|account| quota::Limit {
+    let accounts = node.force.iter().flat_map(|force| &force.bundle.accounts);
+    let limits = accounts.map(|account| quota::Limit {
         account: account.name.clone(),
         rate: account.rate,
         burst: account.burst,
--- a/crates/quota/tests/size.rs
+++ b/crates/quota/tests/size.rs
@@ -22,11 +22,8 @@
     }
     let from = fleet.now;
     fleet.run(SECONDS * 1_000);
-    let mut bytes: Vec<_> = fleet
-        .vms
-        .iter()
-        .map(|vm| vm.bytes + vm.messages * HEADER_BYTES)
-        .collect();
+    let mut bytes: Vec<_> =
+        fleet.vms.iter().map(|vm| vm.bytes + vm.messages * HEADER_BYTES).collect();
     bytes.sort_unstable();
     let used = fleet.used(from) as f64 / (RATE * SECONDS) as f64;
     let (granted, refused) = (fleet.uses.len(), fleet.refusals.len());
--- a/crates/quota/tests/usable.rs
+++ b/crates/quota/tests/usable.rs
@@ -8,6 +8,9 @@
 const BURST: u64 = 40_000;
 const SECONDS: u64 = 120;
 
+/// What a full bucket at the beginning is worth, in parts of the rate.
+const HEAD_START: f64 = BURST as f64 / (RATE * SECONDS) as f64;
+
 /// Runs and prints what was used and refused; the used part of the rate, and
 /// the part of the calls that were refused beyond those that one bucket for all
 /// VMs would have refused.
@@ -36,7 +39,7 @@
     let mut fleet = Fleet::new(5, 1, RATE, BURST);
     fleet.vms[0].demand = RATE * 3 / 2;
     let (used, _) = measure("all calls on one of 5 VMs, 1.5 times the rate", &mut fleet);
-    assert!(used >= 0.95);
+    assert!(used >= 0.95 + HEAD_START);
 }
 
 #[test]
@@ -50,10 +53,7 @@
 #[test]
 fn even_load_is_not_refused() {
     let mut fleet = Fleet::new(5, 3, RATE, BURST);
-    fleet
-        .vms
-        .iter_mut()
-        .for_each(|vm| vm.demand = RATE * 7 / 50);
+    fleet.vms.iter_mut().for_each(|vm| vm.demand = RATE * 7 / 50);
     let (_, wrongful) = measure("even load on 5 VMs, 0.7 of the rate", &mut fleet);
     assert!(wrongful <= 0.001);
 }
@@ -61,22 +61,16 @@
 #[test]
 fn an_even_overload_uses_the_rate() {
     let mut fleet = Fleet::new(5, 4, RATE, BURST);
-    fleet
-        .vms
-        .iter_mut()
-        .for_each(|vm| vm.demand = RATE * 3 / 10);
+    fleet.vms.iter_mut().for_each(|vm| vm.demand = RATE * 3 / 10);
     let (used, _) = measure("even load on 5 VMs, 1.5 times the rate", &mut fleet);
-    assert!(used >= 0.95);
+    assert!(used >= 0.95 + HEAD_START);
 }
 
 #[test]
 fn calls_that_use_a_part_are_charged_for_it() {
     let mut fleet = Fleet::new(5, 5, RATE, BURST);
     fleet.used_percent = 10;
-    fleet
-        .vms
-        .iter_mut()
-        .for_each(|vm| vm.demand = RATE * 6 / 25);
+    fleet.vms.iter_mut().for_each(|vm| vm.demand = RATE * 6 / 25);
     let case = "even load on 5 VMs, reserving 1.2 and using 0.66 of the rate";
     let (_, wrongful) = measure(case, &mut fleet);
     assert!(wrongful <= 0.01);
@@ -97,10 +91,7 @@
     let mut fleet = Fleet::new(5, 7, RATE, BURST);
     fleet.kill(4);
     fleet.vms[0].demand = RATE;
-    let (used, _) = measure(
-        "one of 5 VMs dead but a member, all calls on one",
-        &mut fleet,
-    );
+    let (used, _) = measure("one of 5 VMs dead but a member, all calls on one", &mut fleet);
     assert!(used >= 0.75);
 }
 
@@ -117,10 +108,7 @@
 #[test]
 fn a_restart_costs_little() {
     let mut fleet = Fleet::new(5, 11, RATE, BURST);
-    fleet
-        .vms
-        .iter_mut()
-        .for_each(|vm| vm.demand = RATE * 7 / 50);
+    fleet.vms.iter_mut().for_each(|vm| vm.demand = RATE * 7 / 50);
     fleet.kill(1);
     fleet.restart(1);
     fleet.join();
@@ -134,9 +122,7 @@
     let mut fleet = Fleet::new(5, 12, RATE, BURST);
     fleet.vms[0].demand = RATE * 7 / 10;
     for vm in 0..2 {
-        fleet
-            .cuts
-            .extend((2..5).flat_map(|other| [(vm, other), (other, vm)]));
+        fleet.cuts.extend((2..5).flat_map(|other| [(vm, other), (other, vm)]));
     }
     let case = "all calls on one of 5 VMs that reaches one other, 0.7 of the rate";
     let (used, _) = measure(case, &mut fleet);
@@ -164,5 +150,5 @@
     let used = fleet.used(from) as f64 / 300.0;
     println!("a rate of 1 on 5 VMs: {used:.3} of the rate used");
     assert!(fleet.within_limits());
-    assert!(used >= 0.95);
+    assert!(used >= 0.95 + 3.0 / 300.0);
 }
