--- a/crates/proofs/tests/callers.rs
+++ b/crates/proofs/tests/callers.rs
@@ -56,7 +56,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn examples_of_the_page_do_what_it_says() -> proofs::Result<()> {
-    let fleet = fleet::Fleet::start(fleet::Config { vms: 2, runners: 1 }).await?;
+    let fleet =
+        fleet::Fleet::start(fleet::Config { vms: 2, runners: 1, ..fleet::Config::default() })
+            .await?;
     let caller = fleet.caller();
     let mut stream = String::new();
     let mut first = caller::Whole::default();
@@ -106,7 +108,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn errors_have_the_status_and_outcome_of_the_page() -> proofs::Result<()> {
-    let fleet = fleet::Fleet::start(fleet::Config { vms: 1, runners: 1 }).await?;
+    let fleet =
+        fleet::Fleet::start(fleet::Config { vms: 1, runners: 1, ..fleet::Config::default() })
+            .await?;
     let chat = fleet::chat(2, false, "a draft");
     let model = |name: &str| chat.replace("\"draft\"", &format!("\"{name}\""));
     let large = fleet::chat(2, false, &"x".repeat(70_000));
--- a/crates/proofs/tests/ops.rs
+++ b/crates/proofs/tests/ops.rs
@@ -123,7 +123,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bundle_is_changed_and_taken_back_while_drafts_are_streamed() -> proofs::Result<()> {
-    let fleet = fleet::Fleet::start(fleet::Config { vms: 3, runners: 2 }).await?;
+    let fleet =
+        fleet::Fleet::start(fleet::Config { vms: 3, runners: 2, ..fleet::Config::default() })
+            .await?;
     let before = version_in_force(&fleet)?;
     // The second copy is loaded seconds after the first one, so that both versions are in use.
     let slow = fleet.bundle().replace("loads_per_second: 10,", "loads_per_second: 0.25,");
@@ -173,7 +175,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn keys_are_issued_rotated_and_withdrawn_on_every_vm() -> proofs::Result<()> {
-    let fleet = fleet::Fleet::start(fleet::Config { vms: 3, runners: 1 }).await?;
+    let fleet =
+        fleet::Fleet::start(fleet::Config { vms: 3, runners: 1, ..fleet::Config::default() })
+            .await?;
     let shown = |out: String| {
         let key = out.lines().find(|line| line.starts_with("pp."));
         key.unwrap_or_default().to_owned()
@@ -206,7 +210,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn runner_is_drained_and_returned_while_drafts_are_streamed() -> proofs::Result<()> {
-    let fleet = fleet::Fleet::start(fleet::Config { vms: 2, runners: 2 }).await?;
+    let fleet =
+        fleet::Fleet::start(fleet::Config { vms: 2, runners: 2, ..fleet::Config::default() })
+            .await?;
     let traffic = Traffic::start(&fleet);
     let out = done(&fleet, "primroseplank drain runner-1 --wait --timeout 50")?;
     assert_eq!(out, "runner-1: no new work, no call open\n");
@@ -232,7 +238,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn vm_is_replaced_by_one_with_a_new_name() -> proofs::Result<()> {
-    let mut fleet = fleet::Fleet::start(fleet::Config { vms: 3, runners: 1 }).await?;
+    let mut fleet =
+        fleet::Fleet::start(fleet::Config { vms: 3, runners: 1, ..fleet::Config::default() })
+            .await?;
     fleet.vms[2].kill()?;
     let status = fleet.command("primroseplank status")?;
     assert_eq!(status.code, Some(1), "{status:?}");
@@ -255,7 +263,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn signer_is_replaced_without_a_gap() -> proofs::Result<()> {
-    let mut fleet = fleet::Fleet::start(fleet::Config { vms: 3, runners: 1 }).await?;
+    let mut fleet =
+        fleet::Fleet::start(fleet::Config { vms: 3, runners: 1, ..fleet::Config::default() })
+            .await?;
     prepare(&fleet, &fleet.bundle().replace("rate: 100000\n", "rate: 90000\n"));
     let made = done(&fleet, "primroseplank signer new alice --output alice-2.key")?;
     let line = made.lines().last().unwrap_or_default().trim().trim_start_matches("- ").to_owned();
