--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -47,6 +47,7 @@
     let config = node::Config::new(settings.vm.as_str(), settings.centre.as_str(), incarnation)
         .with_peer(&peer)
         .with_signers(settings.signers.clone())
-        .with_balancer_wait(settings.stop.balancer_wait_ms.millis());
+        .with_balancer_wait(settings.stop.balancer_wait_ms.millis())
+        .with_policy(settings.policy.target, settings.policy.queue);
     daemon::process::run(&settings, listeners, incarnation, node::Node::new(config))
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -39,6 +39,9 @@
     /// How the VM stops.
     #[serde(default)]
     pub stop: Stop,
+    /// How calls are ordered and targets chosen.
+    #[serde(default)]
+    pub policy: Policy,
 }
 
 /// A face that needs no credential of its own.
@@ -187,6 +190,17 @@
     }
 }
 
+/// How calls are ordered and targets chosen.
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Policy {
+    /// How a target is chosen.
+    pub target: route::policy::Policy,
+    /// The order in which waiting calls are served.
+    pub queue: route::policy::Discipline,
+}
+
 /// A number from `MIN` to `MAX`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(serde::Deserialize)]
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -43,6 +43,21 @@
     assert!(error.contains("body_bits") && error.contains("line 8"), "{error}");
 }
 
+#[test]
+fn policy_is_read_and_an_unknown_one_refused_with_its_line() {
+    let with = |policy: &str| GOOD.replace("stop:", &format!("policy: {{{policy}}}\nstop:"));
+    let policy = load(GOOD).expect("good").policy;
+    assert_eq!(policy.target, route::policy::Policy::Expected);
+    assert_eq!(policy.queue, route::policy::Discipline::Fair);
+    let policy = load(&with("target: round-robin, queue: fifo")).expect("good").policy;
+    assert_eq!(policy.target, route::policy::Policy::RoundRobin);
+    assert_eq!(policy.queue, route::policy::Discipline::Fifo);
+    for wrong in ["target: fastest", "targets: random"] {
+        let error = load(&with(wrong)).expect_err("refused");
+        assert!(error.contains("line ") && error.contains("expected"), "{error}");
+    }
+}
+
 #[test]
 fn address_without_a_port_is_refused_with_its_field() {
     let error = refused("table: '127.0.0.1:1'", "table: '127.0.0.1'");
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -102,6 +102,18 @@
         self
     }
 
+    /// Sets how a target is chosen and in which order waiting calls are served.
+    #[must_use]
+    pub const fn with_policy(
+        mut self,
+        target: route::policy::Policy,
+        queue: route::policy::Discipline,
+    ) -> Self {
+        self.targets.policy = target;
+        self.queue.discipline = queue;
+        self
+    }
+
     /// This VM as a member of the head.
     #[must_use]
     pub fn member(&self) -> member::Member {
