--- a/crates/quota/tests/fleet/mod.rs
+++ b/crates/quota/tests/fleet/mod.rs
@@ -1,7 +1,7 @@
 //! A few tables that exchange messages, under heads that change, and a judge
 //! who adds up what all VMs let through. Time is virtual.
 
-use std::collections;
+use std::{collections, fmt::Write as _};
 
 use rand::{Rng as _, SeedableRng as _};
 
@@ -66,6 +66,8 @@
     /// Shortest and longest call, in ms.
     pub lengths: (u64, u64),
     heads: Vec<Head>,
+    /// What happened, if it is to be noted.
+    pub session: Option<String>,
     pub uses: Vec<Use>,
     /// Moment, reservation and use of each call.
     arrivals: Vec<(u64, u64, u64)>,
@@ -94,6 +96,7 @@
             used_percent: 100,
             lengths: (20, 3_000),
             heads: Vec::new(),
+            session: None,
             uses: Vec::new(),
             arrivals: Vec::new(),
             refusals: Vec::new(),
@@ -129,10 +132,7 @@
     }
 
     pub fn member(&self, vm: usize) -> quota::Member {
-        quota::Member {
-            vm: Self::name(vm),
-            incarnation: self.vms[vm].incarnation,
-        }
+        quota::Member { vm: Self::name(vm), incarnation: self.vms[vm].incarnation }
     }
 
     pub fn kill(&mut self, vm: usize) {
@@ -155,17 +155,8 @@
     pub fn limit(&mut self, rate: u64, burst: u64) {
         let live = |vm: &usize| self.vms[*vm].table.is_some() && !self.vms[*vm].removed;
         let members = (0..self.vms.len()).filter(live).map(|vm| self.member(vm));
-        let limit = quota::Limit {
-            account: account(),
-            rate,
-            burst,
-        };
-        self.heads.push(Head {
-            members: members.collect(),
-            limit,
-            made: self.now,
-            settled: None,
-        });
+        let limit = quota::Limit { account: account(), rate, burst };
+        self.heads.push(Head { members: members.collect(), limit, made: self.now, settled: None });
         let version = self.heads.len() as u64;
         for vm in 0..self.vms.len() {
             let delay = self.rng.random_range(1..400);
@@ -181,10 +172,7 @@
 
     pub fn serves(&self, vm: usize) -> bool {
         let entry = &self.vms[vm];
-        let head = entry
-            .adopted
-            .checked_sub(1)
-            .map(|at| &self.heads[usize::try_from(at).unwrap()]);
+        let head = entry.adopted.checked_sub(1).map(|at| &self.heads[usize::try_from(at).unwrap()]);
         let member = head.is_some_and(|head| head.members.contains(&self.member(vm)));
         entry.table.is_some() && !entry.frozen && member && self.now < entry.fresh_until
     }
@@ -265,6 +253,7 @@
     pub fn call(&mut self, vm: usize, tokens: u64, used: u64) {
         self.sequence += 1;
         let call = ids::Call::new(self.sequence);
+        self.note(vm, &format!("call {call} may use {tokens} and will use {used}"));
         self.open.insert((vm, call), (tokens, used));
         self.arrivals.push((self.now, tokens, used));
         self.with(vm, |table, now, out| {
@@ -288,7 +277,14 @@
         }
     }
 
+    fn note(&mut self, vm: usize, text: &str) {
+        if let Some(session) = &mut self.session {
+            writeln!(session, "{:>6} {} {text}", self.now, Self::name(vm)).unwrap();
+        }
+    }
+
     fn take(&mut self, vm: usize, output: quota::Output) {
+        self.note(vm, &serde_json::to_string(&output).unwrap());
         match output {
             quota::Output::Granted { call } => {
                 let (_, used) = self.open.remove(&(vm, call)).unwrap();
@@ -308,14 +304,9 @@
     }
 
     fn send(&mut self, vm: usize, to: &ids::Vm, message: &quota::Message) {
-        let to = (0..self.vms.len())
-            .find(|vm| Self::name(*vm) == *to)
-            .unwrap();
+        let to = (0..self.vms.len()).find(|vm| Self::name(*vm) == *to).unwrap();
         let incarnation = self.vms[vm].incarnation;
-        let frame = wire::Frame {
-            incarnation: incarnation.get(),
-            message,
-        };
+        let frame = wire::Frame { incarnation: incarnation.get(), message };
         let bytes = wire::encode(&frame).unwrap().len() as u64;
         for end in [vm, to] {
             self.vms[end].bytes += bytes;
@@ -333,8 +324,7 @@
 
     fn post(&mut self, vm: usize, delay: u64, event: Event) {
         self.sequence += 1;
-        self.events
-            .insert((self.now + delay, self.sequence), (vm, event));
+        self.events.insert((self.now + delay, self.sequence), (vm, event));
     }
 
     fn deliver(&mut self, vm: usize, event: Event) {
@@ -381,11 +371,7 @@
         let mut level = 0.0_f64;
         let mut most = 0.0_f64;
         let mut last = from;
-        for (time, used) in self
-            .uses
-            .iter()
-            .filter(|(time, _)| (from..to).contains(time))
-        {
+        for (time, used) in self.uses.iter().filter(|(time, _)| (from..to).contains(time)) {
             level = (level - rate as f64 * (time - last) as f64 / 1_000.0).max(0.0);
             last = *time;
             level += *used as f64;
@@ -398,12 +384,7 @@
     /// was settled until the next was made, and with the highest limit always.
     pub fn within_limits(&self) -> bool {
         let rate = self.heads.iter().map(|head| head.limit.rate).max().unwrap();
-        let burst = self
-            .heads
-            .iter()
-            .map(|head| head.limit.burst)
-            .max()
-            .unwrap();
+        let burst = self.heads.iter().map(|head| head.limit.burst).max().unwrap();
         let mut within = self.most_beyond(rate, 0, u64::MAX) <= burst as f64;
         for (place, head) in self.heads.iter().enumerate() {
             let end = self.heads.get(place + 1).map_or(u64::MAX, |next| next.made);
