--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -48,6 +48,6 @@
         .with_peer(&peer)
         .with_signers(settings.signers.clone())
         .with_balancer_wait(settings.stop.balancer_wait_ms.millis())
-        .with_policy(settings.policy.target, settings.policy.queue);
+        .with_policy(settings.policy.target, settings.policy.queue, settings.policy.gap_ms.get());
     daemon::process::run(&settings, listeners, incarnation, node::Node::new(config))
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -206,7 +206,7 @@
 }
 
 /// How calls are ordered and targets chosen.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 #[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Policy {
@@ -214,6 +214,19 @@
     pub target: route::policy::Policy,
     /// The order in which waiting calls are served.
     pub queue: route::policy::Discipline,
+    /// Time between tokens above which a target gets fewer calls, in ms; 0 for any.
+    pub gap_ms: Bounded<0, 10_000>,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        let targets = route::target::Config::default();
+        Self {
+            target: targets.policy,
+            queue: route::policy::Discipline::default(),
+            gap_ms: Bounded(targets.gap_ms),
+        }
+    }
 }
 
 /// A number from `MIN` to `MAX`.
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -49,12 +49,17 @@
     let policy = load(GOOD).expect("good").policy;
     assert_eq!(policy.target, route::policy::Policy::Expected);
     assert_eq!(policy.queue, route::policy::Discipline::Fair);
+    assert_eq!(policy.gap_ms.get(), 50);
     let policy = load(&with("target: round-robin, queue: fifo")).expect("good").policy;
     assert_eq!(policy.target, route::policy::Policy::RoundRobin);
     assert_eq!(policy.queue, route::policy::Discipline::Fifo);
-    for wrong in ["target: fastest", "targets: random"] {
+    for (wrong, told) in [
+        ("target: fastest", "expected"),
+        ("targets: random", "expected"),
+        ("gap_ms: 10001", "allowed is 0 to 10000"),
+    ] {
         let error = load(&with(wrong)).expect_err("refused");
-        assert!(error.contains("line ") && error.contains("expected"), "{error}");
+        assert!(error.contains("line ") && error.contains(told), "{error}");
     }
 }
 
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -102,13 +102,16 @@
         self
     }
 
-    /// Sets how a target is chosen and in which order waiting calls are served.
+    /// Sets how a target is chosen, in which order waiting calls are served, and the
+    /// time between tokens, in ms, above which a target gets fewer calls.
     #[must_use]
     pub const fn with_policy(
         mut self,
         target: route::policy::Policy,
         queue: route::policy::Discipline,
+        gap_ms: u64,
     ) -> Self {
+        self.targets.gap_ms = gap_ms;
         self.targets.policy = target;
         self.queue.discipline = queue;
         self
