--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -48,7 +48,7 @@
     let with = |policy: &str| GOOD.replace("stop:", &format!("policy: {{{policy}}}\nstop:"));
     let policy = load(GOOD).expect("good").policy;
     assert_eq!(policy.target, route::policy::Policy::Expected);
-    assert_eq!(policy.queue, route::policy::Discipline::Fair);
+    assert_eq!(policy.queue, route::policy::Discipline::LeastServed);
     assert_eq!(policy.gap_ms.get(), 50);
     let policy = load(&with("target: round-robin, queue: fifo")).expect("good").policy;
     assert_eq!(policy.target, route::policy::Policy::RoundRobin);
