node: a target that failed a call is tried for it again only after a second

Cause: with one known copy, a broken call spent its four attempts on the same dead runner within some 200 ms, before a report could show another copy. Ruled out: the budget for retries (one retry a second was left), the ejection (it lets one call at a time through to the only copy). Before: a_call_outlasts_the_time_until_another_copy_is_known red, target-failed; after: the call is answered whole by the other copy.

--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -97,6 +97,8 @@
     pub attempts: u32,
     /// Targets that failed it.
     pub failed: Vec<ids::Target>,
+    /// When the last of them did.
+    pub failed_at: ids::Time,
     /// Whether a byte of the present attempt may have been sent.
     pub sent: bool,
     /// Whether an earlier attempt may have run.
--- a/crates/node/src/system/arrive.rs
+++ b/crates/node/src/system/arrive.rs
@@ -218,6 +218,7 @@
         reserved: 0,
         attempts: 0,
         failed: Vec::new(),
+        failed_at: now,
         sent: false,
         broken: false,
         first,
--- a/crates/node/src/system/attempt.rs
+++ b/crates/node/src/system/attempt.rs
@@ -203,6 +203,7 @@
         call.stage = calls::Stage::Backoff;
         if !matches!(end, system::dispatch::End::Ok) {
             call.failed.push(row.target);
+            call.failed_at = now;
         }
     }
 }
--- a/crates/node/src/system/dispatch.rs
+++ b/crates/node/src/system/dispatch.rs
@@ -10,6 +10,12 @@
 /// Longest wait that a caller is told when the VM is overloaded.
 const OVERLOAD_WAIT: time::Duration = time::Duration::from_secs(2);
 
+/// Time after which a target that failed a call is tried for it once more.
+///
+/// It is long enough for reports to show another copy, which a call that
+/// spends its attempts at once on a dead target would never see.
+const SAME_TARGET_WAIT: time::Duration = time::Duration::from_secs(1);
+
 /// How an attempt ended, as far as its target is concerned.
 pub use route::target::Ending as End;
 
@@ -168,22 +174,27 @@
         return;
     };
     let need = row.need.clone();
-    let Some(target) = choose(node, now, &need, &row.failed.clone()) else {
-        return enqueue(node, now, call, out);
-    };
-    begin(node, now, call, target, out);
+    let failed = row.failed.clone();
+    let again_at = row.failed_at + SAME_TARGET_WAIT;
+    let Node { targets, rng, .. } = node;
+    if let Some(target) = targets.choose(now, &want(&need, &failed), rng) {
+        return begin(node, now, call, target, out);
+    }
+    if !failed.is_empty() && now < again_at {
+        return pause(node, call, again_at);
+    }
+    match node.targets.choose(now, &want(&need, &[]), &mut node.rng) {
+        Some(target) => begin(node, now, call, target, out),
+        None => enqueue(node, now, call, out),
+    }
 }
 
-/// Chooses a target, if need be one that failed the call before.
-fn choose(
-    node: &mut Node,
-    now: ids::Time,
-    need: &calls::Need,
-    failed: &[ids::Target],
-) -> Option<ids::Target> {
-    let Node { targets, rng, .. } = node;
-    let fresh = targets.choose(now, &want(need, failed), rng);
-    fresh.or_else(|| targets.choose(now, &want(need, &[]), rng))
+/// Takes a call out of the queue until `until`.
+fn pause(node: &mut Node, call: ids::Call, until: ids::Time) {
+    if let Some(row) = node.calls.rows.get_mut(&call) {
+        row.stage = calls::Stage::Backoff;
+        row.resume_at = until;
+    }
 }
 
 fn want<'a>(need: &'a calls::Need, excluded: &'a [ids::Target]) -> target::Want<'a> {
--- a/crates/node/tests/calls.rs
+++ b/crates/node/tests/calls.rs
@@ -242,3 +242,29 @@
     let call = world.arrive("mayors", chat(1));
     assert_eq!(world.begun()[0].call, call);
 }
+
+#[test]
+fn a_call_outlasts_the_time_until_another_copy_is_known() {
+    let mut world = World::ready();
+    world.is_second_empty = true;
+    world.run(world.now + 3_000);
+    let call = world.arrive("mayors", chat(2));
+    let from = world.begun().len() - 1;
+    let until = world.now + 8_000;
+    world.is_second_empty = false;
+    let mut seen = from;
+    while world.now < until && world.ending(call).is_none() {
+        for begin in world.begun().split_off(seen) {
+            seen += 1;
+            if begin.target.as_str() == "runner-1" {
+                world.event(begin.attempt, engine::Event::Broken { reason: "dead".into() });
+            } else {
+                world.chunk(begin.attempt, 0);
+                world.chunk(begin.attempt, 1);
+                world.done(begin.attempt, 2);
+            }
+        }
+        world.run(world.now + 20);
+    }
+    assert_eq!(world.chunks(call), [0, 1], "{:?}", world.ending(call));
+}
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -45,6 +45,8 @@
     pub text: String,
     pub outputs: Vec<Output>,
     pub is_store_out: bool,
+    /// Whether the second runner has nothing ready.
+    pub is_second_empty: bool,
     table: memory::Table,
     objects: memory::Objects,
     due: Vec<(u64, Input)>,
@@ -85,6 +87,7 @@
             text,
             outputs: Vec::new(),
             is_store_out: false,
+            is_second_empty: false,
             table: memory::Table::default(),
             objects: memory::Objects::default(),
             due: Vec::new(),
@@ -214,7 +217,9 @@
     fn serve(&mut self, output: &Output) {
         let input = match output {
             Output::Report { target, .. } => {
-                Input::Report { target: target.clone(), report: Some(report()) }
+                let is_empty = self.is_second_empty && target.as_str() == "runner-2";
+                let report = if is_empty { engine::Report::default() } else { report() };
+                Input::Report { target: target.clone(), report: Some(report) }
             }
             _ if self.is_store_out => return,
             Output::Table { op, request } => {
