node: the name of a stream says which target holds it

Cause: a caller that came back through another VM without its text found the runner that holds the stream only within the retries; with many runners it ended unknown-stream though one held it. Ruled out: asking the first VM, which may be the one that died. Before: a_stream_begun_by_another_vm_is_asked_of_the_runner_that_holds_it red, asked of whichever runner the choice fell on; after: asked of the holder first.

--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -9,6 +9,9 @@
 /// Length of a stream's name at targets, in characters.
 const STREAM_CHARS: usize = 32;
 
+/// What stands between a stream's name and the target that holds it.
+const HOLDER: char = '@';
+
 /// How far a call has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -67,8 +70,10 @@
     pub caller: Option<ids::Call>,
     /// When the caller went away.
     pub away_since: Option<ids::Time>,
-    /// Name of the stream, for callers.
+    /// Name of the stream, for callers, without the target that holds it.
     pub stream: sync::Arc<str>,
+    /// The target that holds the stream, as the name that a caller came back with says.
+    pub holder: Option<ids::Target>,
     /// Name of the stream at targets, from [`stream_at_target`].
     pub target_stream: sync::Arc<str>,
     /// Account, unless the route is open to all.
@@ -177,6 +182,24 @@
     pub begun: ids::Time,
 }
 
+/// The name that callers get of the stream `stream`, which `target` holds.
+///
+/// With the target in the name, any VM finds the runner that holds a stream,
+/// also when the VM that began it is gone.
+#[must_use]
+pub fn stream_of(stream: &str, target: &ids::Target) -> sync::Arc<str> {
+    format!("{stream}{HOLDER}{target}").into()
+}
+
+/// The parts of such a name: the stream, and the target that holds it.
+#[must_use]
+pub fn parts_of(name: &str) -> (&str, Option<ids::Target>) {
+    match name.split_once(HOLDER) {
+        Some((stream, target)) => (stream, Some(target.into())),
+        None => (name, None),
+    }
+}
+
 /// Name at targets of the stream that callers know as `stream`.
 ///
 /// The account is part of it, so that the name of another account's stream,
@@ -238,6 +261,18 @@
         self.streams.get(&stream_at_target(account, stream)).copied()
     }
 
+    /// The name that callers get of a call's stream.
+    #[must_use]
+    pub fn name_of(&self, row: &Row) -> sync::Arc<str> {
+        let Stage::Sent { attempt } = row.stage else {
+            return sync::Arc::clone(&row.stream);
+        };
+        match self.attempts.get(&attempt) {
+            Some(attempt) => stream_of(&row.stream, &attempt.target),
+            None => sync::Arc::clone(&row.stream),
+        }
+    }
+
     /// Notes that the connection of `call` has gone.
     pub fn detach(&mut self, now: ids::Time, call: ids::Call) {
         let Some(row) = self.rows.get_mut(&call) else {
--- a/crates/node/src/system/arrive.rs
+++ b/crates/node/src/system/arrive.rs
@@ -150,7 +150,8 @@
 ) -> Option<Admission> {
     let resume = arrival.resume.as_ref()?;
     let account = account.map(|account| &account.name);
-    let call = node.calls.of_stream(account, &resume.stream)?;
+    let (stream, _) = calls::parts_of(&resume.stream);
+    let call = node.calls.of_stream(account, stream)?;
     let row = node.calls.rows.get(&call)?;
     let is_held = (row.first..=row.next_chunk()).contains(&resume.from);
     is_held.then_some(Admission::Resumed(call, resume.from))
@@ -172,7 +173,7 @@
     let Some(row) = node.calls.rows.get(&call) else {
         return;
     };
-    out.push(Output::Accepted { call: caller, stream: sync::Arc::clone(&row.stream) });
+    out.push(Output::Accepted { call: caller, stream: node.calls.name_of(row) });
     for (seq, text) in (row.first..).zip(&row.chunks).skip_while(|(seq, _)| *seq < from) {
         out.push(Output::Chunk { call: caller, seq, text: sync::Arc::clone(text) });
     }
@@ -194,9 +195,12 @@
     let claim = claim(force, &arrival, &need)?;
     let limit = time::Duration::from_millis(force.bundle.limits.queue_ms);
     let patience = arrival.patience.map_or(limit, |patience| patience.min(limit));
-    let (stream, first, before) = match arrival.resume {
-        Some(resume) => (resume.stream, resume.from, resume.text),
-        None => (node.stream_name(arrival.call), 0, "".into()),
+    let (stream, holder, first, before) = match arrival.resume {
+        Some(resume) => {
+            let (stream, holder) = calls::parts_of(&resume.stream);
+            (stream.into(), holder, resume.from, resume.text)
+        }
+        None => (node.stream_name(arrival.call), None, 0, "".into()),
     };
     let account_name = account.as_ref().map(|account| &account.name);
     let target_stream = calls::stream_at_target(account_name, &stream);
@@ -205,6 +209,7 @@
         caller: Some(arrival.call),
         away_since: None,
         stream,
+        holder,
         target_stream,
         class: account.as_ref().map_or(format::Class::Courtesy, |account| account.class),
         account: account.map(|account| account.name),
--- a/crates/node/src/system/attempt.rs
+++ b/crates/node/src/system/attempt.rs
@@ -75,8 +75,11 @@
         return;
     }
     row.accepted = true;
+    let Some(row) = node.calls.rows.get(&call) else {
+        return;
+    };
     if let Some(caller) = row.caller {
-        out.push(Output::Accepted { call: caller, stream: sync::Arc::clone(&row.stream) });
+        out.push(Output::Accepted { call: caller, stream: node.calls.name_of(row) });
     }
 }
 
--- a/crates/node/src/system/dispatch.rs
+++ b/crates/node/src/system/dispatch.rs
@@ -176,6 +176,9 @@
     let need = row.need.clone();
     let failed = row.failed.clone();
     let again_at = row.failed_at + SAME_TARGET_WAIT;
+    if let Some(target) = holder(node, row) {
+        return begin(node, now, call, target, out);
+    }
     let Node { targets, rng, .. } = node;
     if let Some(target) = targets.choose(now, &want(&need, &failed), rng) {
         return begin(node, now, call, target, out);
@@ -189,6 +192,13 @@
     }
 }
 
+/// The target that holds the stream of a call that was not yet sent there.
+fn holder(node: &Node, row: &calls::Row) -> Option<ids::Target> {
+    let target = row.holder.as_ref().filter(|target| !row.failed.contains(target))?;
+    let offers = |known: &target::Row| known.ready.contains(&row.need.item);
+    node.targets.get(target).is_some_and(offers).then(|| target.clone())
+}
+
 /// Takes a call out of the queue until `until`.
 fn pause(node: &mut Node, call: ids::Call, until: ids::Time) {
     if let Some(row) = node.calls.rows.get_mut(&call) {
--- a/crates/node/tests/calls.rs
+++ b/crates/node/tests/calls.rs
@@ -268,3 +268,28 @@
     }
     assert_eq!(world.chunks(call), [0, 1], "{:?}", world.ending(call));
 }
+
+#[test]
+fn a_stream_begun_by_another_vm_is_asked_of_the_runner_that_holds_it() {
+    for runner in ["runner-1", "runner-2"] {
+        let mut world = World::ready();
+        let stream = format!("vm-9.7.3@{runner}").into();
+        let resume = call::Resume { stream, from: 1, text: "".into() };
+        let call = world.arrive_as("mayors", chat(4), |arrival| arrival.resume = Some(resume));
+        let begin = world.begun()[0].clone();
+        assert_eq!((begin.call, begin.target.as_str(), begin.resume_from), (call, runner, 1));
+    }
+}
+
+#[test]
+fn the_name_of_a_stream_says_which_runner_holds_it() {
+    let mut world = World::ready();
+    world.arrive("mayors", chat(4));
+    let begin = world.begun()[0].clone();
+    world.event(begin.attempt, engine::Event::Accepted);
+    let name = world.outputs.iter().find_map(|output| match output {
+        node::Output::Accepted { stream, .. } => Some(stream.to_string()),
+        _ => None,
+    });
+    assert_eq!(name, Some(format!("vm-1.1.1@{}", begin.target)));
+}
