node: a booking whose caller left while it waited is not run

Before: a_booking_whose_caller_left_while_it_waited_is_not_run red: it was sent when the desk had room, and nobody learnt that it was. After: its claim is released, and the same key runs once when it is asked for again.

--- a/crates/node/src/system/arrive.rs
+++ b/crates/node/src/system/arrive.rs
@@ -32,9 +32,9 @@
 /// Notes that a caller has gone.
 ///
 /// A draft goes on for a while, so that the caller can come back for the
-/// rest. A call that waits is dropped, for nobody would use its answer. A
-/// call that may run only once and was sent goes on to its end, so that its
-/// answer is stored for replay.
+/// rest. A call that waits is dropped, for nobody would use its answer, and
+/// its claim is released, for it may be asked for again. A call that may run
+/// only once and was sent goes on to its end, so that its answer is stored.
 pub fn gone(node: &mut Node, now: ids::Time, caller: ids::Call, out: &mut Vec<Output>) {
     let Some(call) = node.calls.of_caller(caller) else {
         return;
@@ -44,7 +44,9 @@
         return;
     };
     match row.stage {
-        calls::Stage::Quota | calls::Stage::Queue if row.claim.is_none() && !row.may_have_run() => {
+        calls::Stage::Quota | calls::Stage::Queue | calls::Stage::Backoff
+            if !row.may_have_run() =>
+        {
             system::attempt::abandon(node, now, call, out);
         }
         _ => {}
--- a/crates/node/tests/calls.rs
+++ b/crates/node/tests/calls.rs
@@ -293,3 +293,30 @@
     });
     assert_eq!(name, Some(format!("vm-1.1.1@{}", begin.target)));
 }
+
+#[test]
+fn a_booking_whose_caller_left_while_it_waited_is_not_run() {
+    let mut world = World::ready();
+    let others: Vec<_> = (0..20).map(|_| world.arrive("hosts", desk("GET", "/lookup/1"))).collect();
+    let book = |world: &mut World| {
+        let call = world.arrive_as("mayors", desk("POST", "/booking"), |arrival| {
+            arrival.idempotency = Some("visit-1".into());
+        });
+        world.run(world.now + CLAIM_MS);
+        call
+    };
+    let left = book(&mut world);
+    assert!(world.begun().iter().all(|begin| begin.call != left), "the desk has room left");
+    world.input(Input::Gone { call: left });
+    world.run(world.now + CLAIM_MS);
+    for begin in world.begun() {
+        let body = bytes::Bytes::from_static(b"found");
+        let media = "text/plain".into();
+        world.event(begin.attempt, engine::Event::Answer { status: 200, media, body });
+    }
+    assert!(others.iter().any(|call| world.ending(*call).is_some()));
+    assert!(world.begun().iter().all(|begin| begin.call != left), "a call that nobody awaits ran");
+    // Its key is free again.
+    let again = book(&mut world);
+    assert!(world.begun().iter().any(|begin| begin.call == again));
+}
