--- a/crates/proofs/tests/stop.rs
+++ b/crates/proofs/tests/stop.rs
@@ -8,7 +8,7 @@
 /// the server library cuts open connections by itself.
 const LONG: u64 = 10_000;
 /// Least time that such a stream lasts after the stop was asked for.
-const LONG_FOR: time::Duration = time::Duration::from_secs(120);
+const LONG_FOR: time::Duration = time::Duration::from_mins(2);
 
 #[tokio::test(flavor = "multi_thread")]
 async fn planned_stop_cuts_no_stream_and_exits_with_0() -> proofs::Result<()> {
