quota: where an account asks for more than the level bears, each VM keeps to its portion

Cause: VMs hear of one another's grants a digest late (0.3 s with 36 VMs), so all of them spend the same level. Change: digests tell what accounts ask for. A VM grants freely while the level bears all that the others may grant before the next digests arrive, else out of its portion of the rate, by its part of what is asked. Virtual time, 36 VMs, 9 times the rate: 639,529 units of 551,600 allowed, red; within it now.

--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -26,7 +26,7 @@
 /// Work times load that a copy from the weight store must take off beyond that:
 /// half of what a second copy takes off the work that fills a runner.
 const FETCH_PRICE: f64 = 0.3;
-/// What an eviction/// The same for each copy that makes way: its place serves nobody until the load
+/// The same for each copy that makes way: its place serves nobody until the load
 /// has ended.
 const EVICT_PRICE: f64 = 0.2;
 /// What an eviction costs against a place that is free, in load: it waits for
--- a/crates/relay/src/quota.rs
+++ b/crates/relay/src/quota.rs
@@ -7,10 +7,15 @@
 //! equal share of the rate and of the burst is set aside. VMs that do not all
 //! hear the same others cannot tell who counts on which share, so each of them
 //! keeps to its own.
+//!
+//! Where an account asks for more than the level would bear until the next
+//! digests arrive, each VM grants out of its portion of the rate, in proportion to
+//! what is asked of it: otherwise all VMs of a large fleet would spend the same
+//! level at once.
 
 use std::{collections, time};
 
-use crate::config;
+use crate::{config, fade};
 
 /// Least burst, in units: one call must be able to get through.
 const LEAST_BURST: f64 = 1.0;
@@ -21,6 +26,22 @@
 /// Level below which an excess is not carried on, as a multiple of the burst.
 const DEEPEST: f64 = 1.0;
 
+/// Time in which the weight of what was asked for halves, in ms: about two digests
+/// of a large fleet, so that a sudden demand is seen by the second one.
+const ASKED_MS: f64 = 500.0;
+/// Time from a digest to its effect in the others, beyond the time between two
+/// digests: the way, two ticks, and a wait for the processor.
+const WAY: time::Duration = time::Duration::from_millis(100);
+/// Age beyond which it does not count any more what a VM has told of its demand:
+/// several digests of a large fleet.
+const ASKED_FOR: time::Duration = time::Duration::from_millis(1_500);
+/// Level at which portions grow at the account's rate, as a part of the burst: it
+/// covers the unevenness of the VMs' portions.
+const REST_LEVEL: f64 = 0.25;
+/// How much faster portions grow for each burst that the level is above that, as
+/// a multiple of the rate: what is left unused comes back within a second.
+const CATCH_UP: f64 = 1.0;
+
 /// What a VM has granted since it started, and what it takes the level to be.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -34,6 +55,23 @@
     /// Level of the bucket.
     #[serde(rename = "l")]
     pub level: f64,
+    /// Units asked for of late, a second, granted or not.
+    #[serde(rename = "w", default, skip_serializing_if = "is_zero")]
+    pub asked: f64,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes fields by reference")]
+const fn is_zero(number: &f64) -> bool {
+    *number <= 0.0
+}
+
+/// What another VM has told last.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    incarnation: ids::Incarnation,
+    granted: f64,
+    asked: f64,
+    at: ids::Time,
 }
 
 /// What a VM knows of the other VMs.
@@ -86,7 +124,13 @@
     /// part of them is taken in.
     start: f64,
     /// What each VM's incarnation has told last.
-    told: collections::BTreeMap<ids::Vm, (ids::Incarnation, f64)>,
+    told: collections::BTreeMap<ids::Vm, Heard>,
+    /// Units asked for here.
+    asked: fade::Sum,
+    /// Units that this VM may grant while the level does not bear what all are asked for.
+    portion: f64,
+    /// When the portion last grew.
+    grown: ids::Time,
 }
 
 impl Bucket {
@@ -100,9 +144,57 @@
         self.level = (self.level + passed * self.rate * view.share()).min(most);
     }
 
+    /// Lets the portion grow; the level is that of now.
+    fn grow(&mut self, now: ids::Time, view: View) {
+        let passed = now.since(self.grown).as_secs_f64();
+        self.grown = self.grown.max(now);
+        let most = self.burst * view.share() * self.part(now, view);
+        self.portion = (self.portion + passed * self.portion_rate(now, view)).min(most);
+    }
+
     fn spend(&mut self, units: f64) {
         self.level = (self.level - units).max(-self.burst * DEEPEST);
     }
+
+    /// Units that the other VMs are asked for, a second.
+    fn asked_elsewhere(&self, now: ids::Time) -> f64 {
+        let recent = self.told.values().filter(|heard| now.since(heard.at) <= ASKED_FOR);
+        recent.map(|heard| heard.asked).sum()
+    }
+
+    /// This VM's part of what all VMs are asked for.
+    fn part(&self, now: ids::Time, view: View) -> f64 {
+        let own = self.asked.per_second(now);
+        let all = own + self.asked_elsewhere(now);
+        match view {
+            View::Together { heard, .. } if all <= 0.0 => 1.0 / heard.max(1) as f64,
+            _ if all <= 0.0 => 1.0,
+            _ => own / all,
+        }
+    }
+
+    /// Units a second that are added to the portion.
+    fn portion_rate(&self, now: ids::Time, view: View) -> f64 {
+        let above = (self.level / self.burst - REST_LEVEL) * CATCH_UP;
+        self.rate * view.share() * self.part(now, view) * (1.0 + above).max(0.0)
+    }
+
+    /// Time until `units` may be granted; none if they may be now. What the other
+    /// VMs grant meanwhile is known `lag` later.
+    fn wait(&self, now: ids::Time, view: View, lag: time::Duration, units: f64) -> Option<f64> {
+        let rate = (self.rate * view.share()).max(f64::MIN_POSITIVE);
+        if self.level < units {
+            return Some((units - self.level) / rate);
+        }
+        if !matches!(view, View::Together { .. }) {
+            return None;
+        }
+        let unheard = self.asked_elsewhere(now) * lag.as_secs_f64();
+        if self.level - unheard >= units || self.portion > 0.0 {
+            return None;
+        }
+        Some(-self.portion / self.portion_rate(now, view).max(f64::MIN_POSITIVE))
+    }
 }
 
 /// Outcome of asking for units: how long to wait if there are too few.
@@ -129,6 +221,8 @@
 pub struct Table {
     /// Units with which a bucket of all VMs together begins.
     start: f64,
+    /// When the other VMs were told last, and the time between the last two digests.
+    told: Option<(ids::Time, time::Duration)>,
     buckets: collections::BTreeMap<ids::Account, Bucket>,
 }
 
@@ -155,6 +249,9 @@
                 refilled: now,
                 start,
                 told: collections::BTreeMap::new(),
+                asked: fade::Sum::new(ASKED_MS),
+                portion: 0.0,
+                grown: now,
             });
             let burst = account.burst.max(LEAST_BURST);
             let level = bucket.level.min(burst);
@@ -178,7 +275,10 @@
         let Some(bucket) = self.buckets.get_mut(account) else {
             return Ok(());
         };
+        let lag = self.told.map_or(time::Duration::ZERO, |(_, between)| between + WAY);
+        bucket.asked.add(now, units);
         bucket.refill(now, view);
+        bucket.grow(now, view);
         let Bucket { level, rate, burst, .. } = *bucket;
         let short = |wait| Short { wait, level, rate, burst };
         if view.share() <= 0.0 {
@@ -186,13 +286,11 @@
         }
         // A call larger than the burst is let in when the bucket is full.
         let needed = units.min(bucket.burst * view.share());
-        if bucket.level < needed {
-            let rate = (bucket.rate * view.share()).max(f64::MIN_POSITIVE);
-            let wait =
-                ((needed - bucket.level) / rate).min(time::Duration::MAX.as_secs_f64() / 2.0);
+        if let Some(wait) = bucket.wait(now, view, lag, needed) {
             return Err(short(time::Duration::from_secs_f64(wait.min(LONGEST_WAIT))));
         }
         bucket.spend(units);
+        bucket.portion -= units;
         bucket.granted += units;
         Ok(())
     }
@@ -201,19 +299,23 @@
     pub fn give_back(&mut self, account: &ids::Account, units: f64) {
         if let Some(bucket) = self.buckets.get_mut(account) {
             bucket.level = (bucket.level + units).min(bucket.burst);
+            bucket.portion += units;
             bucket.granted -= units;
         }
     }
 
-    /// What the other VMs are to be told.
+    /// What the other VMs are to be told now.
     #[must_use]
-    pub fn tell(&self) -> Vec<Told> {
+    pub fn tell(&mut self, now: ids::Time) -> Vec<Told> {
+        let between = self.told.map_or(time::Duration::ZERO, |(at, _)| now.since(at));
+        self.told = Some((now, between));
         self.buckets
             .iter()
             .map(|(account, bucket)| Told {
                 account: account.clone(),
                 granted: bucket.granted,
                 level: bucket.level,
+                asked: bucket.asked.per_second(now).round(),
             })
             .collect()
     }
@@ -232,16 +334,18 @@
                 continue;
             };
             bucket.refill(now, view);
-            let before = bucket.told.insert(from.clone(), (incarnation, told.granted));
+            let Told { granted, asked, .. } = *told;
+            let heard = Heard { incarnation, granted, asked, at: now };
+            let before = bucket.told.insert(from.clone(), heard);
             if !matches!(view, View::Together { .. }) {
                 continue;
             }
             match before {
-                Some((known, granted)) if known == incarnation => {
-                    bucket.spend(told.granted - granted);
+                Some(known) if known.incarnation == incarnation => {
+                    bucket.spend(granted - known.granted);
                 }
                 // All that a restarted VM has granted is new.
-                Some(_) => bucket.spend(told.granted),
+                Some(_) => bucket.spend(granted),
                 // A VM that is met for the first time knows more than an empty bucket.
                 None if bucket.granted == 0.0 => {
                     bucket.level = bucket.level.max(told.level.min(bucket.burst));
--- a/crates/relay/src/system/gossip.rs
+++ b/crates/relay/src/system/gossip.rs
@@ -44,14 +44,15 @@
     read::help(relay, now, out);
 }
 
-fn digest(relay: &Relay, now: ids::Time) -> peer::Digest {
+fn digest(relay: &mut Relay, now: ids::Time) -> peer::Digest {
+    let granted = relay.quota.tell(now);
     let loads = relay.targets.iter().filter(|row| row.own.calls > 0);
     peer::Digest {
         version: relay.version(),
         read_age: read::age(relay, now),
         targets: relay.known,
         hearing: relay.peers.hearing(now, &relay.settings.vm),
-        granted: relay.quota.tell(),
+        granted,
         loads: loads.map(|row| (row.entry.target.clone(), row.own)).collect(),
         demand: Vec::new(),
         adapters: Vec::new(),
--- a/crates/relay/tests/quota.rs
+++ b/crates/relay/tests/quota.rs
@@ -23,6 +23,13 @@
     /// What is on its way: when it arrives, from whom.
     sent: Vec<(ids::Time, usize, Vec<quota::Told>)>,
     told_at: ids::Time,
+    config: relay::config::Config,
+    /// Time between two digests.
+    tell: time::Duration,
+    /// What each VM knows of the others.
+    views: Vec<quota::View>,
+    /// What was granted, and when.
+    granted: Vec<(ids::Time, f64)>,
 }
 
 const STEP: time::Duration = time::Duration::from_millis(10);
@@ -31,10 +38,19 @@
 
 impl Fleet {
     fn new(members: usize) -> Self {
+        Self::with(members, RATE, TELL)
+    }
+
+    /// VMs that tell one another what they grant every `tell`; the account has
+    /// `rate` units a second and as many as its burst.
+    fn with(members: usize, rate: f64, tell: time::Duration) -> Self {
         let now = ids::Time::from_millis(1_000);
+        let mut config = configuration(1);
+        let account = config.accounts.get_mut(&ids::Account::from("mayors")).unwrap();
+        (account.rate, account.burst) = (rate, rate);
         let mut tables = vec![quota::Table::default(); members];
         for table in &mut tables {
-            table.adopt(now, &configuration(1));
+            table.adopt(now, &config);
         }
         let mut fleet = Self {
             now,
@@ -44,17 +60,32 @@
             cut: collections::BTreeSet::new(),
             sent: Vec::new(),
             told_at: now,
+            config,
+            tell,
+            views: Vec::new(),
+            granted: Vec::new(),
         };
         fleet.run(20_000, |_, _| 0.0);
         fleet
     }
 
+    /// The most that was granted in any window of `window`.
+    fn most(&self, window: time::Duration) -> f64 {
+        let mut most: f64 = 0.0;
+        for (index, (from, _)) in self.granted.iter().enumerate() {
+            let within =
+                self.granted[index..].iter().take_while(|(at, _)| at.since(*from) < window);
+            most = most.max(within.map(|(_, units)| units).sum());
+        }
+        most
+    }
+
     /// Starts a VM's process anew.
     fn restart(&mut self, index: usize, slack: f64) {
         self.starts[index] += 1;
         self.met.retain(|(from, to)| *from != index && *to != index);
         self.tables[index] = quota::Table::new(slack);
-        self.tables[index].adopt(self.now, &configuration(1));
+        self.tables[index].adopt(self.now, &self.config);
         // What the process before had sent is not taken for its own.
         self.sent.retain(|(_, from, _)| *from != index);
     }
@@ -75,32 +106,39 @@
         }
     }
 
-    fn view(&self, index: usize) -> quota::View {
+    /// What each VM knows of the others.
+    fn views(&self) -> Vec<quota::View> {
         let all = self.tables.len();
         let heard = |index: usize| -> Vec<usize> {
             let has_met = |other: usize| other == index || self.met.contains(&(other, index));
             (0..all).filter(|other| self.hears(index, *other) && has_met(*other)).collect()
         };
-        let own = heard(index);
-        if own.iter().all(|other| heard(*other) == own) {
-            quota::View::Together { heard: own.len(), all }
-        } else {
-            quota::View::Alone { all }
-        }
+        let heard: Vec<_> = (0..all).map(heard).collect();
+        let view = |own: &Vec<usize>| {
+            if own.iter().all(|other| heard[*other] == *own) {
+                quota::View::Together { heard: own.len(), all }
+            } else {
+                quota::View::Alone { all }
+            }
+        };
+        heard.iter().map(view).collect()
     }
 
     /// Lets time pass; `asks` says how many units a VM asks for in each step.
     /// Returns the units granted in all.
     fn run(&mut self, millis: u64, asks: impl Fn(usize, u64) -> f64) -> f64 {
         let mut granted = 0.0;
+        // Who is cut off, and who has started, changes between two runs only.
+        self.views = self.views();
         for step in 0..millis / 10 {
             self.now = self.now + STEP;
             for index in 0..self.tables.len() {
-                let (heard, units) = (self.view(index), asks(index, step));
+                let (heard, units) = (self.views[index], asks(index, step));
                 if units > 0.0
                     && self.tables[index].take(self.now, heard, &"mayors".into(), units).is_ok()
                 {
                     granted += units;
+                    self.granted.push((self.now, units));
                 }
             }
             self.tell();
@@ -110,9 +148,9 @@
 
     fn tell(&mut self) {
         if self.now >= self.told_at {
-            self.told_at = self.now + TELL;
-            for (index, table) in self.tables.iter().enumerate() {
-                self.sent.push((self.now + WAY, index, table.tell()));
+            self.told_at = self.now + self.tell;
+            for (index, table) in self.tables.iter_mut().enumerate() {
+                self.sent.push((self.now + WAY, index, table.tell(self.now)));
             }
         }
         let now = self.now;
@@ -123,8 +161,10 @@
         for (_, from, told) in due {
             for to in 0..self.tables.len() {
                 if to != from && self.hears(from, to) {
-                    self.met.insert((from, to));
-                    let heard = self.view(to);
+                    if self.met.insert((from, to)) {
+                        self.views = self.views();
+                    }
+                    let heard = self.views[to];
                     let vm = format!("vm-{from}").as_str().into();
                     let incarnation = ids::Incarnation::new(self.starts[from]);
                     self.tables[to].hear(now, heard, &vm, incarnation, &told);
@@ -147,6 +187,66 @@
     assert!(granted >= (RATE * 9.0) * 0.9, "{granted} is far below what is owed");
 }
 
+/// Digests of a fleet of 36 VMs.
+const LARGE_TELL: time::Duration = time::Duration::from_millis(288);
+/// VMs of a large fleet.
+const LARGE: usize = 36;
+/// Units of a usual call.
+const CALL: f64 = 1_900.0;
+/// What the platform allows beyond a tenth more than rate and burst.
+const LARGE_SLACK: f64 = 17_000.0;
+/// Span of the platform's windows.
+const WINDOW: time::Duration = time::Duration::from_secs(8);
+
+/// Calls of an account that sends `times` its rate of `rate`, spread over a large
+/// fleet by a hash, so that they neither come in step nor alike in size.
+fn spread(rate: f64, times: f64) -> impl Fn(usize, u64) -> f64 {
+    move |index, step| {
+        let draw = |name: &str| {
+            let hash = route::hash::score(route::hash::seed(name), &format!("{index}/{step}"));
+            (hash >> 11) as f64 / (1_u64 << 53) as f64
+        };
+        let each_step = rate * times * STEP.as_secs_f64() / LARGE as f64 / CALL;
+        let size = CALL * (0.2 + 1.6 * draw("size"));
+        if draw("comes") < each_step { size } else { 0.0 }
+    }
+}
+
+#[test]
+fn a_large_fleet_stays_in_its_bound_when_an_account_sends_many_times_its_rate() {
+    for rate in [54_000.0, 286_000.0] {
+        for times in [2.0, 4.5, 9.0] {
+            let mut fleet = Fleet::with(LARGE, rate, LARGE_TELL);
+            fleet.run(5_000, spread(rate, 0.55));
+            fleet.run(12_000, spread(rate, times));
+            let (most, bound) = (fleet.most(WINDOW), rate * 9.0 * 1.1 + LARGE_SLACK);
+            assert!(most <= bound, "rate {rate} times {times}: {most} of {bound}");
+        }
+    }
+}
+
+#[test]
+fn a_large_fleet_lets_an_account_have_its_rate() {
+    for rate in [54_000.0, 286_000.0] {
+        let mut fleet = Fleet::with(LARGE, rate, LARGE_TELL);
+        let usual = fleet.run(10_000, spread(rate, 0.55));
+        assert!(usual >= 0.95 * 0.55 * 10.0 * rate, "rate {rate}: {usual} of usual traffic");
+        fleet.run(5_000, spread(rate, 4.5));
+        let crowded = fleet.run(10_000, spread(rate, 4.5));
+        assert!(crowded >= 0.95 * 10.0 * rate, "rate {rate}: {crowded} when crowded");
+    }
+}
+
+#[test]
+fn one_vm_of_a_large_fleet_alone_gets_nearly_the_whole_rate() {
+    let rate = 286_000.0;
+    let mut fleet = Fleet::with(LARGE, rate, LARGE_TELL);
+    let calls = |index, _| if index == 3 { 2.0 * rate * STEP.as_secs_f64() } else { 0.0 };
+    fleet.run(4_000, calls);
+    let granted = fleet.run(8_000, calls);
+    assert!(granted >= 0.95 * 8.0 * rate, "{granted}");
+}
+
 #[test]
 fn one_vm_alone_gets_nearly_the_whole_rate() {
     let mut fleet = Fleet::new(5);
