quota: portions bind only beyond half of what the platform tolerates

Portions bound also where five VMs, told every 0.1 s, could not have granted too much. Ruled out: the level at rest alone (a quarter of a burst is 3 in 100 of a window). Change: the platform's window, overage and slack come with the settings; calls are granted freely while level and half of the tolerance bear what the others may grant unheard.

--- a/crates/daemon/src/relay/settings.rs
+++ b/crates/daemon/src/relay/settings.rs
@@ -48,7 +48,11 @@
     pub retry_share: f64,
     /// Retries of all VMs together beyond the share.
     pub retry_slack: f64,
-    /// Units that an account may have beyond its rate and burst.
+    /// Time over which the platform counts an account's units, in s.
+    pub quota_window_s: Bounded<1, 3_600>,
+    /// Units that an account may have beyond its rate and burst in that time, as a part of them.
+    pub quota_overage: f64,
+    /// Units that an account may have beyond that.
     pub quota_slack: f64,
 }
 
@@ -60,7 +64,9 @@
             grace_s: bounded(core.grace.as_secs().into()),
             retry_share: core.retry_share,
             retry_slack: core.retry_slack,
-            quota_slack: core.quota_slack,
+            quota_window_s: bounded(core.quota.window.as_secs().into()),
+            quota_overage: core.quota.overage,
+            quota_slack: core.quota.slack,
         }
     }
 }
@@ -107,7 +113,11 @@
             .with_turn(bounds.turn_ms.millis())
             .with_grace(time::Duration::from_secs(bounds.grace_s.get()))
             .with_retries(bounds.retry_share, bounds.retry_slack)
-            .with_quota_slack(bounds.quota_slack)
+            .with_quota(relay::quota::Tolerance {
+                window: time::Duration::from_secs(bounds.quota_window_s.get()),
+                overage: bounds.quota_overage,
+                slack: bounds.quota_slack,
+            })
     }
 }
 
@@ -128,6 +138,7 @@
     for (field, number) in [
         ("retry_share", bounds.retry_share),
         ("retry_slack", bounds.retry_slack),
+        ("quota_overage", bounds.quota_overage),
         ("quota_slack", bounds.quota_slack),
     ] {
         if !number.is_finite() || number < 0.0 {
--- a/crates/relay/src/quota.rs
+++ b/crates/relay/src/quota.rs
@@ -19,13 +19,15 @@
 
 /// Least burst, in units: one call must be able to get through.
 const LEAST_BURST: f64 = 1.0;
-/// Part of what the platform tolerates beyond rate and burst with which the
-/// buckets of all VMs together begin. The rest is for what VMs grant before they
+/// Part of the slack with which the buckets of all VMs together begin. The rest is for what VMs grant before they
 /// hear of one another's grants, and for a second start within the same window.
 const START_PART: f64 = 0.25;
 /// Level below which an excess is not carried on, as a multiple of the burst.
 const DEEPEST: f64 = 1.0;
 
+/// Part of what the platform tolerates that VMs may grant beyond the level before
+/// they hear of one another. The rest is for starts, cuts and late digests.
+const UNHEARD_PART: f64 = 0.5;
 /// Time in which the weight of what was asked for halves, in ms: about two digests
 /// of a large fleet, so that a sudden demand is seen by the second one.
 const ASKED_MS: f64 = 500.0;
@@ -37,7 +39,7 @@
 const ASKED_FOR: time::Duration = time::Duration::from_millis(1_500);
 /// Level at which portions grow at the account's rate, as a part of the burst: it
 /// covers the unevenness of the VMs' portions.
-const REST_LEVEL: f64 = 0.25;
+const REST_LEVEL: f64 = 0.1;
 /// How much faster portions grow for each burst that the level is above that, as
 /// a multiple of the rate: what is left unused comes back within a second.
 const CATCH_UP: f64 = 1.0;
@@ -188,8 +190,15 @@
     }
 
     /// Time until `units` may be granted; none if they may be now. What the other
-    /// VMs grant meanwhile is known `lag` later.
-    fn wait(&self, now: ids::Time, view: View, lag: time::Duration, units: f64) -> Option<f64> {
+    /// VMs grant meanwhile is known `lag` later, and `margin` units of it may be too many.
+    fn wait(
+        &self,
+        now: ids::Time,
+        view: View,
+        lag: time::Duration,
+        margin: f64,
+        units: f64,
+    ) -> Option<f64> {
         let rate = (self.rate * view.share()).max(f64::MIN_POSITIVE);
         if self.level < units {
             return Some((units - self.level) / rate);
@@ -198,7 +207,7 @@
             return None;
         }
         let unheard = self.asked_elsewhere(now) * lag.as_secs_f64();
-        if self.level - unheard >= units || self.portion > 0.0 {
+        if self.level + margin - unheard >= units || self.portion > 0.0 {
             return None;
         }
         Some(-self.portion / self.portion_rate(now, view).max(f64::MIN_POSITIVE))
@@ -224,29 +233,46 @@
 
 impl std::error::Error for Short {}
 
+/// What the platform lets an account have beyond its rate and burst.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Tolerance {
+    /// Time over which the platform counts.
+    pub window: time::Duration,
+    /// Part of what rate and burst allow in such a time.
+    pub overage: f64,
+    /// Units beyond that.
+    pub slack: f64,
+}
+
+impl Tolerance {
+    /// Units beyond `rate` and `burst` in any window.
+    #[must_use]
+    pub fn units(&self, rate: f64, burst: f64) -> f64 {
+        self.overage * (rate * self.window.as_secs_f64() + burst) + self.slack
+    }
+}
+
 /// The buckets of all accounts with a limit.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
-    /// Units with which a bucket of all VMs together begins.
-    start: f64,
+    tolerance: Tolerance,
     /// When the other VMs were told last, and the time between the last two digests.
     told: Option<(ids::Time, time::Duration)>,
     buckets: collections::BTreeMap<ids::Account, Bucket>,
 }
 
 impl Table {
-    /// No buckets yet; the platform lets an account have `slack` units beyond
-    /// its rate and burst.
+    /// No buckets yet.
     #[must_use]
-    pub fn new(slack: f64) -> Self {
-        Self { start: slack * START_PART, ..Self::default() }
+    pub fn new(tolerance: Tolerance) -> Self {
+        Self { tolerance, ..Self::default() }
     }
 
     /// Takes in the limits of a configuration. New buckets begin nearly empty,
     /// for what other VMs have granted of late is not known yet.
     pub fn adopt(&mut self, now: ids::Time, config: &config::Config) {
         let limited = |account: &&config::Account| account.rate > 0.0;
-        let start = self.start;
+        let start = self.tolerance.slack * START_PART;
         let mut before = std::mem::take(&mut self.buckets);
         for account in config.accounts.values().filter(limited) {
             let bucket = before.remove(&account.name).unwrap_or_else(|| Bucket {
@@ -285,6 +311,7 @@
             return Ok(());
         };
         let lag = self.told.map_or(time::Duration::ZERO, |(_, between)| between + WAY);
+        let margin = UNHEARD_PART * self.tolerance.units(bucket.rate, bucket.burst);
         bucket.asked.add(now, units);
         bucket.refill(now, view);
         bucket.grow(now, view);
@@ -295,7 +322,7 @@
         }
         // A call larger than the burst is let in when the bucket is full.
         let needed = units.min(bucket.burst * view.share());
-        if let Some(wait) = bucket.wait(now, view, lag, needed) {
+        if let Some(wait) = bucket.wait(now, view, lag, margin, needed) {
             return Err(short(time::Duration::from_secs_f64(wait.min(LONGEST_WAIT))));
         }
         bucket.spend(units);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -99,7 +99,7 @@
             held: collections::BTreeMap::new(),
             calls: call::Table::default(),
             queue: route::queue::Queue::new(queue),
-            quota: quota::Table::new(settings.quota_slack),
+            quota: quota::Table::new(settings.quota),
             retries: collections::BTreeMap::new(),
             usual_ms: collections::BTreeMap::new(),
             peers: peer::Table::default(),
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -4,7 +4,7 @@
 
 use route::policy;
 
-use crate::choice;
+use crate::{choice, quota};
 
 /// What the decision core of a VM is told at its start.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,8 +27,8 @@
     pub retry_share: f64,
     /// Retries that all VMs together may send beyond that, at once.
     pub retry_slack: f64,
-    /// Units that the platform lets an account have beyond its rate and burst.
-    pub quota_slack: f64,
+    /// What the platform lets an account have beyond its rate and burst.
+    pub quota: quota::Tolerance,
     /// How targets are chosen.
     pub rule: choice::Rule,
     /// The order in which waiting calls are served.
@@ -45,8 +45,9 @@
 /// Retries beyond the share, likewise.
 const RETRY_SLACK: f64 = 50.0;
 
-/// Units beyond rate and burst, likewise.
-const QUOTA_SLACK: f64 = 17_000.0;
+/// What accounts may have beyond rate and burst, likewise.
+const QUOTA: quota::Tolerance =
+    quota::Tolerance { window: time::Duration::from_secs(8), overage: 0.1, slack: 17_000.0 };
 
 impl Settings {
     /// Settings of the VM `vm` in the data centre `centre`.
@@ -62,7 +63,7 @@
             grace: GRACE,
             retry_share: RETRY_SHARE,
             retry_slack: RETRY_SLACK,
-            quota_slack: QUOTA_SLACK,
+            quota: QUOTA,
             rule: choice::Rule::default(),
             discipline: policy::Discipline::default(),
         }
@@ -96,10 +97,10 @@
         self
     }
 
-    /// Sets how many units an account may have beyond its rate and burst.
+    /// Sets what an account may have beyond its rate and burst.
     #[must_use]
-    pub const fn with_quota_slack(mut self, slack: f64) -> Self {
-        self.quota_slack = slack;
+    pub const fn with_quota(mut self, tolerance: quota::Tolerance) -> Self {
+        self.quota = tolerance;
         self
     }
 
--- a/crates/relay/tests/quota.rs
+++ b/crates/relay/tests/quota.rs
@@ -48,7 +48,7 @@
         let mut config = configuration(1);
         let account = config.accounts.get_mut(&ids::Account::from("mayors")).unwrap();
         (account.rate, account.burst) = (rate, rate);
-        let mut tables = vec![quota::Table::default(); members];
+        let mut tables = vec![quota::Table::new(tolerance(0.0)); members];
         for table in &mut tables {
             table.adopt(now, &config);
         }
@@ -84,7 +84,7 @@
     fn restart(&mut self, index: usize, slack: f64) {
         self.starts[index] += 1;
         self.met.retain(|(from, to)| *from != index && *to != index);
-        self.tables[index] = quota::Table::new(slack);
+        self.tables[index] = quota::Table::new(tolerance(slack));
         self.tables[index].adopt(self.now, &self.config);
         // What the process before had sent is not taken for its own.
         self.sent.retain(|(_, from, _)| *from != index);
@@ -174,6 +174,11 @@
     }
 }
 
+/// What the platform lets an account have beyond rate and burst.
+const fn tolerance(slack: f64) -> quota::Tolerance {
+    quota::Tolerance { window: WINDOW, overage: 0.1, slack }
+}
+
 /// What the platform allows in `seconds`: a tenth more than rate and burst.
 fn allowed(seconds: f64) -> f64 {
     (RATE * seconds + RATE) * 1.1
