quota: VMs that all start anew go on with the levels that the store keeps

Ruled out: demand beyond the rates: the kept levels were nearly full. Change: the renewal of the lease, written every 0.7 s anyway, carries levels and demand; a VM that starts takes them in. VMs tell one another sooner when they meet. In the 1.2 s after a start a VM counts on its part of a plain service's places. Two tests of peers now begin after the start, which their 8 calls at once are not about.

--- a/crates/daemon/src/relay/rows.rs
+++ b/crates/daemon/src/relay/rows.rs
@@ -135,7 +135,7 @@
     const WAIT: time::Duration = WAIT;
 
     /// Takes in rows: all of them, or those that have changed.
-    fn take(&mut self, rows: Vec<platform::rows::Row>, version: ids::Version, is_full: bool);
+    fn take(&mut self, page: platform::rows::Page, is_full: bool);
 }
 
 /// Whether the store answers, as far as one table shows.
@@ -188,16 +188,18 @@
         }
         let asked = time::Instant::now();
         let step = match known {
-            None => read(&mut connection, F::TABLE).await.map(|(rows, version)| {
-                follower.take(rows, version, true);
+            None => read(&mut connection, F::TABLE).await.map(|page| {
+                let version = page.version;
+                follower.take(page, true);
                 Some(version)
             }),
             Some(version) => {
                 let page = changes(&mut connection, F::TABLE, version, F::WAIT).await;
                 page.map(|page| {
-                    let page = page?;
-                    let version = page.version.max(version);
-                    follower.take(page.rows, version, false);
+                    let mut page = page?;
+                    page.version = page.version.max(version);
+                    let version = page.version;
+                    follower.take(page, false);
                     Some(version)
                 })
             }
@@ -222,28 +224,31 @@
     }
 }
 
-/// Reads a whole table.
-async fn read(
-    connection: &mut Connection,
-    table: &str,
-) -> Result<(Vec<platform::rows::Row>, ids::Version)> {
-    let mut rows: Vec<platform::rows::Row> = Vec::new();
-    let mut version = None;
+/// Reads a whole table, as one page.
+async fn read(connection: &mut Connection, table: &str) -> Result<platform::rows::Page> {
+    let mut whole: Option<platform::rows::Page> = None;
     loop {
-        let after = rows.last().map(|row| sync::Arc::clone(&row.key));
+        let last = whole.as_ref().and_then(|page| page.rows.last());
+        let after = last.map(|row| sync::Arc::clone(&row.key));
         let path = platform::rows::get(table, after.as_deref());
         let (status, body) = connection.ask(http::Method::GET, &path, Vec::new(), ANSWER).await?;
         if status != http::StatusCode::OK {
             return Err(format!("status {status}"));
         }
         let page = decode_page(table, &body)?;
-        // Changes are followed from the first page on.
-        let since = *version.get_or_insert(page.version);
         let is_last = !page.has_more || page.rows.is_empty();
-        rows.extend(page.rows);
+        // Changes are followed from the first page on.
+        let read = match whole.take() {
+            Some(mut read) => {
+                read.rows.extend(page.rows);
+                read
+            }
+            None => page,
+        };
         if is_last {
-            return Ok((rows, since));
+            return Ok(read);
         }
+        whole = Some(read);
     }
 }
 
@@ -284,8 +289,8 @@
     const TABLE: &'static str = platform::config::TABLE;
     const EVERY: time::Duration = CONFIG_EVERY;
 
-    fn take(&mut self, rows: Vec<platform::rows::Row>, _version: ids::Version, _is_full: bool) {
-        let newest = rows.into_iter().rfind(|row| &*row.key == platform::config::KEY);
+    fn take(&mut self, page: platform::rows::Page, _is_full: bool) {
+        let newest = page.rows.into_iter().rfind(|row| &*row.key == platform::config::KEY);
         if let Some(text) = newest.and_then(|row| row.value) {
             decode(&self.inbox, text);
         }
@@ -315,7 +320,8 @@
     const TABLE: &'static str = platform::entry::TABLE;
     const EVERY: time::Duration = TARGETS_EVERY;
 
-    fn take(&mut self, rows: Vec<platform::rows::Row>, version: ids::Version, is_full: bool) {
+    fn take(&mut self, page: platform::rows::Page, is_full: bool) {
+        let platform::rows::Page { rows, version, .. } = page;
         if rows.is_empty() && !is_full {
             self.inbox.send(Input::Read);
             return;
@@ -347,11 +353,11 @@
     const EVERY: time::Duration = OWN_EVERY;
     const WAIT: time::Duration = OWN_WAIT;
 
-    fn take(&mut self, rows: Vec<platform::rows::Row>, _version: ids::Version, is_full: bool) {
+    fn take(&mut self, page: platform::rows::Page, is_full: bool) {
         if is_full {
             self.rows.clear();
         }
-        for row in rows {
+        for row in page.rows {
             let key = sync::Arc::clone(&row.key);
             match row.stored() {
                 Some(row) => self.rows.insert(key, row),
@@ -381,10 +387,12 @@
     const TABLE: &'static str = platform::rows::LEASE;
     const EVERY: time::Duration = OWN_EVERY;
 
-    fn take(&mut self, rows: Vec<platform::rows::Row>, _version: ids::Version, is_full: bool) {
-        let row = rows.into_iter().rfind(|row| &*row.key == relay::lease::KEY);
+    fn take(&mut self, page: platform::rows::Page, is_full: bool) {
+        let clock_ms = page.clock_ms;
+        let row = page.rows.into_iter().rfind(|row| &*row.key == relay::lease::KEY);
         if row.is_some() || is_full {
-            self.inbox.send(Input::Lease(row.and_then(platform::rows::Row::stored)));
+            let row = row.and_then(platform::rows::Row::stored);
+            self.inbox.send(Input::Lease { row, clock_ms });
         }
     }
 }
--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -200,7 +200,7 @@
             let targets = input::Targets { is_full: true, version, changes };
             vec![
                 Input::Members(members.clone()),
-                Input::Lease(None),
+                Input::Lease { row: None, clock_ms: 0 },
                 Input::Config { text: "".into(), config: sync::Arc::clone(&config) },
                 Input::Targets(targets),
             ]
@@ -466,10 +466,10 @@
             }
             if !is_own {
                 for other in 0..self.vms.len() {
-                    self.tell(other, STORE_MS, Input::Lease(row.clone()));
+                    self.tell(other, STORE_MS, Input::Lease { row: row.clone(), clock_ms: 0 });
                 }
             }
-            input::Written::Done(version)
+            input::Written::Done { version, clock_ms: 0 }
         } else {
             input::Written::Conflict(found)
         };
--- a/crates/relay/src/choice.rs
+++ b/crates/relay/src/choice.rs
@@ -67,6 +67,8 @@
     pub centre: &'a ids::Centre,
     /// Usual time of an answer of the service, in ms.
     pub usual_ms: f64,
+    /// Part of the places at an instance of a plain service that this VM may take.
+    pub share: f64,
     /// How to choose.
     pub rule: Rule,
     /// Choices made so far.
@@ -156,7 +158,9 @@
     let load = row.load();
     let slots = u64::from(row.entry.slots.max(1));
     let (Some(work), Some(engine)) = (want.work, want.service.engine.as_ref()) else {
-        return load.calls < slots * PLAIN_CALLS;
+        let places = (slots * PLAIN_CALLS) as f64;
+        return load.calls < slots * PLAIN_CALLS
+            && (row.own.calls as f64) < (places * want.share).max(1.0);
     };
     let kv = (load.kv + work.kv_tokens()) as f64;
     let fits = load.calls == 0 || kv <= engine.kv_tokens as f64 * KV_SHARE;
--- a/crates/relay/src/input.rs
+++ b/crates/relay/src/input.rs
@@ -42,7 +42,12 @@
     /// The rows of the VMs were read from the store.
     Members(Vec<member::Member>),
     /// The row of the planner's lease was read from the store.
-    Lease(Option<table::Row>),
+    Lease {
+        /// The row, if there is one.
+        row: Option<table::Row>,
+        /// The store's clock then, in ms; 0 if it was not told.
+        clock_ms: u64,
+    },
     /// The store has told that the targets have not changed.
     Read,
     /// The store began or stopped to answer.
@@ -98,8 +103,13 @@
 /// What became of a write to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Written {
-    /// It was made, and gave the rows this version.
-    Done(ids::Version),
+    /// It was made.
+    Done {
+        /// The version that it gave the rows.
+        version: ids::Version,
+        /// The store's clock then, in ms; 0 if it was not told.
+        clock_ms: u64,
+    },
     /// It was not made: this is the row as it is.
     Conflict(Option<table::Row>),
 }
--- a/crates/relay/src/lease.rs
+++ b/crates/relay/src/lease.rs
@@ -10,6 +10,8 @@
 
 use store::table;
 
+use crate::{input, quota};
+
 /// Key of the lease's row.
 pub const KEY: &str = "planner";
 
@@ -26,7 +28,7 @@
 const RETRY: time::Duration = time::Duration::from_millis(300);
 
 /// Who holds the lease, as the row tells.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct Holder {
     /// The VM.
@@ -37,6 +39,16 @@
     pub fence: ids::Fence,
     /// Changes with every renewal.
     pub renewals: u64,
+    /// The accounts' buckets, for VMs that start anew.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub quota: Option<quota::Saved>,
+}
+
+/// The accounts' buckets that a lease's row keeps.
+#[must_use]
+pub fn saved(row: Option<&table::Row>) -> Option<quota::Saved> {
+    let holder: Option<Holder> = serde_json::from_str(&row?.value).ok();
+    holder?.quota
 }
 
 /// The row as it was seen last.
@@ -64,6 +76,8 @@
     /// Time between the last order of one holder and the first of the next.
     turn: time::Duration,
     seen: Option<Seen>,
+    /// The store's clock, in ms, at a moment of this VM's.
+    clock: Option<(ids::Time, u64)>,
     pending: Option<Pending>,
     next: ids::Time,
     /// Until when this VM may give orders, as its last renewal says.
@@ -81,6 +95,7 @@
             incarnation,
             turn,
             seen: None,
+            clock: None,
             pending: None,
             next: ids::Time::default(),
             held_until: ids::Time::default(),
@@ -106,9 +121,23 @@
         holder.vm == self.vm && holder.incarnation == self.incarnation
     }
 
-    /// Takes in the row as the store tells it; none if there is no row. Whether
-    /// it could be read: one that cannot names no holder.
-    pub fn see(&mut self, now: ids::Time, row: Option<&table::Row>) -> bool {
+    /// The store's clock now, in ms, as far as it is known.
+    #[must_use]
+    pub fn clock_ms(&self, now: ids::Time) -> Option<u64> {
+        let (at, clock_ms) = self.clock?;
+        Some(clock_ms + u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX))
+    }
+
+    fn set_clock(&mut self, now: ids::Time, clock_ms: u64) {
+        if clock_ms > 0 {
+            self.clock = Some((now, clock_ms));
+        }
+    }
+
+    /// Takes in the row as the store tells it, whose clock shows `clock_ms`; none if
+    /// there is no row. Whether it could be read: one that cannot names no holder.
+    pub fn see(&mut self, now: ids::Time, row: Option<&table::Row>, clock_ms: u64) -> bool {
+        self.set_clock(now, clock_ms);
         let version = row.map_or(ids::Version::new(0), |row| row.version);
         if self.seen.as_ref().is_some_and(|seen| seen.version >= version && row.is_some()) {
             return true;
@@ -126,12 +155,14 @@
 
     /// What is to be written now, if anything. Nobody takes the lease of a
     /// holder that is heard (`is_led`). `rank` is this VM's place among the VMs
-    /// that may take the lease; later ones wait longer.
+    /// that may take the lease; later ones wait longer. `save` tells what else
+    /// the row is to keep.
     pub fn tick(
         &mut self,
         now: ids::Time,
         is_led: bool,
         rank: u32,
+        save: impl FnOnce() -> Option<quota::Saved>,
         next_op: impl FnOnce() -> ids::Op,
     ) -> Option<(ids::Op, table::Write)> {
         let stuck = |pending: &Pending| now.since(pending.sent) > ANSWER;
@@ -158,6 +189,9 @@
             }
             None => self.claim(ids::Fence::new(seen.version.get() + 1)),
         };
+        // What an earlier holder has kept stays until there is something newer.
+        let kept = || seen.holder.as_ref().and_then(|holder| holder.quota.clone());
+        let next = Holder { quota: save().or_else(kept), ..next };
         // A holder always has a JSON form.
         let value = serde_json::to_string(&next).unwrap_or_default();
         let expect = (seen.version.get() > 0).then_some(seen.version);
@@ -168,7 +202,13 @@
     }
 
     fn claim(&self, fence: ids::Fence) -> Holder {
-        Holder { vm: self.vm.clone(), incarnation: self.incarnation, fence, renewals: 0 }
+        Holder {
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+            fence,
+            renewals: 0,
+            quota: None,
+        }
     }
 
     /// Takes in the answer to a write; whether this VM has just become the holder.
@@ -176,17 +216,20 @@
         &mut self,
         now: ids::Time,
         op: ids::Op,
-        result: &store::Result<crate::input::Written>,
+        result: &store::Result<input::Written>,
     ) -> bool {
         let Some(pending) = self.pending.take_if(|pending| pending.op == op) else {
             return false;
         };
         self.next = now + RETRY;
         let version = match result {
-            Ok(crate::input::Written::Done(version)) => *version,
-            Ok(crate::input::Written::Conflict(row)) => {
+            Ok(input::Written::Done { version, clock_ms }) => {
+                self.set_clock(now, *clock_ms);
+                *version
+            }
+            Ok(input::Written::Conflict(row)) => {
                 // The lease is followed, too, and what cannot be read is told there.
-                let _is_readable = self.see(now, row.as_ref());
+                let _is_readable = self.see(now, row.as_ref(), 0);
                 return false;
             }
             Err(_unknown) => return false,
--- a/crates/relay/src/quota.rs
+++ b/crates/relay/src/quota.rs
@@ -44,6 +44,10 @@
 /// a multiple of the rate: what is left unused comes back within a second.
 const CATCH_UP: f64 = 1.0;
 
+/// Age up to which what the store keeps of a bucket is used: a restart of all VMs
+/// takes one to two seconds, and the planner writes every 0.7 s.
+const KEPT_FOR: time::Duration = time::Duration::from_secs(5);
+
 /// What a VM has granted since it started, and what it takes the level to be.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -67,6 +71,27 @@
     *number <= 0.0
 }
 
+/// What the planner writes of the buckets to the store, so that VMs that all start
+/// anew do not begin with empty ones.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Saved {
+    /// The store's clock when this held, in ms.
+    pub at_ms: u64,
+    /// Level of each account's bucket, and units asked of all VMs a second.
+    pub accounts: collections::BTreeMap<ids::Account, (f64, f64)>,
+}
+
+/// What the store keeps of a bucket, until it is taken in.
+#[derive(Clone, Copy, Debug)]
+struct Kept {
+    /// Level at `at`, if what was asked for before was granted until then.
+    level: f64,
+    at: ids::Time,
+    /// Whether this VM's part was taken in while it had not met the others.
+    is_shared: bool,
+}
+
 /// What another VM has told last.
 #[derive(Clone, Copy, Debug)]
 struct Heard {
@@ -127,6 +152,8 @@
     /// Units with which the buckets of all VMs together begin, until the own
     /// part of them is taken in.
     start: f64,
+    /// What the store keeps from before the start.
+    kept: Option<Kept>,
     /// What each VM's incarnation has told last.
     told: collections::BTreeMap<ids::Vm, Heard>,
     /// Units asked for here.
@@ -147,6 +174,7 @@
             self.level *= share / self.share;
         }
         self.share = share;
+        self.recall(now, view);
         let most = self.burst * view.share();
         if let Some(all) = view.all() {
             self.level += std::mem::take(&mut self.start) / all as f64;
@@ -162,6 +190,42 @@
         self.portion = (self.portion + passed * self.portion_rate(now, view)).min(most);
     }
 
+    /// Takes in what the store keeps from before the start. What VMs have granted
+    /// since is known only when all of them are heard; until then, each may count
+    /// on its part.
+    fn recall(&mut self, now: ids::Time, view: View) {
+        let Some(kept) = &mut self.kept else {
+            return;
+        };
+        let passed = now.since(kept.at);
+        if passed > KEPT_FOR {
+            self.kept = None;
+            return;
+        }
+        let level = (kept.level + passed.as_secs_f64() * self.rate).min(self.burst);
+        match view {
+            View::Together { heard, all } if heard == all => {
+                let elsewhere: f64 = self.told.values().map(|heard| heard.granted).sum();
+                // An empty bucket is what is known without the store. VMs that have not
+                // started anew have granted more since their start, and tell the level.
+                self.level = if level < 0.0 {
+                    self.level.min(level)
+                } else {
+                    self.level.max(level - self.granted - elsewhere)
+                };
+                self.kept = None;
+            }
+            _ if !kept.is_shared => {
+                let Some(all) = view.all() else {
+                    return;
+                };
+                kept.is_shared = true;
+                self.level = self.level.max(level / all as f64);
+            }
+            _ => {}
+        }
+    }
+
     fn spend(&mut self, units: f64) {
         self.level = (self.level - units).max(-self.burst * DEEPEST);
     }
@@ -259,6 +323,8 @@
     /// When the other VMs were told last, and the time between the last two digests.
     told: Option<(ids::Time, time::Duration)>,
     buckets: collections::BTreeMap<ids::Account, Bucket>,
+    /// What the store keeps from before the start, and when and at which age it was read.
+    saved: Option<(ids::Time, time::Duration, Saved)>,
 }
 
 impl Table {
@@ -283,6 +349,7 @@
                 refilled: now,
                 share: 0.0,
                 start,
+                kept: None,
                 told: collections::BTreeMap::new(),
                 asked: fade::Sum::new(ASKED_MS),
                 portion: 0.0,
@@ -293,6 +360,58 @@
             let bucket = Bucket { rate: account.rate, burst, level, ..bucket };
             self.buckets.insert(account.name.clone(), bucket);
         }
+        self.keep();
+    }
+
+    /// What is to be kept in the store, whose clock shows `at_ms`; none if this VM
+    /// does not share one bucket with most others, as after a start.
+    #[must_use]
+    pub fn save(&mut self, now: ids::Time, view: View, at_ms: u64) -> Option<Saved> {
+        if !matches!(view, View::Together { heard, all } if heard * 2 > all) {
+            return None;
+        }
+        let share = view.share();
+        let accounts = self.buckets.iter_mut().map(|(account, bucket)| {
+            bucket.refill(now, view);
+            let asked = bucket.asked.per_second(now) + bucket.asked_elsewhere(now);
+            (account.clone(), ((bucket.level / share).round(), asked.round()))
+        });
+        Some(Saved { at_ms, accounts: accounts.collect() })
+    }
+
+    /// Takes in what the store has kept since before this VM's start, if it is read
+    /// for the first time and not too old; the store's clock shows `clock_ms`. Returns
+    /// its age if it was taken in.
+    pub fn restore(
+        &mut self,
+        now: ids::Time,
+        saved: &Saved,
+        clock_ms: u64,
+    ) -> Option<time::Duration> {
+        let age = time::Duration::from_millis(clock_ms.saturating_sub(saved.at_ms));
+        if self.saved.is_some() || age > KEPT_FOR || saved.at_ms == 0 {
+            return None;
+        }
+        self.saved = Some((now, age, saved.clone()));
+        self.keep();
+        Some(age)
+    }
+
+    /// Gives the buckets what the store keeps of them.
+    fn keep(&mut self) {
+        let Some((at, age, saved)) = &mut self.saved else {
+            return;
+        };
+        for (account, (level, asked)) in std::mem::take(&mut saved.accounts) {
+            if let Some(bucket) = self.buckets.get_mut(&account) {
+                // When the VMs ended is not known: what was asked for is taken as
+                // granted up to now.
+                let since = (bucket.rate - asked) * age.as_secs_f64();
+                // What was granted too much stays so.
+                let level = (level + since).clamp(level.min(0.0), bucket.burst);
+                bucket.kept = Some(Kept { level, at: *at, is_shared: false });
+            }
+        }
     }
 
     /// Asks for `units` of `account`; an account without a limit has enough.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -174,8 +174,15 @@
             Input::Config { text, config } => self.adopt(now, text, config, out),
             Input::Targets(targets) => system::read::targets(self, now, targets, out),
             Input::Members(members) => system::plan::members(self, now, members, out),
-            Input::Lease(row) => {
-                if !self.lease.see(now, row.as_ref()) {
+            Input::Lease { row, clock_ms } => {
+                if let Some(saved) = lease::saved(row.as_ref())
+                    && let Some(age) = self.quota.restore(now, &saved, clock_ms)
+                {
+                    let inputs = format!("age {age:?}, level and demand {:?}", saved.accounts);
+                    let line = event::Event::new("quota", &lease::KEY, "taken from the store");
+                    out.push(Output::Log(line.with_inputs(inputs)));
+                }
+                if !self.lease.see(now, row.as_ref(), clock_ms) {
                     let line = event::Event::new("lease", &lease::KEY, "not readable");
                     out.push(Output::Log(line));
                 }
--- a/crates/relay/src/system/dispatch.rs
+++ b/crates/relay/src/system/dispatch.rs
@@ -5,7 +5,7 @@
 use crate::{
     Output, ask, call, choice, event, output, peer,
     relay::{Relay, line},
-    system::{arrive, attempt},
+    system::{arrive, attempt, start},
 };
 
 /// Time between two requests for an adapter on behalf of one call.
@@ -24,6 +24,7 @@
     let Some(config) = relay.config.clone() else {
         return;
     };
+    let share = start::share(relay, now);
     let mut blocked = collections::HashSet::new();
     let mut again = Vec::new();
     loop {
@@ -37,7 +38,7 @@
                 return false;
             };
             let usual_ms = usual(&row.service);
-            choice::has_room(targets, now, &want(row, service, settings, usual_ms))
+            choice::has_room(targets, now, &want(row, service, settings, usual_ms, share))
         });
         let Some(entry) = popped else {
             break;
@@ -63,6 +64,7 @@
     service: &'a crate::config::Service,
     settings: &'a crate::Settings,
     usual_ms: f64,
+    share: f64,
 ) -> choice::Want<'a> {
     choice::Want {
         service,
@@ -72,6 +74,7 @@
         unreached: &row.unreached,
         centre: &settings.centre,
         usual_ms,
+        share,
         rule: settings.rule,
         turn: 0,
     }
@@ -86,6 +89,7 @@
     out: &mut Vec<Output>,
 ) -> bool {
     let usual_ms = relay.calls.get(call).map_or(0.0, |row| relay.usual_ms(&row.service));
+    let share = start::share(relay, now);
     let Relay { calls, targets, settings, rng, .. } = relay;
     let Some(row) = calls.get(call) else {
         return true;
@@ -94,7 +98,7 @@
         return true;
     };
     let turn = calls.begun();
-    let want = choice::Want { turn, ..want(row, service, settings, usual_ms) };
+    let want = choice::Want { turn, ..want(row, service, settings, usual_ms, share) };
     let Some(chosen) = choice::choose(targets, now, &want, rng) else {
         return false;
     };
@@ -185,7 +189,7 @@
         let Some((work, adapter)) = adapter else {
             continue;
         };
-        let want = want(row, service, settings, 0.0);
+        let want = want(row, service, settings, 0.0, 1.0);
         let is_offered = choice::is_served(targets, now, &want);
         // Where its targets are full, it is worth loading only where the model has room.
         let model_alone = ask::Work { adapter: None, ..work.clone() };
--- a/crates/relay/src/system/gossip.rs
+++ b/crates/relay/src/system/gossip.rs
@@ -11,6 +11,9 @@
 /// second of a VM's processor pay for some 400 messages.
 const DIGEST_EACH: time::Duration = time::Duration::from_millis(8);
 
+/// Wait for more VMs that are heard for the first time before these are told.
+const SOON: time::Duration = time::Duration::from_millis(40);
+
 /// When things are told next.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Schedule {
@@ -19,6 +22,18 @@
     pub(crate) configs: collections::BTreeMap<ids::Vm, ids::Time>,
 }
 
+impl Schedule {
+    /// Has the next digest sent at once.
+    pub(crate) fn tell_now(&mut self, now: ids::Time) {
+        self.digest = self.digest.min(now);
+    }
+
+    /// Has the next digest sent soon: who else is heard first in the meantime is in it.
+    fn tell_soon(&mut self, now: ids::Time) {
+        self.digest = self.digest.min(now + SOON);
+    }
+}
+
 pub(crate) fn tick(relay: &mut Relay, now: ids::Time, out: &mut Vec<Output>) {
     if now < relay.tells.digest {
         return;
@@ -100,6 +115,7 @@
     };
     if was_silent {
         out.push(Output::Log(event::Event::new("peer", from, "heard")));
+        relay.tells.tell_soon(now);
     }
     match message {
         peer::Message::Digest(digest) => {
--- a/crates/relay/src/system/plan.rs
+++ b/crates/relay/src/system/plan.rs
@@ -66,12 +66,15 @@
     let before = |row: &&peer::Row| row.member.vm < relay.settings.vm;
     let rank = u32::try_from(relay.peers.heard(now).filter(before).count()).unwrap_or(u32::MAX);
     let is_led = relay.peers.leader(now).is_some();
-    let Relay { lease, last_op, .. } = relay;
+    let view = relay.peers.view(now, &relay.settings.vm);
+    let Relay { lease, last_op, quota, .. } = relay;
+    let clock_ms = lease.clock_ms(now);
+    let save = || quota.save(now, view, clock_ms?);
     let next_op = || {
         *last_op = last_op.next();
         *last_op
     };
-    if let Some((op, write)) = lease.tick(now, is_led, rank, next_op) {
+    if let Some((op, write)) = lease.tick(now, is_led, rank, save, next_op) {
         out.push(Output::Write { op, write });
     }
 }
@@ -122,6 +125,8 @@
         out.push(Output::Log(event::Event::new("peer", &"vm/", "members").with_inputs(inputs)));
         out.push(Output::Members(others));
         relay.share_retries();
+        // Whoever comes next waits for what the others have granted.
+        relay.tells.tell_now(now);
     }
     if relay.planner.is_some() {
         let silent = |row: &&peer::Row| now.since(row.heard.unwrap_or(row.since)) > FORGET;
--- a/crates/relay/src/system/start.rs
+++ b/crates/relay/src/system/start.rs
@@ -15,6 +15,10 @@
 /// Time after the start in which the other VMs are waited for; those that run are
 /// heard in 150 ms.
 const MEETS_FOR: time::Duration = time::Duration::from_millis(200);
+/// Time after the start in which what the other VMs send is not known well enough:
+/// the calls that were held everywhere go out at once, and three digests of a large
+/// fleet tell of them.
+const SPREADS_FOR: time::Duration = time::Duration::from_millis(1_200);
 
 /// A call that was not looked at yet.
 #[derive(Debug)]
@@ -70,6 +74,13 @@
     true
 }
 
+/// Part of the places at a plain service's instance that this VM may count on.
+pub(crate) fn share(relay: &Relay, now: ids::Time) -> f64 {
+    let age = relay.started.map_or(time::Duration::ZERO, |started| now.since(started));
+    let (_, all) = relay.peers.count(now);
+    if age < SPREADS_FOR { 1.0 / all as f64 } else { 1.0 }
+}
+
 fn holds(relay: &Relay, now: ids::Time) -> bool {
     let age = relay.started.map_or(time::Duration::ZERO, |started| now.since(started));
     if age >= HOLDS_FOR || relay.stage != Stage::Running {
--- a/crates/relay/tests/calls.rs
+++ b/crates/relay/tests/calls.rs
@@ -15,6 +15,12 @@
     Event::Refused { status, retry_after: None }
 }
 
+/// Other VMs, which stay silent.
+fn others(count: usize) -> Vec<member::Member> {
+    let other = |number| relay::Settings::new(&format!("other-{number}"), "north", 1);
+    (0..count).map(|number| other(number).with_peer("127.0.0.1:9").member()).collect()
+}
+
 #[test]
 fn the_longest_prefix_of_the_host_selects_the_route() {
     let mut world = World::new(vec![runner("r-1", &["alpha"]), desk("d-1")]);
@@ -156,10 +162,7 @@
 #[test]
 fn a_vm_that_knows_its_fleet_late_takes_its_part_of_the_retries() {
     let mut world = World::new((0..9).map(|n| desk(&format!("d-{n}"))).collect());
-    let others = (0..35).map(|n| {
-        relay::Settings::new(&format!("other-{n}"), "north", 1).with_peer("127.0.0.1:9").member()
-    });
-    world.step([Input::Members(others.collect())]);
+    world.step([Input::Members(others(35))]);
     world.pass(1_000);
     let mut retries = 0;
     for _ in 0..10 {
@@ -424,6 +427,22 @@
     assert_eq!(seen.begun.iter().map(|begun| begun.call).collect::<Vec<_>>(), [call]);
 }
 
+#[test]
+fn vms_that_all_start_anew_do_not_fill_a_service_all_at_once() {
+    let mut world = World::unknown();
+    world.configure(configuration(1));
+    world.targets(vec![desk("d-1"), desk("d-2")]);
+    world.step([Input::Members(others(35))]);
+    let mut begun = 0;
+    for _ in 0..10 {
+        begun += world.arrive(ask("book", Some("key-2"))).1.begun.len();
+    }
+    begun += world.wait(500).begun.len();
+    assert_eq!(begun, 2, "one at each instance, for the others hold as many calls");
+    begun += world.wait(1_000).begun.len();
+    assert_eq!(begun, 10, "by now, the others have told what they send");
+}
+
 #[test]
 fn a_vm_that_has_stopped_takes_nothing_on() {
     let mut world = World::new(vec![desk("d-1")]);
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -5,6 +5,9 @@
 use relay::{Input, input, output, peer};
 use world::{Seen, World, ask, change, configuration, desk, removal};
 
+/// Time after which a VM counts on all places of a service, not on its part.
+const START_MS: u64 = 1_500;
+
 fn member(name: &str) -> member::Member {
     relay::Settings::new(name, "north", 1).with_peer("127.0.0.1:9").member()
 }
@@ -165,6 +168,7 @@
             changes: vec![change(version, desk(name))],
         })
     };
+    world.pass(START_MS);
     hear(&mut world, "vm-2", targets(Some(7), 9, "d-9"));
     assert!(world.arrive(ask("book", Some("key-2"))).1.begun.is_empty(), "changes since 7 only");
     hear(&mut world, "vm-2", targets(None, 9, "d-1"));
@@ -183,6 +187,7 @@
 fn a_page_that_comes_late_brings_no_target_back() {
     let mut world = World::new(vec![desk("d-1"), desk("d-2"), desk("d-3")]);
     world.step([Input::Members(vec![member("vm-1"), member("vm-2")])]);
+    world.pass(START_MS);
     let mut leaving = desk("d-2");
     leaving.is_leaving = true;
     let told = peer::Targets {
--- a/crates/relay/tests/planner.rs
+++ b/crates/relay/tests/planner.rs
@@ -479,7 +479,7 @@
         let value = write.value.clone().expect("a value");
         self.row =
             Some(store::table::Row { key: std::sync::Arc::clone(&write.key), version, value });
-        Written::Done(version)
+        Written::Done { version, clock_ms: 0 }
     }
 
     fn holder(&self) -> Holder {
@@ -489,7 +489,7 @@
 
 /// Lets `lease` try once; whether it wrote.
 fn attempt(lease: &mut Lease, row: &mut Row, now: ids::Time, op: u64, answered: bool) -> bool {
-    let Some((op, write)) = lease.tick(now, false, 0, || ids::Op::new(op)) else {
+    let Some((op, write)) = lease.tick(now, false, 0, || None, || ids::Op::new(op)) else {
         return false;
     };
     let written = row.write(&write);
@@ -504,12 +504,12 @@
     let (mut first, mut second) = (lease("vm-1"), lease("vm-2"));
     let mut row = Row::default();
     let at = |millis| ids::Time::from_millis(10_000 + millis);
-    first.see(at(0), None);
+    first.see(at(0), None, 0);
     assert!(attempt(&mut first, &mut row, at(0), 1, true));
     assert!(first.may_order(at(0)).is_some(), "nobody was before it");
     assert!(first.may_order(at(1_490)).is_some());
     assert!(first.may_order(at(1_510)).is_none(), "it has not renewed");
-    second.see(at(100), row.row.as_ref());
+    second.see(at(100), row.row.as_ref(), 0);
     assert!(!attempt(&mut second, &mut row, at(1_900), 2, true));
     assert!(attempt(&mut second, &mut row, at(2_200), 2, true));
     assert!(row.holder().fence > ids::Fence::new(1));
@@ -527,11 +527,11 @@
     let (mut first, mut second) = (lease("vm-1"), lease("vm-2"));
     let mut row = Row::default();
     let at = |millis| ids::Time::from_millis(10_000 + millis);
-    first.see(at(0), None);
+    first.see(at(0), None, 0);
     attempt(&mut first, &mut row, at(0), 1, true);
-    second.see(at(0), row.row.as_ref());
+    second.see(at(0), row.row.as_ref(), 0);
     assert!(attempt(&mut second, &mut row, at(2_100), 2, false), "the answer is lost");
-    second.see(at(2_200), row.row.as_ref());
+    second.see(at(2_200), row.row.as_ref(), 0);
     let mut now = 2_200;
     while second.may_order(at(now)).is_none() && now < 9_000 {
         now += 20;
@@ -546,12 +546,12 @@
     let mut row = Row::default();
     let now = ids::Time::from_millis(10_000);
     let mut first = lease("vm-1");
-    first.see(now, None);
+    first.see(now, None, 0);
     attempt(&mut first, &mut row, now, 1, true);
-    other.see(now, row.row.as_ref());
+    other.see(now, row.row.as_ref(), 0);
     let later = now + time::Duration::from_secs(20);
-    assert!(other.tick(later, true, 0, || ids::Op::new(2)).is_none());
-    assert!(other.tick(later, false, 0, || ids::Op::new(2)).is_some());
+    assert!(other.tick(later, true, 0, || None, || ids::Op::new(2)).is_none());
+    assert!(other.tick(later, false, 0, || None, || ids::Op::new(2)).is_some());
 }
 
 #[test]
@@ -563,8 +563,8 @@
         version: ids::Version::new(70),
         value: "nonsense".into(),
     };
-    assert!(!own.see(now, Some(&row)), "it is told");
-    let (_, write) = own.tick(now, false, 0, || ids::Op::new(1)).expect("a write");
+    assert!(!own.see(now, Some(&row), 0), "it is told");
+    let (_, write) = own.tick(now, false, 0, || None, || ids::Op::new(1)).expect("a write");
     assert_eq!(write.expect, Some(ids::Version::new(70)));
     let holder: Holder = serde_json::from_str(&write.value.expect("a value")).expect("a holder");
     assert!(holder.fence > ids::Fence::new(70), "no token is used twice");
--- a/crates/relay/tests/quota.rs
+++ b/crates/relay/tests/quota.rs
@@ -90,6 +90,21 @@
         self.sent.retain(|(_, from, _)| *from != index);
     }
 
+    /// Ends all VMs `after` what the store keeps of the buckets was written, and starts
+    /// them anew when they have been `down`.
+    fn restart_all(&mut self, after: impl FnOnce(&mut Self) -> f64, down: time::Duration) {
+        const CLOCK_MS: u64 = 1_000;
+        let (now, view) = (self.now, self.views()[0]);
+        let saved = self.tables[0].save(now, view, CLOCK_MS).expect("one bucket");
+        let _granted = after(self);
+        self.now = self.now + down;
+        let clock_ms = CLOCK_MS + u64::try_from(self.now.since(now).as_millis()).unwrap();
+        for index in 0..self.tables.len() {
+            self.restart(index, 0.0);
+            let _age = self.tables[index].restore(self.now, &saved, clock_ms);
+        }
+    }
+
     fn hears(&self, one: usize, other: usize) -> bool {
         !self.cut.contains(&(one.min(other), one.max(other)))
     }
@@ -242,6 +257,39 @@
     }
 }
 
+/// Time for which all VMs are away.
+const DOWN: time::Duration = time::Duration::from_millis(1_200);
+
+#[test]
+fn vms_that_all_start_anew_go_on_with_what_the_store_keeps() {
+    for rate in [54_000.0, 286_000.0] {
+        let mut fleet = Fleet::with(LARGE, rate, LARGE_TELL);
+        let usual = spread(rate, 0.55);
+        fleet.run(5_000, &usual);
+        fleet.restart_all(|fleet| fleet.run(500, &usual), DOWN);
+        let granted = fleet.run(2_000, &usual);
+        assert!(granted >= 0.9 * 0.55 * 2.0 * rate, "rate {rate}: {granted}");
+    }
+}
+
+#[test]
+fn what_the_store_keeps_does_not_break_the_bound() {
+    for rate in [54_000.0, 286_000.0] {
+        // What is asked for before what is kept is written, after that, and after the start.
+        for (before, unwritten, after) in [(0.55, 0.55, 9.0), (0.55, 4.5, 4.5), (9.0, 9.0, 9.0)] {
+            let mut fleet = Fleet::with(LARGE, rate, LARGE_TELL);
+            fleet.run(5_000, spread(rate, before));
+            for _ in 0..2 {
+                let last = |fleet: &mut Fleet| fleet.run(600, spread(rate, unwritten));
+                fleet.restart_all(last, DOWN);
+                fleet.run(3_000, spread(rate, after));
+            }
+            let (most, bound) = (fleet.most(WINDOW), rate * 9.0 * 1.1 + LARGE_SLACK);
+            assert!(most <= bound, "rate {rate}, {before} {unwritten} {after}: {most} of {bound}");
+        }
+    }
+}
+
 #[test]
 fn one_vm_of_a_large_fleet_alone_gets_nearly_the_whole_rate() {
     let rate = 286_000.0;
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -253,7 +253,8 @@
     /// Answers the lease's writes, so that this VM is the planner.
     pub fn lead(&mut self) -> Seen {
         let members = vec![Self::member()];
-        let mut seen = self.step([Input::Members(members), Input::Lease(None)]);
+        let mut seen =
+            self.step([Input::Members(members), Input::Lease { row: None, clock_ms: 0 }]);
         seen.extend(self.wait(20));
         self.grant(&seen);
         seen
@@ -266,7 +267,10 @@
     /// Answers writes with success.
     pub fn grant(&mut self, seen: &Seen) {
         for (op, _) in &seen.writes {
-            let result = Ok(input::Written::Done(ids::Version::new(1_000 + op.get())));
+            let result = Ok(input::Written::Done {
+                version: ids::Version::new(1_000 + op.get()),
+                clock_ms: 0,
+            });
             self.step([Input::Written { op: *op, result }]);
         }
     }
