--- a/crates/proofs/src/process.rs
+++ b/crates/proofs/src/process.rs
@@ -270,10 +270,12 @@
     })
 }
 
-/// The directory above the one of the running test.
+/// The directory of the programs: that of the running program, or the one above
+/// it for a test.
 fn directory_of_programs() -> Result<path::PathBuf> {
-    let test = env::current_exe().map_err(|cause| Error::new("find", &"programs", &cause))?;
-    let directory = test.parent().and_then(path::Path::parent);
-    let directory = directory.ok_or_else(|| Error::new("find", &"programs", &"no directory"))?;
-    Ok(directory.to_owned())
+    let own = env::current_exe().map_err(|cause| Error::new("find", &"programs", &cause))?;
+    let directory = own.parent().ok_or_else(|| Error::new("find", &"programs", &"no directory"))?;
+    let is_test = directory.file_name().is_some_and(|name| name == "deps");
+    let above = directory.parent().filter(|_| is_test);
+    Ok(above.unwrap_or(directory).to_owned())
 }
--- a/crates/proofs/src/relay.rs
+++ b/crates/proofs/src/relay.rs
@@ -1,9 +1,9 @@
-//! Links that can be cut, in one direction or in both.
+//! Links that can be cut, in one direction or in both, delayed and reset.
 //!
 //! A cut holds bytes back, as a network that loses packets does: what was sent
 //! before arrives late, when the link is whole again.
 
-use std::net;
+use std::{net, time};
 
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -24,6 +24,8 @@
     target: watch::Sender<Option<net::SocketAddr>>,
     there: watch::Sender<bool>,
     back: watch::Sender<bool>,
+    delay: watch::Sender<time::Duration>,
+    resets: watch::Sender<u64>,
     task: task::JoinHandle<()>,
 }
 
@@ -33,6 +35,8 @@
     target: watch::Receiver<Option<net::SocketAddr>>,
     there: watch::Receiver<bool>,
     back: watch::Receiver<bool>,
+    delay: watch::Receiver<time::Duration>,
+    resets: watch::Receiver<u64>,
 }
 
 impl Relay {
@@ -48,9 +52,17 @@
         let (target, see_target) = watch::channel(None);
         let (there, see_there) = watch::channel(true);
         let (back, see_back) = watch::channel(true);
-        let state = State { target: see_target, there: see_there, back: see_back };
+        let (delay, see_delay) = watch::channel(time::Duration::ZERO);
+        let (resets, see_resets) = watch::channel(0);
+        let state = State {
+            target: see_target,
+            there: see_there,
+            back: see_back,
+            delay: see_delay,
+            resets: see_resets,
+        };
         let task = tokio::spawn(accept(listener, state));
-        Ok(Self { address, target, there, back, task })
+        Ok(Self { address, target, there, back, delay, resets, task })
     }
 
     /// Address of the link's near end.
@@ -75,8 +87,19 @@
         self.back.send_replace(false);
     }
 
-    /// Makes the link whole again.
+    /// Delays what is sent from now on, each way.
+    pub fn delay(&self, by: time::Duration) {
+        self.delay.send_replace(by);
+    }
+
+    /// Resets all connections; new ones can be made at once.
+    pub fn reset(&self) {
+        self.resets.send_modify(|resets| *resets += 1);
+    }
+
+    /// Makes the link whole and quick again.
     pub fn heal(&self) {
+        self.delay(time::Duration::ZERO);
         self.there.send_replace(true);
         self.back.send_replace(true);
     }
@@ -104,24 +127,51 @@
     let Ok(far) = TcpStream::connect(target).await else {
         return;
     };
-    let (near_read, near_write) = near.into_split();
-    let (far_read, far_write) = far.into_split();
-    tokio::join!(pump(near_read, far_write, state.there), pump(far_read, near_write, state.back),);
+    state.resets.mark_unchanged();
+    let (mut near, mut far) = (near, far);
+    let passing = async {
+        let (near_read, near_write) = near.split();
+        let (far_read, far_write) = far.split();
+        tokio::join!(
+            pump(near_read, far_write, state.there, state.delay.clone()),
+            pump(far_read, near_write, state.back, state.delay),
+        );
+    };
+    let is_reset = tokio::select! {
+        () = passing => false,
+        changed = state.resets.changed() => changed.is_ok(),
+    };
+    if is_reset {
+        for end in [&near, &far] {
+            // Without a wait for what was not sent, the end is a reset.
+            let linger = Some(time::Duration::ZERO);
+            if rustix::net::sockopt::set_socket_linger(end, linger).is_err() {
+                return;
+            }
+        }
+    }
 }
 
 /// Passes bytes on while the direction is open, until the connection ends.
 async fn pump(
-    mut from: tcp::OwnedReadHalf,
-    mut to: tcp::OwnedWriteHalf,
+    mut from: tcp::ReadHalf<'_>,
+    mut to: tcp::WriteHalf<'_>,
     mut open: watch::Receiver<bool>,
+    delay: watch::Receiver<time::Duration>,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
     while let Ok(length) = from.read(&mut buffer).await {
+        let late = *delay.borrow();
+        if !late.is_zero() {
+            tokio::time::sleep(late).await;
+        }
         if open.wait_for(|open| *open).await.is_err() || length == 0 {
-            return;
+            break;
         }
         if to.write_all(&buffer[..length]).await.is_err() {
             return;
         }
     }
+    // The other way may have more to pass on; where it has not, nobody listens.
+    drop(to.shutdown().await);
 }
