relay: the pace of models is learned from their first tokens

Cause: models take between 0.11 and 1.0 of the slowest ones' time a token, which the configuration does not tell. Demand and choice took all as the slowest: fast models got copies that slow ones lacked, and engines that read fast prompts counted as full. Ruled out: sharing the pace between VMs (each sees enough of the sizes). Change: each VM keeps a pace for each size of weights, from streams that were the first to be read; it scales demand, expected times and unread prompts. Red before: the_work_of_a_fast_model_keeps_fewer_runners_busy.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -69,6 +69,8 @@
     pub sent: ids::Time,
     /// When the first byte was expected, in ms after sending.
     pub expected_ms: f64,
+    /// Whether its target had no other prompt to read, as far as was known.
+    pub is_first_to_read: bool,
     /// Whether the first byte or event has come.
     pub has_first: bool,
 }
--- a/crates/relay/src/choice.rs
+++ b/crates/relay/src/choice.rs
@@ -1,5 +1,7 @@
 //! The choice of a target: the shortest expected time to the first byte.
 
+use std::time;
+
 use rand::seq::IteratorRandom as _;
 use route::policy;
 
@@ -69,6 +71,8 @@
     pub usual_ms: f64,
     /// Part of the places at an instance of a plain service that this VM may take.
     pub share: f64,
+    /// Pace of the model.
+    pub pace: f64,
     /// How to choose.
     pub rule: Rule,
     /// Choices made so far.
@@ -204,9 +208,11 @@
         return (added, want.usual_ms * (1.0 + waiting));
     };
     let kept = if want.rule.has_affinity { row.cache.kept(want.item, &work.prompt) } else { 0 };
-    let unread = work.prompt_tokens.saturating_sub(kept);
-    let prefill = (load.prefill + unread) as f64 * PREFILL_MS;
-    let step = STEP_MS + load.calls as f64 * STEP_CALL_MS;
+    // Prompts at an engine are counted as the slowest models would read them.
+    let unread = work.prompt_tokens.saturating_sub(kept) as f64 * want.pace;
+    let prefill = (load.prefill as f64 + unread) * PREFILL_MS;
+    let unread = time::Duration::from_secs_f64(unread).as_secs();
+    let step = (STEP_MS + load.calls as f64 * STEP_CALL_MS) * want.pace;
     let added = target::Load { calls: 1, kv: work.kv_tokens(), prefill: unread };
     (added, prefill + 2.0 * step)
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,7 +10,7 @@
 //! - [`call`] are the open calls and their attempts, [`quota`] the accounts' rates
 //!   over all VMs; calls wait in a [`route::queue`];
 //! - [`outlook`] says which calls would wait too long and are refused at once;
-//! - [`target`] are the targets, with their [`health`] and prompt [`cache`];
+//! - [`target`] are the targets, with their [`health`] and prompt [`cache`], [`pace`] the speed of models;
 //!   [`choice`] finds the one with the shortest expected time;
 //! - [`demand`] and [`placement`] say which model should be loaded where;
 //!   the [`planner`] gives the orders while it holds the [`lease`];
@@ -36,6 +36,7 @@
 pub mod lease;
 pub mod outlook;
 pub mod output;
+pub mod pace;
 pub mod peer;
 pub mod placement;
 pub mod planner;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -5,8 +5,8 @@
 use rand::SeedableRng as _;
 
 use crate::{
-    Input, Output, Settings, call, config, demand, event, lease, outlook, output, peer, planner,
-    quota, system, target,
+    Input, Output, Settings, call, config, demand, event, lease, outlook, output, pace, peer,
+    planner, quota, system, target,
 };
 
 /// Time between two runs of the systems that look over whole tables.
@@ -60,6 +60,7 @@
     pub(crate) lease: lease::Lease,
     pub(crate) planner: Option<planner::Planner>,
     pub(crate) demand: demand::Demand,
+    pub(crate) pace: pace::Pace,
     pub(crate) outlook: outlook::Outlook,
     pub(crate) stage: Stage,
     pub(crate) store_down: Option<ids::Time>,
@@ -106,6 +107,7 @@
             lease,
             planner: None,
             demand: demand::Demand::default(),
+            pace: pace::Pace::default(),
             outlook: outlook::Outlook::default(),
             stage: Stage::Running,
             store_down: None,
@@ -287,11 +289,25 @@
         (all / (members + 1)).max(1)
     }
 
+    /// Pace of the model that a call asks for.
+    pub(crate) fn pace_of(&self, row: &call::Row) -> f64 {
+        pace_of(self.config.as_deref(), &self.pace, row)
+    }
+
     pub(crate) fn usual_ms(&self, service: &ids::Service) -> f64 {
         self.usual_ms.get(service).copied().unwrap_or(USUAL_MS)
     }
 }
 
+/// Pace of the model that a call asks for; 1 if it is not known.
+pub(crate) fn pace_of(config: Option<&config::Config>, pace: &pace::Pace, row: &call::Row) -> f64 {
+    let found = || {
+        let engine = config?.services.get(&row.service)?.engine.as_ref()?;
+        Some(pace.of(engine.models.get(&row.ask.work.as_ref()?.model)?.weights_mb))
+    };
+    found().unwrap_or(1.0)
+}
+
 /// Time of a plain service's answer before any was seen, in ms: the sheets tell
 /// 15 to 60 ms of work.
 const USUAL_MS: f64 = 40.0;
--- a/crates/relay/src/system/arrive.rs
+++ b/crates/relay/src/system/arrive.rs
@@ -185,7 +185,8 @@
         budget.earn();
     }
     if let Some(work) = &row.ask.work {
-        relay.demand.add(now, &row.service, &work.model, choice::busy_ms(work));
+        let busy_ms = choice::busy_ms(work) * relay.pace_of(&row);
+        relay.demand.add(now, &row.service, &work.model, busy_ms);
     }
     if let Some(hopeless) = hopeless(relay, now, &row) {
         refuse(relay, call, &row, hopeless.reason, hopeless.retry_after, &hopeless.inputs, out);
--- a/crates/relay/src/system/attempt.rs
+++ b/crates/relay/src/system/attempt.rs
@@ -100,7 +100,7 @@
     let (call, target) = (row.call, row.target.clone());
     let took = now.since(row.sent);
     let expected_ms = row.expected_ms;
-    let read = row.load.prefill;
+    let (read, is_first_to_read) = (row.load.prefill, row.is_first_to_read);
     // The head of a stream comes before its prompt is read.
     let counts = is_first && matches!(event, Event::First);
     if counts {
@@ -114,6 +114,9 @@
             target.health.timed(took, expected_ms);
         }
     }
+    if counts && is_first_to_read && read >= LEAST_READ {
+        learn(relay, call, took, expected_ms);
+    }
     if let Some(row) = relay.calls.get_mut(call) {
         row.has_begun = true;
         if counts {
@@ -122,6 +125,22 @@
     }
 }
 
+/// Unread tokens of a prompt from which on its first token shows the model's pace.
+const LEAST_READ: u64 = 50;
+
+/// Takes in the pace of a model.
+fn learn(relay: &mut Relay, call: ids::Call, took: time::Duration, expected_ms: f64) {
+    let Relay { calls, config, pace, .. } = relay;
+    let weights_mb = || {
+        let row = calls.get(call)?;
+        let engine = config.as_ref()?.services.get(&row.service)?.engine.as_ref()?;
+        Some(engine.models.get(&row.ask.work.as_ref()?.model)?.weights_mb)
+    };
+    if let Some(weights_mb) = weights_mb() {
+        pace.learn(weights_mb, took, expected_ms);
+    }
+}
+
 fn ended(relay: &mut Relay, now: ids::Time, attempt: ids::Attempt, out: &mut Vec<Output>) {
     let Some((ended, row)) = take(relay, now, attempt, health::Ending::Answered, out) else {
         return;
--- a/crates/relay/src/system/dispatch.rs
+++ b/crates/relay/src/system/dispatch.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     Output, ask, call, choice, event, output, peer,
-    relay::{Relay, line},
+    relay::{Relay, line, pace_of},
     system::{arrive, attempt, start},
 };
 
@@ -28,7 +28,7 @@
     let mut blocked = collections::HashSet::new();
     let mut again = Vec::new();
     loop {
-        let Relay { queue, calls, targets, settings, usual_ms, .. } = relay;
+        let Relay { queue, calls, targets, settings, usual_ms, pace, .. } = relay;
         let usual = |service| usual_ms.get(service).copied().unwrap_or_default();
         let popped = queue.pop(now, |entry| {
             let Some(row) = calls.get(entry.call).filter(|_| !blocked.contains(&entry.item)) else {
@@ -38,7 +38,11 @@
                 return false;
             };
             let usual_ms = usual(&row.service);
-            choice::has_room(targets, now, &want(row, service, settings, usual_ms, share))
+            choice::has_room(
+                targets,
+                now,
+                &want(row, service, settings, pace_of(Some(&config), pace, row), usual_ms, share),
+            )
         });
         let Some(entry) = popped else {
             break;
@@ -63,6 +67,7 @@
     row: &'a call::Row,
     service: &'a crate::config::Service,
     settings: &'a crate::Settings,
+    pace: f64,
     usual_ms: f64,
     share: f64,
 ) -> choice::Want<'a> {
@@ -73,6 +78,7 @@
         excluded: &row.tried,
         unreached: &row.unreached,
         centre: &settings.centre,
+        pace,
         usual_ms,
         share,
         rule: settings.rule,
@@ -90,6 +96,7 @@
 ) -> bool {
     let usual_ms = relay.calls.get(call).map_or(0.0, |row| relay.usual_ms(&row.service));
     let share = start::share(relay, now);
+    let pace = relay.calls.get(call).map_or(1.0, |row| relay.pace_of(row));
     let Relay { calls, targets, settings, rng, .. } = relay;
     let Some(row) = calls.get(call) else {
         return true;
@@ -98,7 +105,7 @@
         return true;
     };
     let turn = calls.begun();
-    let want = choice::Want { turn, ..want(row, service, settings, usual_ms, share) };
+    let want = choice::Want { turn, ..want(row, service, settings, pace, usual_ms, share) };
     let Some(chosen) = choice::choose(targets, now, &want, rng) else {
         return false;
     };
@@ -106,6 +113,7 @@
     let Some(target) = relay.targets.get_mut(&chosen.target) else {
         return false;
     };
+    let is_first_to_read = target.load().prefill == 0;
     target.own.add(chosen.load);
     if let Some(row) = relay.calls.get(call) {
         relay.outlook.sent(now, &row.item);
@@ -133,6 +141,7 @@
         load: chosen.load,
         sent: now,
         expected_ms: chosen.expected_ms,
+        is_first_to_read,
         has_first: false,
     });
     let Some(row) = relay.calls.get_mut(call) else {
@@ -142,7 +151,7 @@
     row.tried.push(chosen.target.clone());
     let waited = now.since(row.arrived);
     let inputs = format!(
-        "route {} item {} waited {waited:?} left {:?} try {} expected {:.0} ms {inputs}",
+        "route {} item {} waited {waited:?} left {:?} try {} expected {:.0} ms pace {pace:.2} {inputs}",
         row.route.name,
         row.item,
         row.left(now),
@@ -189,7 +198,7 @@
         let Some((work, adapter)) = adapter else {
             continue;
         };
-        let want = want(row, service, settings, 0.0, 1.0);
+        let want = want(row, service, settings, 1.0, 0.0, 1.0);
         let is_offered = choice::is_served(targets, now, &want);
         // Where its targets are full, it is worth loading only where the model has room.
         let model_alone = ask::Work { adapter: None, ..work.clone() };
--- /dev/null
+++ b/crates/relay/tests/pace.rs
@@ -0,0 +1,77 @@
+//! What is learned of the models' pace, and what follows from it.
+
+mod world;
+
+use std::time;
+
+use relay::{Input, input::Event, pace, peer};
+use world::{World, draft, runner};
+
+const WEIGHTS_MB: f64 = 72_700.0;
+
+fn took(ms: u64) -> time::Duration {
+    time::Duration::from_millis(ms)
+}
+
+#[test]
+fn a_pace_is_learned_within_some_twenty_streams_and_holds_for_the_size() {
+    let mut paces = pace::Pace::default();
+    for _ in 0..20 {
+        // What is expected follows what has been learned.
+        let expected_ms = 100.0 * paces.of(WEIGHTS_MB);
+        paces.learn(WEIGHTS_MB, took(20), expected_ms);
+    }
+    let learned = paces.of(WEIGHTS_MB);
+    assert!((0.15..0.30).contains(&learned), "{learned} of 0.2");
+    let other = paces.of(WEIGHTS_MB / 2.0);
+    assert!((0.99..1.01).contains(&other), "nothing is known of another size: {other}");
+}
+
+#[test]
+fn engines_that_are_slow_for_a_while_make_no_model_slower_than_the_slowest() {
+    let mut paces = pace::Pace::default();
+    for _ in 0..50 {
+        let expected_ms = 100.0 * paces.of(WEIGHTS_MB);
+        paces.learn(WEIGHTS_MB, took(600), expected_ms);
+    }
+    assert!(paces.of(WEIGHTS_MB) <= 1.0);
+    for _ in 0..30 {
+        let expected_ms = 100.0 * paces.of(WEIGHTS_MB);
+        paces.learn(WEIGHTS_MB, took(10), expected_ms);
+    }
+    assert!(paces.of(WEIGHTS_MB) >= 0.05, "one that takes no time is not believed");
+}
+
+/// Work of `alpha` that the planner is told after streams whose first tokens take
+/// `first_ms`, in runners kept busy.
+fn told(first_ms: u64) -> f64 {
+    let mut world = World::new(vec![runner("r-1", &["alpha"])]);
+    let planner = relay::Settings::new("vm-2", "north", 1).with_peer("127.0.0.1:9").member();
+    world.step([Input::Members(vec![planner])]);
+    let mut told = 0.0;
+    for _ in 0..40 {
+        let digest = peer::Digest { leads: Some(ids::Fence::new(1)), ..peer::Digest::default() };
+        let incarnation = ids::Incarnation::new(1);
+        let message = peer::Message::Digest(digest);
+        world.step([Input::Peer { from: "vm-2".into(), incarnation, message }]);
+        let (_, seen) = world.arrive(draft("draft", "alpha", 1_000));
+        if let Some(begun) = seen.begun.first() {
+            world.pass(first_ms);
+            world.event(begun.attempt, Event::First);
+            world.event(begun.attempt, Event::Ended);
+        }
+        let seen = world.wait(200 - first_ms);
+        for (_, message) in seen.messages {
+            if let peer::Message::Digest(digest) = message {
+                told = digest.demand.iter().map(|(_, _, work)| work).sum();
+            }
+        }
+    }
+    told
+}
+
+#[test]
+fn the_work_of_a_fast_model_keeps_fewer_runners_busy() {
+    let (slow, fast) = (told(80), told(10));
+    assert!(slow > 0.0 && fast < slow / 2.0, "{fast} and {slow} runners");
+}
