quota: a row keeps 200 accounts at most, and waits for a portion are short

Found by reading: a row of the store takes 64 KB, and the lease could not be renewed with thousands of accounts in it (some 80 bytes each with names of 64 letters). A wait told for a portion could grow to a minute where a VM is asked for little. Both have a bound now; the first has a test, which was not seen red.

--- a/crates/relay/src/quota.rs
+++ b/crates/relay/src/quota.rs
@@ -48,6 +48,12 @@
 /// takes one to two seconds, and the planner writes every 0.7 s.
 const KEPT_FOR: time::Duration = time::Duration::from_secs(5);
 
+/// Accounts that are kept in the store at most, those that ask for most: with the
+/// longest names, they fill two thirds of a row.
+const KEPT_ACCOUNTS: usize = 200;
+/// Longest wait for a portion: by then, digests have told anew what is asked for.
+const PORTION_WAIT: f64 = 1.0;
+
 /// What a VM has granted since it started, and what it takes the level to be.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -274,7 +280,8 @@
         if self.level + margin - unheard >= units || self.portion > 0.0 {
             return None;
         }
-        Some(-self.portion / self.portion_rate(now, view).max(f64::MIN_POSITIVE))
+        let wait = -self.portion / self.portion_rate(now, view).max(f64::MIN_POSITIVE);
+        Some(wait.min(PORTION_WAIT))
     }
 }
 
@@ -376,7 +383,10 @@
             let asked = bucket.asked.per_second(now) + bucket.asked_elsewhere(now);
             (account.clone(), ((bucket.level / share).round(), asked.round()))
         });
-        Some(Saved { at_ms, accounts: accounts.collect() })
+        let mut accounts: Vec<_> = accounts.collect();
+        accounts.sort_by(|(_, (_, one)), (_, (_, other))| other.total_cmp(one));
+        accounts.truncate(KEPT_ACCOUNTS);
+        Some(Saved { at_ms, accounts: accounts.into_iter().collect() })
     }
 
     /// Takes in what the store has kept since before this VM's start, if it is read
--- a/crates/relay/tests/quota.rs
+++ b/crates/relay/tests/quota.rs
@@ -272,6 +272,26 @@
     }
 }
 
+#[test]
+fn of_many_accounts_the_store_keeps_those_that_ask_for_most() {
+    let mut config = configuration(2);
+    let usual = config.accounts[&ids::Account::from("mayors")].clone();
+    for number in 0..1_000 {
+        let name = ids::Account::from(format!("{number:0>64}").as_str());
+        config.accounts.insert(name.clone(), relay::config::Account { name, ..usual.clone() });
+    }
+    let mut table = quota::Table::new(tolerance(0.0));
+    let now = ids::Time::from_millis(1_000);
+    table.adopt(now, &config);
+    let view = quota::View::Together { heard: 1, all: 1 };
+    let later = now + time::Duration::from_secs(2);
+    assert_eq!(table.take(later, view, &"mayors".into(), 500.0), Ok(()));
+    let saved = table.save(later, view, 5).expect("it shares one bucket with all");
+    assert!(saved.accounts.contains_key(&ids::Account::from("mayors")));
+    let text = serde_json::to_string(&saved).expect("a JSON form");
+    assert!(text.len() < 65_536, "{} bytes are more than a row takes", text.len());
+}
+
 #[test]
 fn what_the_store_keeps_does_not_break_the_bound() {
     for rate in [54_000.0, 286_000.0] {
