--- a/crates/relay/src/quota.rs
+++ b/crates/relay/src/quota.rs
@@ -13,47 +13,30 @@
 //! what is asked of it: otherwise all VMs of a large fleet would spend the same
 //! level at once.
 
+mod bucket;
+
 use std::{collections, time};
 
 use crate::{config, fade};
 
 /// Least burst, in units: one call must be able to get through.
 const LEAST_BURST: f64 = 1.0;
-/// Part of the slack with which the buckets of all VMs together begin. The rest is for what VMs grant before they
-/// hear of one another's grants, and for a second start within the same window.
+/// Part of the slack with which the buckets of all VMs together begin. The rest is
+/// for what VMs grant before they hear of one another's grants, and for a second
+/// start within the same window.
 const START_PART: f64 = 0.25;
-/// Level below which an excess is not carried on, as a multiple of the burst.
-const DEEPEST: f64 = 1.0;
-
 /// Part of what the platform tolerates that VMs may grant beyond the level before
 /// they hear of one another. The rest is for starts, cuts and late digests.
 const UNHEARD_PART: f64 = 0.5;
-/// Time in which the weight of what was asked for halves, in ms: about two digests
-/// of a large fleet, so that a sudden demand is seen by the second one.
-const ASKED_MS: f64 = 500.0;
 /// Time from a digest to its effect in the others, beyond the time between two
 /// digests: the way, two ticks, and a wait for the processor.
 const WAY: time::Duration = time::Duration::from_millis(100);
-/// Age beyond which it does not count any more what a VM has told of its demand:
-/// several digests of a large fleet.
-const ASKED_FOR: time::Duration = time::Duration::from_millis(1_500);
-/// Level at which portions grow at the account's rate, as a part of the burst: it
-/// covers the unevenness of the VMs' portions.
-const REST_LEVEL: f64 = 0.1;
-/// How much faster portions grow for each burst that the level is above that, as
-/// a multiple of the rate: what is left unused comes back within a second.
-const CATCH_UP: f64 = 1.0;
-
 /// Age up to which what the store keeps of a bucket is used: a restart of all VMs
 /// takes one to two seconds, and the planner writes every 0.7 s.
 const KEPT_FOR: time::Duration = time::Duration::from_secs(5);
-
 /// Accounts that are kept in the store at most, those that ask for most: with the
 /// longest names, they fill two thirds of a row.
 const KEPT_ACCOUNTS: usize = 200;
-/// Longest wait for a portion: by then, digests have told anew what is asked for.
-const PORTION_WAIT: f64 = 1.0;
-
 /// What a VM has granted since it started, and what it takes the level to be.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -88,25 +71,6 @@
     pub accounts: collections::BTreeMap<ids::Account, (f64, f64)>,
 }
 
-/// What the store keeps of a bucket, until it is taken in.
-#[derive(Clone, Copy, Debug)]
-struct Kept {
-    /// Level at `at`, if what was asked for before was granted until then.
-    level: f64,
-    at: ids::Time,
-    /// Whether this VM's part was taken in while it had not met the others.
-    is_shared: bool,
-}
-
-/// What another VM has told last.
-#[derive(Clone, Copy, Debug)]
-struct Heard {
-    incarnation: ids::Incarnation,
-    granted: f64,
-    asked: f64,
-    at: ids::Time,
-}
-
 /// What a VM knows of the other VMs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum View {
@@ -146,145 +110,6 @@
     }
 }
 
-#[derive(Clone, Debug)]
-struct Bucket {
-    rate: f64,
-    burst: f64,
-    level: f64,
-    granted: f64,
-    refilled: ids::Time,
-    /// Share of the rate and of the burst that the bucket used last.
-    share: f64,
-    /// Units with which the buckets of all VMs together begin, until the own
-    /// part of them is taken in.
-    start: f64,
-    /// What the store keeps from before the start.
-    kept: Option<Kept>,
-    /// What each VM's incarnation has told last.
-    told: collections::BTreeMap<ids::Vm, Heard>,
-    /// Units asked for here.
-    asked: fade::Sum,
-    /// Units that this VM may grant while the level does not bear what all are asked for.
-    portion: f64,
-    /// When the portion last grew.
-    grown: ids::Time,
-}
-
-impl Bucket {
-    fn refill(&mut self, now: ids::Time, view: View) {
-        let passed = now.since(self.refilled).as_secs_f64();
-        self.refilled = self.refilled.max(now);
-        // VMs that are not heard any more count on their part of what is saved up.
-        let share = view.share();
-        if share < self.share && self.level > 0.0 {
-            self.level *= share / self.share;
-        }
-        self.share = share;
-        self.recall(now, view);
-        let most = self.burst * view.share();
-        if let Some(all) = view.all() {
-            self.level += std::mem::take(&mut self.start) / all as f64;
-        }
-        self.level = (self.level + passed * self.rate * view.share()).min(most);
-    }
-
-    /// Lets the portion grow; the level is that of now.
-    fn grow(&mut self, now: ids::Time, view: View) {
-        let passed = now.since(self.grown).as_secs_f64();
-        self.grown = self.grown.max(now);
-        let most = self.burst * view.share() * self.part(now, view);
-        self.portion = (self.portion + passed * self.portion_rate(now, view)).min(most);
-    }
-
-    /// Takes in what the store keeps from before the start. What VMs have granted
-    /// since is known only when all of them are heard; until then, each may count
-    /// on its part.
-    fn recall(&mut self, now: ids::Time, view: View) {
-        let Some(kept) = &mut self.kept else {
-            return;
-        };
-        let passed = now.since(kept.at);
-        if passed > KEPT_FOR {
-            self.kept = None;
-            return;
-        }
-        let level = (kept.level + passed.as_secs_f64() * self.rate).min(self.burst);
-        match view {
-            View::Together { heard, all } if heard == all => {
-                let elsewhere: f64 = self.told.values().map(|heard| heard.granted).sum();
-                // An empty bucket is what is known without the store. VMs that have not
-                // started anew have granted more since their start, and tell the level.
-                self.level = if level < 0.0 {
-                    self.level.min(level)
-                } else {
-                    self.level.max(level - self.granted - elsewhere)
-                };
-                self.kept = None;
-            }
-            _ if !kept.is_shared => {
-                let Some(all) = view.all() else {
-                    return;
-                };
-                kept.is_shared = true;
-                self.level = self.level.max(level / all as f64);
-            }
-            _ => {}
-        }
-    }
-
-    fn spend(&mut self, units: f64) {
-        self.level = (self.level - units).max(-self.burst * DEEPEST);
-    }
-
-    /// Units that the other VMs are asked for, a second.
-    fn asked_elsewhere(&self, now: ids::Time) -> f64 {
-        let recent = self.told.values().filter(|heard| now.since(heard.at) <= ASKED_FOR);
-        recent.map(|heard| heard.asked).sum()
-    }
-
-    /// This VM's part of what all VMs are asked for.
-    fn part(&self, now: ids::Time, view: View) -> f64 {
-        let own = self.asked.per_second(now);
-        let all = own + self.asked_elsewhere(now);
-        match view {
-            View::Together { heard, .. } if all <= 0.0 => 1.0 / heard.max(1) as f64,
-            _ if all <= 0.0 => 1.0,
-            _ => own / all,
-        }
-    }
-
-    /// Units a second that are added to the portion.
-    fn portion_rate(&self, now: ids::Time, view: View) -> f64 {
-        let above = (self.level / self.burst - REST_LEVEL) * CATCH_UP;
-        self.rate * view.share() * self.part(now, view) * (1.0 + above).max(0.0)
-    }
-
-    /// Time until `units` may be granted; none if they may be now. What the other
-    /// VMs grant meanwhile is known `lag` later, and `margin` units of it may be too many.
-    fn wait(
-        &self,
-        now: ids::Time,
-        view: View,
-        lag: time::Duration,
-        margin: f64,
-        units: f64,
-    ) -> Option<f64> {
-        let rate = (self.rate * view.share()).max(f64::MIN_POSITIVE);
-        if self.level < units {
-            return Some((units - self.level) / rate);
-        }
-        if !matches!(view, View::Together { .. }) {
-            return None;
-        }
-        let unheard = self.asked_elsewhere(now) * lag.as_secs_f64();
-        if self.level + margin - unheard >= units || self.portion > 0.0 {
-            return None;
-        }
-        let wait = -self.portion / self.portion_rate(now, view).max(f64::MIN_POSITIVE);
-        Some(wait.min(PORTION_WAIT))
-    }
-}
-
 /// Outcome of asking for units: how long to wait if there are too few.
 pub type Result<T, E = Short> = std::result::Result<T, E>;
 
@@ -329,7 +154,7 @@
     tolerance: Tolerance,
     /// When the other VMs were told last, and the time between the last two digests.
     told: Option<(ids::Time, time::Duration)>,
-    buckets: collections::BTreeMap<ids::Account, Bucket>,
+    buckets: collections::BTreeMap<ids::Account, bucket::Bucket>,
     /// What the store keeps from before the start, and when and at which age it was read.
     saved: Option<(ids::Time, time::Duration, Saved)>,
 }
@@ -348,7 +173,7 @@
         let start = self.tolerance.slack * START_PART;
         let mut before = std::mem::take(&mut self.buckets);
         for account in config.accounts.values().filter(limited) {
-            let bucket = before.remove(&account.name).unwrap_or_else(|| Bucket {
+            let bucket = before.remove(&account.name).unwrap_or_else(|| bucket::Bucket {
                 rate: 0.0,
                 burst: 0.0,
                 level: 0.0,
@@ -358,13 +183,13 @@
                 start,
                 kept: None,
                 told: collections::BTreeMap::new(),
-                asked: fade::Sum::new(ASKED_MS),
+                asked: fade::Sum::new(bucket::ASKED_MS),
                 portion: 0.0,
                 grown: now,
             });
             let burst = account.burst.max(LEAST_BURST);
             let level = bucket.level.min(burst);
-            let bucket = Bucket { rate: account.rate, burst, level, ..bucket };
+            let bucket = bucket::Bucket { rate: account.rate, burst, level, ..bucket };
             self.buckets.insert(account.name.clone(), bucket);
         }
         self.keep();
@@ -419,7 +244,7 @@
                 let since = (bucket.rate - asked) * age.as_secs_f64();
                 // What was granted too much stays so.
                 let level = (level + since).clamp(level.min(0.0), bucket.burst);
-                bucket.kept = Some(Kept { level, at: *at, is_shared: false });
+                bucket.kept = Some(bucket::Kept { level, at: *at, is_shared: false });
             }
         }
     }
@@ -444,7 +269,7 @@
         bucket.asked.add(now, units);
         bucket.refill(now, view);
         bucket.grow(now, view);
-        let Bucket { level, rate, burst, .. } = *bucket;
+        let bucket::Bucket { level, rate, burst, .. } = *bucket;
         let short = |wait| Short { wait, level, rate, burst };
         if view.share() <= 0.0 {
             return Err(short(UNKNOWN_WAIT));
@@ -500,7 +325,7 @@
             };
             bucket.refill(now, view);
             let Told { granted, asked, .. } = *told;
-            let heard = Heard { incarnation, granted, asked, at: now };
+            let heard = bucket::Heard { incarnation, granted, asked, at: now };
             let before = bucket.told.insert(from.clone(), heard);
             if !matches!(view, View::Together { .. }) {
                 continue;
