--- a/crates/relay/src/lease.rs
+++ b/crates/relay/src/lease.rs
@@ -47,6 +47,7 @@
 /// The accounts' buckets that a lease's row keeps.
 #[must_use]
 pub fn saved(row: Option<&table::Row>) -> Option<quota::Saved> {
+    // A row that cannot be read is logged where the lease takes it in.
     let holder: Option<Holder> = serde_json::from_str(&row?.value).ok();
     holder?.quota
 }
