--- a/crates/daemon/src/effect.rs
+++ b/crates/daemon/src/effect.rs
@@ -112,7 +112,9 @@
             Output::Table { op, request } => self.table(decided, op, request),
             Output::Object { op, request } => self.object(op, request),
             Output::Vms { op } => self.vms(op),
-            Output::Peer { to, message } => self.context.links.send(&to, message),
+            Output::Peer { to, message } => {
+                self.context.links.send(&[to], message);
+            }
             Output::Members(members) => self.context.links.set_members(members),
             Output::Operator { op, reply } => self.context.operators.answer(op, reply),
             Output::Ready { ready, reason } => self.context.readiness.set(ready, &reason),
--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -86,24 +86,25 @@
         }
     }
 
-    /// Queues a message for a VM. It is dropped if there is no link to that VM, and
-    /// later if it becomes too old or the queue overflows.
-    pub fn send<T: serde::Serialize>(&self, to: &ids::Vm, message: T) {
-        let Some(link) = self.links.get(to) else {
-            metrics::counter!(metric::DROPPED_MESSAGES, "vm" => to.to_string()).increment(1);
-            return;
-        };
+    /// Queues a message for several VMs and returns its size in bytes. It is dropped for
+    /// a VM without a link, and later if it becomes too old or a queue overflows.
+    pub fn send<T: serde::Serialize>(&self, to: &[ids::Vm], message: T) -> usize {
         let frame = wire::Frame { incarnation: self.identity.incarnation.get(), message };
-        match wire::encode(&frame) {
-            Ok(bytes) => {
-                let queued = Queued { queued_at: time::Instant::now(), bytes };
-                if link.queue.send(queued).is_err() {
-                    metrics::counter!(metric::DROPPED_MESSAGES, "vm" => to.to_string())
-                        .increment(1);
-                }
+        let bytes = match wire::encode(&frame) {
+            Ok(bytes) => bytes,
+            Err(cause) => {
+                tracing::warn!(step = "peer", receivers = to.len(), %cause, "message not sent");
+                return 0;
+            }
+        };
+        let queued = Queued { queued_at: time::Instant::now(), bytes };
+        for vm in to {
+            let link = self.links.get(vm);
+            if link.is_none_or(|link| link.queue.send(queued.clone()).is_err()) {
+                metrics::counter!(metric::DROPPED_MESSAGES, "vm" => vm.to_string()).increment(1);
             }
-            Err(cause) => tracing::warn!(step = "peer", peer = %to, %cause, "message not sent"),
         }
+        queued.bytes.len()
     }
 
     fn connect(&self, member: member::Member) -> Link {
--- a/crates/daemon/src/relay/effect.rs
+++ b/crates/daemon/src/relay/effect.rs
@@ -3,7 +3,7 @@
 use std::{sync, time};
 
 use http_body_util::Full;
-use relay::{Input, Output, event};
+use relay::{Input, Output, event, peer as peer_message};
 use tokio::sync::watch;
 
 use crate::{
@@ -63,7 +63,7 @@
                 self.send_decision(call, calls::Decision::Fail { status, reason });
             }
             Output::Deliver { call } => self.send_decision(call, calls::Decision::Deliver),
-            Output::Peer { to, message } => self.links.send(&to, message),
+            Output::Peer { to, message } => self.send_to_peers(&to, message),
             Output::Members(members) => self.links.set_members(members),
             Output::Follow(follow) => self.subscriptions.set(follow),
             Output::Decode { text } => rows::decode_config(&self.inbox, text),
@@ -89,6 +89,12 @@
         }
     }
 
+    fn send_to_peers(&self, to: &[ids::Vm], message: peer_message::Message) {
+        let kind = message.kind();
+        let bytes = self.links.send(to, message);
+        metric::record_sent(kind, to.len(), bytes);
+    }
+
     fn write(&self, op: ids::Op, write: store::table::Write) {
         let (writer, inbox) = (self.writer.clone(), self.inbox.clone());
         tokio::spawn(async move {
--- a/crates/daemon/src/relay/metric.rs
+++ b/crates/daemon/src/relay/metric.rs
@@ -22,6 +22,14 @@
 pub const TARGET_CONNECTIONS: &str = "primroseplank_relay_target_connections_total";
 /// Counter of log lines dropped because the standard output was too slow.
 pub const DROPPED_LOG_LINES: &str = "primroseplank_log_lines_dropped_total";
+/// Counter of messages sent to other VMs, labelled by kind.
+pub const PEER_MESSAGES: &str = "primroseplank_relay_peer_messages_total";
+/// Counter of bytes of messages sent to other VMs, labelled by kind.
+pub const PEER_BYTES: &str = "primroseplank_relay_peer_bytes_total";
+/// Counter of requests to the store, labelled by table and kind.
+pub const STORE_REQUESTS: &str = "primroseplank_relay_store_requests_total";
+/// Gauge of the age of the oldest report about reachable VMs, in seconds.
+pub const VIEW_AGE: &str = "primroseplank_relay_view_age_seconds";
 /// Gauge of open calls.
 pub const OPEN_CALLS: &str = "primroseplank_relay_open_calls";
 /// Gauge of the version of the configuration in force.
@@ -44,11 +52,32 @@
     metrics::describe_counter!(RUNNER_ORDERS, Unit::Count, "Orders given to runners.");
     metrics::describe_counter!(TARGET_CONNECTIONS, Unit::Count, "New connections to targets.");
     metrics::describe_counter!(DROPPED_LOG_LINES, Unit::Count, "Log lines dropped.");
+    metrics::describe_counter!(PEER_MESSAGES, Unit::Count, "Messages to other VMs, by kind.");
+    metrics::describe_counter!(PEER_BYTES, Unit::Bytes, "Bytes sent to other VMs, by kind.");
+    metrics::describe_counter!(STORE_REQUESTS, Unit::Count, "Requests to the store.");
+    metrics::describe_gauge!(
+        VIEW_AGE,
+        Unit::Seconds,
+        "Age of the oldest report about reachable VMs."
+    );
     metrics::describe_gauge!(OPEN_CALLS, Unit::Count, "Calls that are open.");
     metrics::describe_gauge!(CONFIG_VERSION, Unit::Count, "Version of the configuration in force.");
     Ok(handle)
 }
 
+/// Records a message of `bytes` bytes sent to `receivers` VMs.
+pub fn record_sent(kind: &'static str, receivers: usize, bytes: usize) {
+    let count = |number: usize| u64::try_from(number).unwrap_or(u64::MAX);
+    metrics::counter!(PEER_MESSAGES, "kind" => kind).increment(count(receivers));
+    let total = receivers.saturating_mul(bytes);
+    metrics::counter!(PEER_BYTES, "kind" => kind).increment(count(total));
+}
+
+/// Records a request to the store.
+pub fn record_store_request(table: &'static str, kind: &'static str) {
+    metrics::counter!(STORE_REQUESTS, "table" => table, "kind" => kind).increment(1);
+}
+
 /// Records a measurement emitted by the decision core.
 pub fn record(measure: &event::Measure) {
     match measure {
--- a/crates/daemon/src/relay/rows.rs
+++ b/crates/daemon/src/relay/rows.rs
@@ -6,7 +6,7 @@
 use relay::{Input, input, target};
 use tokio::sync::{Mutex, watch};
 
-use crate::relay::{inbox, pool};
+use crate::relay::{inbox, metric, pool};
 
 /// How long the store is asked to hold a long poll for urgent changes. No answer
 /// within this time plus [`ANSWER_TIMEOUT`] means that the connection is dead.
@@ -39,11 +39,13 @@
 struct Connection {
     address: sync::Arc<str>,
     sender: Option<pool::Sender>,
+    /// Table that the requests concern, for metrics.
+    table: &'static str,
 }
 
 impl Connection {
-    fn new(address: &sync::Arc<str>) -> Self {
-        Self { address: sync::Arc::clone(address), sender: None }
+    fn new(address: &sync::Arc<str>, table: &'static str) -> Self {
+        Self { address: sync::Arc::clone(address), sender: None, table }
     }
 
     /// Sends a request and returns status and body. After a failure, the next
@@ -58,6 +60,8 @@
         let Some(mut sender) = self.sender().await? else {
             return Err("the store closed the connection".to_owned());
         };
+        let kind = if method == http::Method::GET { "read" } else { "write" };
+        metric::record_store_request(self.table, kind);
         let request = http::Request::builder()
             .method(method)
             .uri(path)
@@ -104,7 +108,7 @@
     /// Creates a writer to the store at `address`, without connecting yet.
     #[must_use]
     pub fn new(address: &sync::Arc<str>) -> Self {
-        Self { connection: sync::Arc::new(Mutex::new(Connection::new(address))) }
+        Self { connection: sync::Arc::new(Mutex::new(Connection::new(address, "transaction"))) }
     }
 
     /// Writes one row.
@@ -177,7 +181,7 @@
     mut availability: Availability,
     mut enabled: watch::Receiver<bool>,
 ) {
-    let mut connection = Connection::new(&address);
+    let mut connection = Connection::new(&address, F::TABLE);
     let mut backoff = *BACKOFF.start();
     let mut known_version: Option<ids::Version> = None;
     loop {
@@ -392,6 +396,7 @@
         if is_full {
             self.rows.clear();
         }
+        let version = page.version;
         for row in page.rows {
             let key = sync::Arc::clone(&row.key);
             match row.into_table_row() {
@@ -414,7 +419,7 @@
                 }
             })
             .collect();
-        self.inbox.send(Input::Members(members));
+        self.inbox.send(Input::Members { version, members });
     }
 }
 
@@ -442,14 +447,14 @@
 pub struct Subscriptions {
     reader: watch::Sender<bool>,
     lease: watch::Sender<bool>,
-    /// Keeps the task that always follows the VMs' rows running.
-    _members: watch::Sender<bool>,
+    members: watch::Sender<bool>,
 }
 
 impl Subscriptions {
-    /// Enables or disables following of the reader tables and of the lease.
+    /// Enables or disables following of the reader tables, the VMs' rows and the lease.
     pub fn set(&self, follow: relay::output::Follow) {
         self.reader.send_replace(follow.is_reader);
+        self.members.send_replace(follow.watches_members);
         self.lease.send_replace(follow.watches_lease);
     }
 }
@@ -478,5 +483,5 @@
         silent(),
         members_enabled,
     ));
-    Subscriptions { reader, lease, _members: members }
+    Subscriptions { reader, lease, members }
 }
--- a/crates/daemon/tests/peer.rs
+++ b/crates/daemon/tests/peer.rs
@@ -52,7 +52,7 @@
     let mut inputs = Vec::new();
     let sending = async {
         for number in 0.. {
-            links.send(&"vm-2".into(), query(number));
+            links.send(&["vm-2".into()], query(number));
             tokio::time::sleep(time::Duration::from_millis(10)).await;
         }
     };
@@ -85,7 +85,7 @@
     let send_duration = time::Duration::from_millis(500);
     let sending = async {
         for number in 0..50 {
-            wrong.send(&"vm-2".into(), query(number));
+            wrong.send(&["vm-2".into()], query(number));
             tokio::time::sleep(send_duration / 50).await;
         }
     };
@@ -124,7 +124,7 @@
     links.set_members(vec![member(address)]);
     let started = time::Instant::now();
     for number in 0..100_000 {
-        links.send(&"vm-2".into(), query(number));
+        links.send(&["vm-2".into()], query(number));
     }
     assert!(started.elapsed() < DEADLINE, "{:?}", started.elapsed());
 }
--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -203,7 +203,7 @@
             let changes = engines.iter().map(|engine| engine.change(version)).collect();
             let targets = input::Targets { is_full: true, version, changes };
             vec![
-                Input::Members(members.clone()),
+                Input::Members { version: ids::Version::new(1), members: members.clone() },
                 Input::Lease { row: None, clock_ms: 0 },
                 Input::Config { text: "".into(), config: sync::Arc::clone(&config) },
                 Input::Targets(targets),
@@ -442,14 +442,13 @@
             }
             Output::Peer { to, message } => {
                 let from: ids::Vm = format!("vm-{vm}").as_str().into();
-                let to = (0..self.vms.len()).find(|number| *to.as_str() == *format!("vm-{number}"));
                 let incarnation = ids::Incarnation::new(1);
-                if let Some(to) = to {
-                    self.schedule_input(
-                        to,
-                        LINK_DELAY_MS,
-                        Input::Peer { from, incarnation, message },
-                    );
+                let is_receiver =
+                    |number: &usize| to.contains(&format!("vm-{number}").as_str().into());
+                for receiver in (0..self.vms.len()).filter(is_receiver) {
+                    let (from, message) = (from.clone(), message.clone());
+                    let input = Input::Peer { from, incarnation, message };
+                    self.schedule_input(receiver, LINK_DELAY_MS, input);
                 }
             }
             Output::Write { op, write } => self.write_row(vm, op, write),
--- a/crates/relay/src/input.rs
+++ b/crates/relay/src/input.rs
@@ -40,7 +40,12 @@
     /// Targets were read from the store.
     Targets(Targets),
     /// The rows of the VMs were read from the store.
-    Members(Vec<member::Member>),
+    Members {
+        /// Store version of the read.
+        version: ids::Version,
+        /// The VMs, including this one once its row is written.
+        members: Vec<member::Member>,
+    },
     /// The row of the planner's lease was read from the store.
     Lease {
         /// The row, if there is one.
--- a/crates/relay/src/lease.rs
+++ b/crates/relay/src/lease.rs
@@ -104,6 +104,12 @@
         }
     }
 
+    /// Whether the row has been observed.
+    #[must_use]
+    pub const fn is_seen(&self) -> bool {
+        self.seen.is_some()
+    }
+
     /// The fencing token if this VM holds the lease, even if it may not send orders yet.
     #[must_use]
     pub fn fence(&self, now: ids::Time) -> Option<ids::Fence> {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,7 +15,8 @@
 //!   relative speed of models; [`choice`] selects the target with the lowest expected latency;
 //! - [`demand`] and [`placement`] decide which model to load where; the [`planner`] sends
 //!   the orders while this VM holds the [`lease`];
-//! - [`peer`] defines the messages between VMs.
+//! - [`peer`] defines the messages between VMs, [`centre`] those between data centres of a
+//!   large fleet.
 //!
 //! ```
 //! let mut relay = relay::Relay::new(relay::Settings::new("vm-1", "north", 1));
@@ -26,6 +27,7 @@
 
 pub mod cache;
 pub mod call;
+pub mod centre;
 pub mod choice;
 pub mod config;
 pub mod decay;
--- a/crates/relay/src/output.rs
+++ b/crates/relay/src/output.rs
@@ -36,10 +36,10 @@
         /// The call.
         call: ids::Call,
     },
-    /// Send a message to another VM; delivery is best effort.
+    /// Send a message to other VMs; delivery is best effort.
     Peer {
-        /// The receiver.
-        to: ids::Vm,
+        /// The receivers.
+        to: Vec<ids::Vm>,
         /// The message.
         message: peer::Message,
     },
@@ -88,11 +88,13 @@
     Stopped,
 }
 
-/// Tables of the store that a VM watches, besides the membership rows.
+/// Tables of the store that a VM watches.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Follow {
     /// Whether it watches the configuration and the targets.
     pub is_reader: bool,
+    /// Whether it watches the rows of the VMs.
+    pub watches_members: bool,
     /// Whether it watches the planner's lease.
     pub watches_lease: bool,
 }
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -2,11 +2,22 @@
 
 use std::{collections, sync, time};
 
-use crate::{quota, target};
+use crate::{centre, quota, target};
 
-/// Silence after which a VM counts as unreachable: several digest intervals plus a
-/// packet retransmission.
-const HEARD_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// Digest interval of a small fleet; the age of digests bounds the error of loads and
+/// quotas.
+const MIN_DIGEST_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// Digest interval per neighbour of a VM: about 400 messages take 100 ms of CPU time
+/// of a VM per second.
+const DIGEST_INTERVAL_PER_NEIGHBOUR: time::Duration = time::Duration::from_millis(8);
+/// Minimum silence after which a VM counts as unreachable: several digest intervals
+/// plus a packet retransmission.
+const MIN_HEARD_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// Silence after which a VM counts as unreachable, in digest intervals.
+const HEARD_TIMEOUT_INTERVALS: u32 = 4;
+/// Largest fleet in which all VMs exchange digests. In a larger one, those of
+/// different data centres exchange summaries instead.
+const MAX_MESH_VMS: usize = 16;
 
 /// A message between VMs. Messages may be lost or delayed.
 #[derive(Clone, Debug, PartialEq)]
@@ -38,10 +49,51 @@
         adapter: ids::Adapter,
         /// Whether targets already offer it, so that a further copy is requested.
         is_offered: bool,
+        /// How often the request has been forwarded.
+        #[serde(default)]
+        hops: u8,
     },
     /// The planner has loaded or unloaded an item at a target.
     #[serde(rename = "p")]
     Placed(Placed),
+    /// The membership read from the store.
+    #[serde(rename = "e")]
+    Members(Members),
+    /// State of a data centre, for the aggregators of the others.
+    #[serde(rename = "s")]
+    Summary(centre::Summary),
+    /// State of the other data centres, for the VMs of the sender's.
+    #[serde(rename = "o")]
+    Overview(centre::Overview),
+}
+
+impl Message {
+    /// Name of the kind of message, for metrics.
+    #[must_use]
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Digest(_) => "digest",
+            Self::Config { .. } => "config",
+            Self::Targets(_) => "targets",
+            Self::AdapterRequest { .. } => "adapter request",
+            Self::Placed(_) => "placed",
+            Self::Members(_) => "members",
+            Self::Summary(_) => "summary",
+            Self::Overview(_) => "overview",
+        }
+    }
+}
+
+/// All VMs, as read from the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Members {
+    /// Store version of the read.
+    #[serde(rename = "v")]
+    pub version: ids::Version,
+    /// The VMs.
+    #[serde(rename = "e")]
+    pub members: Vec<member::Member>,
 }
 
 /// Targets read from the store by a VM.
@@ -84,7 +136,10 @@
     /// Store version of the last change of the targets that it knows.
     #[serde(rename = "t")]
     pub targets: ids::Version,
-    /// Hash of the names of the VMs that it hears, including its own.
+    /// Store version of the membership that it knows.
+    #[serde(rename = "e", default)]
+    pub members: ids::Version,
+    /// Hash of the names of the neighbours that it hears, and of its own.
     #[serde(rename = "h")]
     pub heard_hash: u64,
     /// Its usage of the accounts' quotas.
@@ -111,47 +166,77 @@
     pub member: member::Member,
     /// The latest incarnation heard.
     pub incarnation: ids::Incarnation,
-    /// When it was heard last.
+    /// Whether this VM exchanges digests with it.
+    pub is_neighbour: bool,
+    /// When it was heard last, directly or by the aggregator of its data centre.
     pub last_heard: Option<ids::Time>,
+    /// When it counts as unreachable unless it is heard again.
+    heard_until: ids::Time,
     /// When it was first known.
     pub known_since: ids::Time,
     /// Its latest digest.
     pub digest: Digest,
 }
 
+impl Row {
+    fn new(now: ids::Time, member: member::Member) -> Self {
+        Self {
+            incarnation: member.incarnation,
+            is_neighbour: true,
+            last_heard: None,
+            heard_until: ids::Time::default(),
+            known_since: now,
+            digest: Digest::default(),
+            member,
+        }
+    }
+
+    /// Whether it counts as reachable.
+    #[must_use]
+    pub fn is_heard(&self, now: ids::Time) -> bool {
+        self.last_heard.is_some() && now <= self.heard_until
+    }
+}
+
 /// The other VMs.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
+    /// Data centre of this VM.
+    centre: Option<ids::Centre>,
     rows: collections::BTreeMap<ids::Vm, Row>,
-    /// Whether the membership has been read.
-    is_known: bool,
+    /// The membership, with the store version of its last change; `None` before it is known.
+    members: Option<Members>,
+    /// Number of neighbours.
+    neighbours: usize,
 }
 
 impl Table {
-    /// Updates the membership. Returns whether any VM was added, removed or changed.
-    pub fn update(
-        &mut self,
-        now: ids::Time,
-        members: impl Iterator<Item = member::Member>,
-    ) -> bool {
-        self.is_known = true;
+    /// Creates the table of a VM in the data centre `centre`, without other VMs.
+    #[must_use]
+    pub fn new(centre: ids::Centre) -> Self {
+        Self { centre: Some(centre), ..Self::default() }
+    }
+
+    /// Updates the membership of the VM `own_vm`. Returns whether any other VM was added,
+    /// removed or changed.
+    pub fn update(&mut self, now: ids::Time, own_vm: &ids::Vm, members: Members) -> bool {
         let mut before = std::mem::take(&mut self.rows);
         let mut changed = false;
-        for member in members {
+        for member in members.members.iter().filter(|member| member.vm != *own_vm).cloned() {
             let known = before.remove(&member.vm);
             changed |= known.as_ref().is_none_or(|row| row.member != member);
             let row = match known {
                 Some(row) => Row { member: member.clone(), ..row },
-                None => Row {
-                    incarnation: member.incarnation,
-                    last_heard: None,
-                    known_since: now,
-                    digest: Digest::default(),
-                    member: member.clone(),
-                },
+                None => Row::new(now, member.clone()),
             };
             self.rows.insert(member.vm, row);
         }
+        let is_mesh = self.rows.len() < MAX_MESH_VMS;
+        for row in self.rows.values_mut() {
+            row.is_neighbour = is_mesh || Some(&row.member.centre) == self.centre.as_ref();
+        }
+        self.neighbours = self.rows.values().filter(|row| row.is_neighbour).count();
+        self.members = Some(members);
         changed || !before.is_empty()
     }
 
@@ -163,6 +248,7 @@
         from: &ids::Vm,
         incarnation: ids::Incarnation,
     ) -> Option<&mut Row> {
+        let timeout = self.heard_timeout();
         let row = self.rows.get_mut(from)?;
         if incarnation < row.incarnation {
             return None;
@@ -172,14 +258,59 @@
             row.digest = Digest::default();
         }
         row.last_heard = Some(now);
+        row.heard_until = row.heard_until.max(now + timeout);
         Some(row)
     }
 
-    /// The VMs heard within the last second.
+    /// Records what an aggregator reports about the VMs of its data centre.
+    pub fn record_head(&mut self, now: ids::Time, age: time::Duration, head: &centre::Head) {
+        let remote = self.rows.values_mut().filter(|row| !row.is_neighbour);
+        for row in remote.filter(|row| row.member.centre == head.centre) {
+            let vm = &row.member.vm;
+            let read_age = head.readers.iter().find(|(reader, _)| reader == vm);
+            let elapsed = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+            row.digest.read_age = read_age.map(|(_, read_age)| read_age.saturating_add(elapsed));
+            let leader = head.leader.as_ref().filter(|(leader, _)| leader == vm);
+            row.digest.leader_fence = leader.map(|(_, fence)| *fence);
+            if head.silent.contains(vm) {
+                row.heard_until = row.heard_until.min(now);
+                continue;
+            }
+            row.last_heard = Some(now);
+            row.heard_until = now + centre::LIFETIME.saturating_sub(age);
+        }
+    }
+
+    /// Interval between two digests of a VM.
+    #[must_use]
+    pub fn digest_interval(&self) -> time::Duration {
+        let neighbours = u32::try_from(self.neighbours).unwrap_or(u32::MAX);
+        MIN_DIGEST_INTERVAL.max(DIGEST_INTERVAL_PER_NEIGHBOUR * neighbours)
+    }
+
+    fn heard_timeout(&self) -> time::Duration {
+        MIN_HEARD_TIMEOUT.max(self.digest_interval() * HEARD_TIMEOUT_INTERVALS)
+    }
+
+    /// The VMs that are heard, directly or by the aggregators of their data centres.
     pub fn heard(&self, now: ids::Time) -> impl Iterator<Item = &Row> {
-        let is_recent =
-            move |row: &&Row| row.last_heard.is_some_and(|heard| now.since(heard) <= HEARD_TIMEOUT);
-        self.rows.values().filter(is_recent)
+        self.rows.values().filter(move |row| row.is_heard(now))
+    }
+
+    /// The VMs with which this VM exchanges digests.
+    pub fn neighbours(&self) -> impl Iterator<Item = &Row> {
+        self.rows.values().filter(|row| row.is_neighbour)
+    }
+
+    /// The neighbours that are heard.
+    pub fn heard_neighbours(&self, now: ids::Time) -> impl Iterator<Item = &Row> {
+        self.neighbours().filter(move |row| row.is_heard(now))
+    }
+
+    /// Whether all VMs are neighbours.
+    #[must_use]
+    pub fn is_mesh(&self) -> bool {
+        self.rows.len() == self.neighbours
     }
 
     /// All other VMs.
@@ -199,32 +330,37 @@
         (self.heard(now).count() + 1, self.rows.len() + 1)
     }
 
-    /// Hash of the names of the VMs that are heard, including `own_vm`.
+    /// Hash of the names of the neighbours that are heard, and of `own_vm`.
     #[must_use]
     pub fn heard_hash(&self, now: ids::Time, own_vm: &ids::Vm) -> u64 {
         let hash = |vm: &ids::Vm| route::hash::seed(vm.as_str());
-        self.heard(now).fold(hash(own_vm), |sum, row| sum.wrapping_add(hash(&row.member.vm)))
+        self.heard_neighbours(now)
+            .fold(hash(own_vm), |sum, row| sum.wrapping_add(hash(&row.member.vm)))
     }
 
-    /// Whether the membership has been read.
+    /// Whether the membership is known.
     #[must_use]
     pub const fn is_known(&self) -> bool {
-        self.is_known
+        self.members.is_some()
     }
 
-    /// Connectivity of `own_vm` to the other VMs, for quotas.
+    /// The membership, as read from the store; `None` before it is known.
     #[must_use]
-    pub fn view(&self, now: ids::Time, own_vm: &ids::Vm) -> quota::View {
-        if !self.is_known {
-            return quota::View::Unknown;
-        }
-        let (heard, all) = self.count(now);
+    pub const fn members(&self) -> Option<&Members> {
+        self.members.as_ref()
+    }
+
+    /// Store version of the membership; 0 before it is known.
+    #[must_use]
+    pub fn version(&self) -> ids::Version {
+        self.members.as_ref().map_or(ids::Version::new(0), |members| members.version)
+    }
+
+    /// Whether the neighbours that `own_vm` hears all hear the same neighbours.
+    #[must_use]
+    pub fn neighbours_agree(&self, now: ids::Time, own_vm: &ids::Vm) -> bool {
         let own = self.heard_hash(now, own_vm);
-        if self.heard(now).all(|row| row.digest.heard_hash == own) {
-            quota::View::Together { heard, all }
-        } else {
-            quota::View::Alone { all }
-        }
+        self.heard_neighbours(now).all(|row| row.digest.heard_hash == own)
     }
 
     /// The VM that is the planner, if it is another one and heard. If several claim
--- a/crates/relay/src/quota.rs
+++ b/crates/relay/src/quota.rs
@@ -70,6 +70,36 @@
     pub accounts: collections::BTreeMap<ids::Account, (f64, f64)>,
 }
 
+/// Whose usage a report covers.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Source {
+    /// Another VM, which reports its own usage.
+    Vm(ids::Vm),
+    /// The VMs of another data centre, whose aggregator reports their usage.
+    Centre(ids::Centre),
+    /// The VMs of all other data centres, whose usage the aggregator of this one reports.
+    Elsewhere,
+}
+
+impl Source {
+    /// Whether a report of this source replaces those of `other`, as it covers the same VMs.
+    const fn covers(&self, other: &Self) -> bool {
+        matches!(
+            (self, other),
+            (Self::Elsewhere, Self::Centre(_)) | (Self::Centre(_), Self::Elsewhere)
+        )
+    }
+}
+
+/// The process that counts the usage in a report.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reporter {
+    /// The VM.
+    pub vm: ids::Vm,
+    /// Its incarnation; each one counts from zero.
+    pub incarnation: ids::Incarnation,
+}
+
 /// Connectivity of a VM to the other VMs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum View {
@@ -153,6 +183,8 @@
     tolerance: Tolerance,
     /// Time of the last digest, and the interval before it.
     last_digest: Option<(ids::Time, time::Duration)>,
+    /// Number of digest intervals after which all VMs know a usage.
+    hops: u32,
     buckets: collections::BTreeMap<ids::Account, bucket::Bucket>,
     /// Snapshot from before the start, with the time of the read and its age then.
     saved: Option<(ids::Time, time::Duration, Saved)>,
@@ -162,7 +194,13 @@
     /// Creates a table without buckets.
     #[must_use]
     pub fn new(tolerance: Tolerance) -> Self {
-        Self { tolerance, ..Self::default() }
+        Self { tolerance, hops: 1, ..Self::default() }
+    }
+
+    /// Sets the number of digest intervals after which all VMs know a usage: one if all
+    /// exchange digests.
+    pub const fn set_hops(&mut self, hops: u32) {
+        self.hops = hops;
     }
 
     /// Applies the limits of a configuration. New buckets start nearly empty, as the
@@ -182,6 +220,7 @@
                 start_units,
                 saved: None,
                 reported: collections::BTreeMap::new(),
+                observed: bucket::Observed::default(),
                 asked: decay::Sum::new(bucket::ASKED_HALF_LIFE_MS),
                 portion: 0.0,
                 portion_grown_at: now,
@@ -262,8 +301,9 @@
         let Some(bucket) = self.buckets.get_mut(account) else {
             return Ok(());
         };
-        let lag =
-            self.last_digest.map_or(time::Duration::ZERO, |(_, interval)| interval + DIGEST_DELAY);
+        let lag = self
+            .last_digest
+            .map_or(time::Duration::ZERO, |(_, interval)| interval * self.hops + DIGEST_DELAY);
         let margin = UNHEARD_FRACTION * self.tolerance.units(bucket.rate, bucket.burst);
         bucket.asked.add(now, units);
         bucket.refill(now, view);
@@ -309,13 +349,49 @@
             .collect()
     }
 
-    /// Applies the usage reported by another VM.
+    /// Returns the usage of all VMs of this data centre, as far as it was reported to
+    /// this VM since its start.
+    #[must_use]
+    pub fn centre_usage(&self, now: ids::Time) -> Vec<Usage> {
+        self.sums(|bucket| {
+            let asked = bucket.asked.per_second(now) + bucket.asked_by(now, bucket::is_vm);
+            (bucket.granted + bucket.observed.in_centre, asked)
+        })
+    }
+
+    /// Returns the usage of all VMs of the other data centres, as far as it was reported
+    /// to this VM since its start.
+    #[must_use]
+    pub fn elsewhere_usage(&self, now: ids::Time) -> Vec<Usage> {
+        self.sums(|bucket| {
+            let asked = bucket.asked_by(now, |source| !bucket::is_vm(source));
+            (bucket.observed.elsewhere, asked)
+        })
+    }
+
+    /// Units granted and asked for, of the accounts for which there were any.
+    fn sums(&self, units: impl Fn(&bucket::Bucket) -> (f64, f64)) -> Vec<Usage> {
+        let usage = |(account, bucket): (&ids::Account, &bucket::Bucket)| {
+            let (granted, asked) = units(bucket);
+            let asked = asked.round();
+            let level = bucket.level.round();
+            (granted > 0.0 || asked > 0.0).then(|| Usage {
+                account: account.clone(),
+                granted,
+                level,
+                asked,
+            })
+        };
+        self.buckets.iter().filter_map(usage).collect()
+    }
+
+    /// Applies a report about the usage of `source` that `reporter` has counted.
     pub fn apply_usage(
         &mut self,
         now: ids::Time,
         view: View,
-        from: &ids::Vm,
-        incarnation: ids::Incarnation,
+        source: &Source,
+        reporter: &Reporter,
         usages: &[Usage],
     ) {
         for usage in usages {
@@ -323,23 +399,15 @@
                 continue;
             };
             bucket.refill(now, view);
-            let Usage { granted, asked, .. } = *usage;
-            let heard = bucket::Reported { incarnation, granted, asked, at: now };
-            let before = bucket.reported.insert(from.clone(), heard);
-            if !matches!(view, View::Together { .. }) {
-                continue;
-            }
-            match before {
-                Some(known) if known.incarnation == incarnation => {
-                    bucket.spend(granted - known.granted);
-                }
-                // Everything granted by a restarted VM is new.
-                Some(_) => bucket.spend(granted),
+            let Some(granted) = bucket.record_report(now, source, reporter, usage) else {
                 // On first contact, the peer's level is better than that of an unused bucket.
-                None if bucket.granted == 0.0 => {
+                if matches!(view, View::Together { .. }) && bucket.granted == 0.0 {
                     bucket.level = bucket.level.max(usage.level.min(bucket.burst));
                 }
-                None => {}
+                continue;
+            };
+            if matches!(view, View::Together { .. }) {
+                bucket.spend(granted);
             }
         }
     }
--- a/crates/relay/src/quota/bucket.rs
+++ b/crates/relay/src/quota/bucket.rs
@@ -30,15 +30,29 @@
     pub(super) is_share_used: bool,
 }
 
-/// Latest usage reported by another VM.
-#[derive(Clone, Copy, Debug)]
+/// Latest usage reported about a source.
+#[derive(Clone, Debug)]
 pub(super) struct Reported {
-    pub(super) incarnation: ids::Incarnation,
+    pub(super) reporter: quota::Reporter,
     pub(super) granted: f64,
     pub(super) asked: f64,
     pub(super) at: ids::Time,
 }
 
+/// Units granted at other VMs since this VM's start, as far as they were reported to it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Observed {
+    /// At the VMs that report their own usage.
+    pub(super) in_centre: f64,
+    /// At the VMs of other data centres.
+    pub(super) elsewhere: f64,
+}
+
+/// Whether a source is a VM that reports its own usage.
+pub(super) const fn is_vm(source: &quota::Source) -> bool {
+    matches!(source, quota::Source::Vm(_))
+}
+
 /// The bucket of one account, as one VM keeps it.
 #[derive(Clone, Debug)]
 pub(super) struct Bucket {
@@ -54,8 +68,9 @@
     pub(super) start_units: f64,
     /// Saved level from before the start.
     pub(super) saved: Option<SavedLevel>,
-    /// Latest report of each other VM.
-    pub(super) reported: collections::BTreeMap<ids::Vm, Reported>,
+    /// Latest report about each source.
+    pub(super) reported: collections::BTreeMap<quota::Source, Reported>,
+    pub(super) observed: Observed,
     /// Demand at this VM, in units.
     pub(super) asked: decay::Sum,
     /// Units that this VM may grant while the level does not cover the demand at all VMs.
@@ -135,8 +150,48 @@
 
     /// Recent demand at the other VMs, in units per second.
     pub(super) fn asked_elsewhere(&self, now: ids::Time) -> f64 {
-        let recent = self.reported.values().filter(|heard| now.since(heard.at) <= ASKED_MAX_AGE);
-        recent.map(|heard| heard.asked).sum()
+        self.asked_by(now, |_| true)
+    }
+
+    /// Recent demand at some sources, in units per second.
+    pub(super) fn asked_by(
+        &self,
+        now: ids::Time,
+        is_counted: impl Fn(&quota::Source) -> bool,
+    ) -> f64 {
+        let is_recent = |heard: &Reported| now.since(heard.at) <= ASKED_MAX_AGE;
+        let recent =
+            self.reported.iter().filter(|(source, heard)| is_counted(source) && is_recent(heard));
+        recent.map(|(_, heard)| heard.asked).sum()
+    }
+
+    /// Records a report. Returns the units granted since the previous one; `None` on
+    /// first contact, when it is not known since when they were granted.
+    pub(super) fn record_report(
+        &mut self,
+        now: ids::Time,
+        source: &quota::Source,
+        reporter: &quota::Reporter,
+        usage: &quota::Usage,
+    ) -> Option<f64> {
+        let quota::Usage { granted, asked, .. } = *usage;
+        let heard = Reported { reporter: reporter.clone(), granted, asked, at: now };
+        if !is_vm(source) {
+            self.reported.retain(|other, _| !source.covers(other));
+        }
+        let before = self.reported.insert(source.clone(), heard);
+        let units = match before {
+            Some(known) if known.reporter == *reporter => granted - known.granted,
+            // Everything counted by a restarted VM is new.
+            Some(known) if known.reporter.vm == reporter.vm => granted,
+            _ => return None,
+        };
+        if is_vm(source) {
+            self.observed.in_centre += units;
+        } else {
+            self.observed.elsewhere += units;
+        }
+        Some(units)
     }
 
     /// This VM's fraction of the demand at all VMs.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -5,8 +5,8 @@
 use rand::SeedableRng as _;
 
 use crate::{
-    Input, Output, Settings, call, config, demand, event, lease, output, pace, peer, planner,
-    quota, system, target, throughput,
+    Input, Output, Settings, call, centre, config, demand, event, lease, output, pace, peer,
+    planner, quota, system, target, throughput,
 };
 
 /// Interval between runs of the systems that scan whole tables.
@@ -36,6 +36,7 @@
 pub(crate) struct Progress {
     pub(crate) config: system::replication::Progress,
     pub(crate) targets: system::replication::Progress,
+    pub(crate) members: system::replication::Progress,
 }
 
 /// The decision core of a VM that relays calls.
@@ -58,6 +59,14 @@
     pub(crate) retries: collections::BTreeMap<ids::Service, route::retry::Budget>,
     pub(crate) typical_ms: collections::BTreeMap<ids::Service, f64>,
     pub(crate) peers: peer::Table,
+    /// The other data centres of a large fleet.
+    pub(crate) centres: centre::Table,
+    /// The aggregator of this data centre in a large fleet.
+    pub(crate) aggregator: Option<ids::Vm>,
+    /// The VMs to which connections are kept.
+    pub(crate) links: Vec<member::Member>,
+    /// When there last was a planner.
+    pub(crate) led_at: Option<ids::Time>,
     pub(crate) lease: lease::Lease,
     pub(crate) planner: Option<planner::Planner>,
     pub(crate) demand: demand::Demand,
@@ -103,7 +112,11 @@
             quota: quota::Table::new(settings.quota),
             retries: collections::BTreeMap::new(),
             typical_ms: collections::BTreeMap::new(),
-            peers: peer::Table::default(),
+            peers: peer::Table::new(settings.centre.clone()),
+            centres: centre::Table::default(),
+            aggregator: None,
+            links: Vec::new(),
+            led_at: None,
             lease,
             planner: None,
             demand: demand::Demand::default(),
@@ -154,6 +167,21 @@
         self.config.as_ref().map_or(ids::Version::new(0), |config| config.version)
     }
 
+    /// Age of the oldest report about VMs that are heard: the loads and quotas of other
+    /// VMs are known up to then.
+    #[must_use]
+    pub fn view_age(&self, now: ids::Time) -> time::Duration {
+        let neighbours = self.peers.heard_neighbours(now).filter_map(|row| row.last_heard);
+        let centres = self.centres.heard(now).map(|row| row.at);
+        neighbours.chain(centres).map(|at| now.since(at)).max().unwrap_or_default()
+    }
+
+    /// Connectivity to the other VMs.
+    #[must_use]
+    pub fn view(&self, now: ids::Time) -> quota::View {
+        system::overlay::view(self, now)
+    }
+
     /// Number of open calls.
     #[must_use]
     pub fn open_calls(&self) -> usize {
@@ -175,7 +203,9 @@
             }
             Input::Config { text, config } => self.adopt(now, text, config, out),
             Input::Targets(targets) => system::replication::read_targets(self, now, targets, out),
-            Input::Members(members) => system::planning::members(self, now, members, out),
+            Input::Members { version, members } => {
+                system::planning::read_members(self, now, version, members, out);
+            }
             Input::Lease { row, clock_ms } => {
                 if let Some(saved) = lease::saved_quota(row.as_ref())
                     && let Some(age) = self.quota.restore(now, &saved, clock_ms)
@@ -233,6 +263,7 @@
         self.config = Some(config);
         self.config_text = text;
         system::admission::recheck(self, now, out);
+        system::replication::announce_config(self, now, out);
     }
 
     /// Capacity of each service's retry budget: this VM's share of the total.
--- a/crates/relay/src/system/admission.rs
+++ b/crates/relay/src/system/admission.rs
@@ -8,7 +8,7 @@
 use crate::{
     Output, call, choice, config, envelope, event,
     relay::{Relay, Stage, line, refusal},
-    system::dispatch,
+    system::{dispatch, overlay},
 };
 
 /// Retry delay sent to callers while this VM shuts down or has no configuration:
@@ -108,7 +108,7 @@
     let mut units = 0.0;
     if let Some(account) = account {
         units = quota_units(account, envelope);
-        let view = relay.peers.view(now, &relay.settings.vm);
+        let view = overlay::view(relay, now);
         if let Err(short) = relay.quota.take(now, view, &account.name, units) {
             let inputs = format!("account {} units {units} peers {view:?}: {short}", account.name);
             return Err(Rejection::new(429, "over quota")
--- a/crates/relay/src/system/dispatch.rs
+++ b/crates/relay/src/system/dispatch.rs
@@ -5,7 +5,7 @@
 use crate::{
     Output, call, choice, envelope, event, output, peer,
     relay::{Relay, line, pace_of},
-    system::{admission, attempt, startup},
+    system::{admission, attempt, overlay, startup},
 };
 
 /// Interval between adapter requests for one call.
@@ -189,7 +189,6 @@
     if relay.queue.is_empty() {
         return;
     }
-    let leader = relay.peers.leader(now).map(|row| row.member.vm.clone());
     let Some(config) = relay.config.clone() else {
         return;
     };
@@ -226,9 +225,10 @@
         }
         if let Some(planner) = &mut relay.planner {
             planner.request_adapter(now, &service, &model, &adapter, is_offered);
-        } else if let Some(to) = &leader {
-            let message = peer::Message::AdapterRequest { service, model, adapter, is_offered };
-            out.push(Output::Peer { to: to.clone(), message });
+        } else {
+            let message =
+                peer::Message::AdapterRequest { service, model, adapter, is_offered, hops: 0 };
+            overlay::send_to_planner(relay, now, message, out);
         }
     }
 }
--- a/crates/relay/src/system/mod.rs
+++ b/crates/relay/src/system/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod attempt;
 pub(crate) mod dispatch;
 pub(crate) mod gossip;
+pub(crate) mod overlay;
 pub(crate) mod planning;
 pub(crate) mod replication;
 pub(crate) mod shutdown;
--- a/crates/relay/src/system/planning.rs
+++ b/crates/relay/src/system/planning.rs
@@ -9,7 +9,7 @@
     input::{Reply, Report, Written},
     peer, planner,
     relay::{Relay, Stage},
-    system::{gossip, replication},
+    system::{gossip, overlay, replication},
 };
 
 /// Silence after which the planner removes a VM's membership row: longer than any
@@ -20,6 +20,7 @@
 
 pub(crate) fn tick(relay: &mut Relay, now: ids::Time, out: &mut Vec<Output>) {
     replication::expire(relay, now, out);
+    maintain_rows(relay, now, out);
     renew_lease(relay, now, out);
     if relay.lease.fence(now).is_none() && relay.planner.take().is_some() {
         out.push(Output::Log(event::Event::new("lease", &relay.settings.vm, "lost")));
@@ -61,13 +62,14 @@
 
 /// Acquires or renews the lease when due.
 fn renew_lease(relay: &mut Relay, now: ids::Time, out: &mut Vec<Output>) {
-    if relay.stage != Stage::Running {
+    let is_holder = relay.lease.fence(now).is_some();
+    if relay.stage != Stage::Running || !(is_holder || replication::may_lead(relay, now)) {
         return;
     }
     let precedes = |row: &&peer::Row| row.member.vm < relay.settings.vm;
     let rank = u32::try_from(relay.peers.heard(now).filter(precedes).count()).unwrap_or(u32::MAX);
     let is_led = relay.peers.leader(now).is_some();
-    let view = relay.peers.view(now, &relay.settings.vm);
+    let view = overlay::view(relay, now);
     let Relay { lease, last_op, quota, .. } = relay;
     let clock_ms = lease.clock_ms(now);
     let save = || quota.save(now, view, clock_ms?);
@@ -82,14 +84,36 @@
 
 /// Demand entries of this VM and of all VMs that are heard.
 fn demand(relay: &Relay, now: ids::Time) -> Vec<(ids::Service, ids::Model, f64)> {
+    let mut demand = neighbours_demand(relay, now);
+    demand.extend(relay.centres.sums(now).flat_map(|sums| sums.demand.iter().cloned()));
+    demand
+}
+
+/// Demand entries of this VM and of its neighbours.
+pub(crate) fn neighbours_demand(
+    relay: &Relay,
+    now: ids::Time,
+) -> Vec<(ids::Service, ids::Model, f64)> {
     let mut demand = relay.demand.rates(now);
-    demand.extend(relay.peers.heard(now).flat_map(|row| row.digest.demand.iter().cloned()));
+    let neighbours = relay.peers.heard_neighbours(now);
+    demand.extend(neighbours.flat_map(|row| row.digest.demand.iter().cloned()));
     demand
 }
 
 fn adapters(relay: &Relay, now: ids::Time) -> Vec<(ids::Target, std::sync::Arc<str>)> {
+    let mut adapters = neighbours_adapters(relay, now);
+    adapters.extend(relay.centres.sums(now).flat_map(|sums| sums.adapters.iter().cloned()));
+    adapters
+}
+
+/// Adapters used by the open calls of this VM and of its neighbours.
+pub(crate) fn neighbours_adapters(
+    relay: &Relay,
+    now: ids::Time,
+) -> Vec<(ids::Target, std::sync::Arc<str>)> {
     let mut adapters = gossip::adapters(relay);
-    adapters.extend(relay.peers.heard(now).flat_map(|row| row.digest.adapters.iter().cloned()));
+    let neighbours = relay.peers.heard_neighbours(now);
+    adapters.extend(neighbours.flat_map(|row| row.digest.adapters.iter().cloned()));
     adapters
 }
 
@@ -98,52 +122,106 @@
     for placed in placed {
         let peer::Placed { target, item, present } = &placed;
         relay.targets.correct(now, target, item, *present);
-        for row in relay.peers.iter() {
-            let message = peer::Message::Placed(placed.clone());
-            out.push(Output::Peer { to: row.member.vm.clone(), message });
-        }
+        overlay::broadcast(relay, now, peer::Message::Placed(placed), out);
     }
 }
 
 /// Handles the membership rows read from the store.
-pub(crate) fn members(
+pub(crate) fn read_members(
     relay: &mut Relay,
     now: ids::Time,
+    version: ids::Version,
     members: Vec<member::Member>,
     out: &mut Vec<Output>,
 ) {
+    // The store's version also grows with changes of other tables.
+    let is_same = relay.peers.members().is_some_and(|known| known.members == members);
+    let version = if is_same { relay.peers.version() } else { version };
+    let news = peer::Members { version, members };
+    if update_members(relay, now, news.clone(), out) {
+        overlay::broadcast(relay, now, peer::Message::Members(news), out);
+    }
+}
+
+/// Handles the membership rows that another VM has read.
+pub(crate) fn receive_members(
+    relay: &mut Relay,
+    now: ids::Time,
+    from: &ids::Vm,
+    news: peer::Members,
+    out: &mut Vec<Output>,
+) {
+    if news.version <= relay.peers.version() {
+        return;
+    }
+    overlay::forward(relay, now, from, peer::Message::Members(news.clone()), out);
+    update_members(relay, now, news, out);
+}
+
+/// Updates the membership, unless a later one is known. Returns whether any other VM was
+/// added, removed or changed.
+fn update_members(
+    relay: &mut Relay,
+    now: ids::Time,
+    news: peer::Members,
+    out: &mut Vec<Output>,
+) -> bool {
+    if news.version < relay.peers.version() {
+        return false;
+    }
+    let version = news.version;
+    let has_changed = relay.peers.update(now, &relay.settings.vm, news);
+    if has_changed {
+        let others = relay.peers.iter().count();
+        let inputs = format!("{others} besides this one, version {version}");
+        out.push(Output::Log(event::Event::new("peer", &"vm/", "members").with_inputs(inputs)));
+        let peers = &relay.peers;
+        relay.centres.retain(|centre| {
+            peers.iter().any(|row| !row.is_neighbour && row.member.centre == *centre)
+        });
+        relay.quota.set_hops(if relay.peers.is_mesh() { 1 } else { OVERLAY_HOPS });
+        overlay::tick(relay, now, out);
+        relay.update_retry_shares();
+        // A new VM waits for the quota usage of the others.
+        relay.gossip.send_now(now);
+    }
+    has_changed
+}
+
+/// Writes this VM's row while it is missing. The planner also removes the rows of silent
+/// VMs.
+fn maintain_rows(relay: &mut Relay, now: ids::Time, out: &mut Vec<Output>) {
+    let Some(known) = relay.peers.members() else {
+        return;
+    };
+    if relay.stage != Stage::Running || now.since(relay.row_written_at) < ROW_REWRITE_INTERVAL {
+        return;
+    }
     let own = relay.settings.member();
-    let is_listed = members.contains(&own);
-    if !is_listed
-        && relay.stage == Stage::Running
-        && now.since(relay.row_written_at) >= ROW_REWRITE_INTERVAL
-    {
+    if !known.members.contains(&own) {
         relay.row_written_at = now;
         // A member always has a JSON form.
         let value = serde_json::to_string(&own).unwrap_or_default();
         write(relay, &own.vm, Some(value), out);
     }
-    let others: Vec<_> = members.into_iter().filter(|other| other.vm != own.vm).collect();
-    if relay.peers.update(now, others.iter().cloned()) {
-        let inputs = format!("{} besides this one", others.len());
-        out.push(Output::Log(event::Event::new("peer", &"vm/", "members").with_inputs(inputs)));
-        out.push(Output::Members(others));
-        relay.update_retry_shares();
-        // A new VM waits for the quota usage of the others.
-        relay.gossip.send_now(now);
+    if relay.planner.is_none() {
+        return;
     }
-    if relay.planner.is_some() {
-        let is_silent =
-            |row: &&peer::Row| now.since(row.last_heard.unwrap_or(row.known_since)) > REMOVE_AFTER;
-        let silent_vms: Vec<_> =
-            relay.peers.iter().filter(is_silent).map(|row| row.member.vm.clone()).collect();
-        for vm in silent_vms {
-            out.push(Output::Log(event::Event::new("peer", &vm, "removed")));
-            write(relay, &vm, None, out);
-        }
+    let is_silent =
+        |row: &&peer::Row| now.since(row.last_heard.unwrap_or(row.known_since)) > REMOVE_AFTER;
+    let silent_vms: Vec<_> =
+        relay.peers.iter().filter(is_silent).map(|row| row.member.vm.clone()).collect();
+    for vm in silent_vms {
+        relay.row_written_at = now;
+        out.push(Output::Log(event::Event::new("peer", &vm, "removed")));
+        write(relay, &vm, None, out);
     }
 }
 
+/// Number of digest intervals after which all VMs of a large fleet know a usage: to the
+/// aggregator, to those of the other data centres, and to their VMs.
+const OVERLAY_HOPS: u32 = 3;
+
 /// Writes or removes the row of a VM unconditionally.
 pub(crate) fn write(relay: &mut Relay, vm: &ids::Vm, value: Option<String>, out: &mut Vec<Output>) {
     let op = relay.next_op();
--- a/crates/relay/src/system/replication.rs
+++ b/crates/relay/src/system/replication.rs
@@ -4,10 +4,13 @@
 //! and pass changes on to the others at once. A VM becomes a reader if it hears of too
 //! few others, so a reader that has stopped, is cut off or is refused by the store is
 //! replaced as soon as its digests show it.
+//!
+//! In a large fleet, aggregators pass changes on to the other data centres and to the
+//! VMs of their own, and also to those that lag behind.
 
 use std::{collections, sync, time};
 
-use crate::{Output, event, input, output, peer, relay::Relay, target};
+use crate::{Output, centre, event, input, output, peer, relay::Relay, system::overlay, target};
 
 /// Number of readers, so that the loss of one leaves no gap.
 const READERS: usize = 2;
@@ -16,34 +19,54 @@
 const MAX_READ_AGE: time::Duration = time::Duration::from_millis(1_600);
 /// Interval between complete copies of the targets, or of a configuration, to one VM.
 const COPY_INTERVAL: time::Duration = time::Duration::from_millis(500);
-/// Time after which a VM's digests confirm changes sent to it: two digest intervals of
-/// a large fleet, some 300 ms each, plus network latency.
-const SETTLE_TIME: time::Duration = time::Duration::from_millis(600);
+/// Minimum time after which a VM's digests confirm changes sent to it.
+const MIN_SETTLE_TIME: time::Duration = time::Duration::from_millis(600);
+/// Time after which a VM's digests confirm changes sent to it, in digest intervals: they
+/// pass through two aggregators, and the confirmation too.
+const SETTLE_INTERVALS: u32 = 4;
+/// Number of VMs that read the store at once when they start in a large fleet.
+const FIRST_READERS: usize = READERS;
+/// Time after its start in which a VM that has no row yet does not know the size of the
+/// fleet: all VMs may be starting for the first time.
+const UNKNOWN_SIZE_PERIOD: time::Duration = time::Duration::from_millis(400);
+/// Delay per rank until a further starting VM reads the store, unless it hears readers.
+const START_DELAY_PER_RANK: time::Duration = time::Duration::from_millis(50);
+/// Maximum of that delay.
+const MAX_START_DELAY: time::Duration = time::Duration::from_secs(1);
+/// Number of VMs that watch the lease as soon as the planner is silent.
+const FIRST_CANDIDATES: usize = 3;
+/// Time after which as many VMs again watch the lease, while there is no planner.
+const CANDIDATES_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
 /// Recently learned versions. They distinguish a VM that has missed changes from one
 /// whose digest was sent before they arrived.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Progress {
     recent: collections::VecDeque<(ids::Time, ids::Version)>,
-    /// The newest version that has been known for [`SETTLE_TIME`].
+    /// The newest version that has been known for a settle time.
     settled: ids::Version,
 }
 
+/// Time after which the digests of all VMs confirm a change.
+fn settle_time(relay: &Relay) -> time::Duration {
+    MIN_SETTLE_TIME.max(relay.peers.digest_interval() * SETTLE_INTERVALS)
+}
+
 impl Progress {
     /// Records that `version` is known now.
-    fn note(&mut self, now: ids::Time, version: ids::Version) {
+    fn note(&mut self, now: ids::Time, settle_time: time::Duration, version: ids::Version) {
         // Without peers, nothing else calls `settled`: prune here, so that versions do not
         // accumulate.
-        let settled = self.settled(now);
+        let settled = self.settled(now, settle_time);
         if self.recent.back().map_or(settled, |(_, targets_version)| *targets_version) < version {
             self.recent.push_back((now, version));
         }
     }
 
     /// The newest version that all VMs should know by now.
-    fn settled(&mut self, now: ids::Time) -> ids::Version {
+    fn settled(&mut self, now: ids::Time, settle_time: time::Duration) -> ids::Version {
         while let Some((_, version)) =
-            self.recent.pop_front_if(|(since, _)| now.since(*since) >= SETTLE_TIME)
+            self.recent.pop_front_if(|(since, _)| now.since(*since) >= settle_time)
         {
             self.settled = version;
         }
@@ -58,10 +81,15 @@
             && row.member.vm < relay.settings.vm
     };
     let readers = relay.peers.heard(now).filter(is_reader).count();
-    let is_led = relay.peers.leader(now).is_some();
+    let is_led = relay.peers.leader(now).is_some() || relay.lease.fence(now).is_some();
+    if is_led {
+        relay.led_at = Some(now);
+    }
+    let is_reader = readers < READERS && may_read(relay, now);
     let follow = output::Follow {
-        is_reader: readers < READERS,
-        watches_lease: !is_led && relay.lease.fence(now).is_none(),
+        is_reader,
+        watches_members: is_reader || readers == 0,
+        watches_lease: !is_led && may_lead(relay, now),
     };
     if relay.follow != Some(follow) {
         relay.follow = Some(follow);
@@ -73,6 +101,55 @@
     }
 }
 
+/// Whether this VM may read the store itself if it hears of too few readers. VMs of a
+/// large fleet that all start at once leave that to the first ones.
+fn may_read(relay: &Relay, now: ids::Time) -> bool {
+    if !knows_size(relay, now) {
+        return false;
+    }
+    if relay.peers.is_mesh() {
+        return true;
+    }
+    let rank = relay.peers.iter().filter(|row| row.member.vm < relay.settings.vm).count();
+    let steps = u32::try_from(rank).unwrap_or(u32::MAX);
+    let delay = START_DELAY_PER_RANK.saturating_mul(steps).min(MAX_START_DELAY);
+    rank < FIRST_READERS || age(relay, now) >= delay
+}
+
+/// Time since this VM's start.
+fn age(relay: &Relay, now: ids::Time) -> time::Duration {
+    relay.started.map_or(time::Duration::ZERO, |started| now.since(started))
+}
+
+/// Whether the membership is known well enough to tell a small fleet from a large one.
+fn knows_size(relay: &Relay, now: ids::Time) -> bool {
+    let is_own = |member: &member::Member| member.vm == relay.settings.vm;
+    let members = relay.peers.members();
+    members.is_some_and(|known| known.members.iter().any(is_own))
+        || age(relay, now) >= UNKNOWN_SIZE_PERIOD
+}
+
+/// Whether this VM may take the lease if there is no planner: the first VMs by name,
+/// and more the longer there is none.
+pub(crate) fn may_lead(relay: &Relay, now: ids::Time) -> bool {
+    if !knows_size(relay, now) {
+        return false;
+    }
+    // The row also tells the quota levels from before a restart of all VMs.
+    if relay.peers.is_mesh() || !relay.lease.is_seen() {
+        return true;
+    }
+    let is_candidate = |row: &&peer::Row| {
+        row.member.vm < relay.settings.vm
+            && (row.is_heard(now) || now.since(row.known_since) < CANDIDATES_INTERVAL)
+    };
+    let rank = relay.peers.iter().filter(is_candidate).count();
+    let since = relay.led_at.or(relay.started).unwrap_or(now);
+    let rounds = now.since(since).as_millis() / CANDIDATES_INTERVAL.as_millis();
+    let rounds = usize::try_from(rounds).unwrap_or(usize::MAX);
+    rank < FIRST_CANDIDATES.saturating_mul(rounds.saturating_add(1))
+}
+
 /// Age of this VM's last direct read of the store, in ms; `None` if it is not a reader.
 pub(crate) fn read_age(relay: &Relay, now: ids::Time) -> Option<u64> {
     let reads = relay.follow.is_some_and(|follow| follow.is_reader);
@@ -92,28 +169,28 @@
     // before.
     let since = Some(relay.targets_version);
     let is_first = relay.targets_version == ids::Version::default();
-    relay.targets_version = relay.targets_version.max(targets.version);
+    let version = relay.targets_version.max(targets.version);
     let changes = apply_all(relay, now, targets, out);
+    // Runners also rewrite entries without a change that matters here.
+    if changes.is_empty() {
+        return;
+    }
+    relay.targets_version = version;
+    note_targets(relay, now);
     // The first read contains nothing new to others: it was announced before, or all
     // others read it, too.
-    if changes.is_empty() || is_first {
+    if is_first {
         return;
     }
-    broadcast(relay, &peer::Targets { since, version: relay.targets_version, changes }, out);
-}
-
-/// Sends changes of targets to all other VMs.
-fn broadcast(relay: &Relay, targets: &peer::Targets, out: &mut Vec<Output>) {
-    for row in relay.peers.iter() {
-        let message = peer::Message::Targets(targets.clone());
-        out.push(Output::Peer { to: row.member.vm.clone(), message });
-    }
+    let news = peer::Targets { since, version: relay.targets_version, changes };
+    overlay::broadcast(relay, now, peer::Message::Targets(news), out);
 }
 
 /// Handles targets that another VM has read.
 pub(crate) fn receive_targets(
     relay: &mut Relay,
     now: ids::Time,
+    from: &ids::Vm,
     news: peer::Targets,
     out: &mut Vec<Output>,
 ) {
@@ -123,22 +200,67 @@
     {
         return;
     }
+    let is_news = news.since.is_some() && news.version > relay.targets_version;
+    if is_news {
+        overlay::forward(relay, now, from, peer::Message::Targets(news.clone()), out);
+    }
     relay.targets_version = news.version;
     let peer::Targets { since, version, changes } = news;
+    note_targets(relay, now);
     apply_all(relay, now, input::Targets { is_full: since.is_none(), version, changes }, out);
 }
 
-/// Sends the configuration and all targets to VMs that lag behind.
+/// Records that the current version of the targets is known now.
+fn note_targets(relay: &mut Relay, now: ids::Time) {
+    let settle_time = settle_time(relay);
+    relay.progress.targets.note(now, settle_time, relay.targets_version);
+}
+
+/// Versions that a VM has reported.
+struct Known {
+    vm: ids::Vm,
+    config: ids::Version,
+    targets: ids::Version,
+    members: ids::Version,
+}
+
+/// Versions known to the VMs that are reached directly: the neighbours, and the
+/// aggregators of the other data centres if this VM is one.
+fn known_versions(relay: &Relay, now: ids::Time) -> Vec<Known> {
+    let neighbour = |row: &peer::Row| Known {
+        vm: row.member.vm.clone(),
+        config: row.digest.version,
+        targets: row.digest.targets,
+        members: row.digest.members,
+    };
+    let aggregator = |row: &centre::Row| Known {
+        vm: row.head.aggregator.clone(),
+        config: row.head.version,
+        targets: row.head.targets,
+        members: row.head.members,
+    };
+    let mut known: Vec<_> = relay.peers.heard_neighbours(now).map(neighbour).collect();
+    if overlay::is_aggregator(relay, now) {
+        known.extend(relay.centres.heard(now).map(aggregator));
+    }
+    known
+}
+
+/// Sends the configuration, all targets and the membership to VMs that lag behind.
 pub(crate) fn send_copies(relay: &mut Relay, now: ids::Time, out: &mut Vec<Output>) {
     let version = relay.version();
     let is_reader = read_age(relay, now)
         .is_some_and(|read_age| u128::from(read_age) <= MAX_READ_AGE.as_millis());
-    relay.progress.config.note(now, version);
-    let Relay { peers, gossip, targets, config_text, targets_version, progress, .. } = relay;
-    let settled_config = progress.config.settled(now);
-    let settled_targets = progress.targets.settled(now);
-    for row in peers.heard(now) {
-        let vm = &row.member.vm;
+    let is_source = is_reader || overlay::is_aggregator(relay, now);
+    let settle_time = settle_time(relay);
+    let known = known_versions(relay, now);
+    let members_version = relay.peers.version();
+    relay.progress.config.note(now, settle_time, version);
+    relay.progress.members.note(now, settle_time, members_version);
+    let settled_config = relay.progress.config.settled(now, settle_time);
+    let settled_targets = relay.progress.targets.settled(now, settle_time);
+    let settled_members = relay.progress.members.settled(now, settle_time);
+    for Known { vm, config, targets, members } in known {
         let claim_slot = |times: &mut collections::BTreeMap<ids::Vm, ids::Time>| {
             let at = times.entry(vm.clone()).or_default();
             let is_due = *at <= now;
@@ -147,21 +269,47 @@
             }
             is_due
         };
+        let to = || vec![vm.clone()];
         // Readers send a new configuration at once; other VMs only if it has not arrived
         // in time.
         let newest = if is_reader { version } else { settled_config };
-        if row.digest.version < newest && claim_slot(&mut gossip.configs) {
-            let message = peer::Message::Config { version, text: sync::Arc::clone(config_text) };
-            out.push(Output::Peer { to: vm.clone(), message });
+        if config < newest && claim_slot(&mut relay.gossip.configs) {
+            let text = sync::Arc::clone(&relay.config_text);
+            out.push(Output::Peer { to: to(), message: peer::Message::Config { version, text } });
         }
-        let knows_none = row.digest.targets == ids::Version::default();
-        let newest = if knows_none { *targets_version } else { settled_targets };
-        if row.digest.targets < newest && is_reader && claim_slot(&mut gossip.targets) {
-            let changes = targets.iter().map(target::Row::change).collect();
-            let copy = peer::Targets { since: None, version: *targets_version, changes };
-            let message = peer::Message::Targets(copy);
-            out.push(Output::Peer { to: vm.clone(), message });
+        let knows_none = targets == ids::Version::default();
+        let newest = if knows_none { relay.targets_version } else { settled_targets };
+        if targets < newest && is_source && claim_slot(&mut relay.gossip.targets) {
+            let changes = relay.targets.iter().map(target::Row::change).collect();
+            let copy = peer::Targets { since: None, version: relay.targets_version, changes };
+            out.push(Output::Peer { to: to(), message: peer::Message::Targets(copy) });
         }
+        if members < settled_members
+            && is_source
+            && let Some(copy) = relay.peers.members()
+            && claim_slot(&mut relay.gossip.members)
+        {
+            out.push(Output::Peer { to: to(), message: peer::Message::Members(copy.clone()) });
+        }
+    }
+}
+
+/// Passes a new configuration on at once: from a reader to the aggregator of its data
+/// centre, and from an aggregator to all VMs that it reaches.
+pub(crate) fn announce_config(relay: &Relay, now: ids::Time, out: &mut Vec<Output>) {
+    let Some(aggregator) = overlay::aggregator(relay, now) else {
+        return;
+    };
+    let version = relay.version();
+    let is_aggregator = aggregator == relay.settings.vm;
+    let is_reader = relay.follow.is_some_and(|follow| follow.is_reader);
+    let lags = |known: &Known| known.config < version;
+    let is_receiver = |vm: &ids::Vm| is_aggregator || (is_reader && *vm == aggregator);
+    let to = known_versions(relay, now).into_iter().filter(lags).map(|known| known.vm);
+    let to: Vec<_> = to.filter(is_receiver).collect();
+    if !to.is_empty() {
+        let text = sync::Arc::clone(&relay.config_text);
+        out.push(Output::Peer { to, message: peer::Message::Config { version, text } });
     }
 }
 
@@ -173,7 +321,8 @@
     }
     if !changes.is_empty() {
         let (since, version) = (Some(relay.targets_version), relay.targets_version);
-        broadcast(relay, &peer::Targets { since, version, changes }, out);
+        let news = peer::Targets { since, version, changes };
+        overlay::broadcast(relay, now, peer::Message::Targets(news), out);
     }
 }
 
@@ -186,7 +335,6 @@
     out: &mut Vec<Output>,
 ) -> Vec<target::Change> {
     relay.has_targets = true;
-    relay.progress.targets.note(now, relay.targets_version);
     let input::Targets { is_full, version, mut changes } = targets;
     if is_full {
         changes.extend(relay.targets.unlisted(version, &changes));
@@ -203,7 +351,7 @@
     out: &mut Vec<Output>,
 ) -> bool {
     let (outcome, previous) = match relay.targets.apply(now, change) {
-        target::Outcome::Stale => return false,
+        target::Outcome::Stale | target::Outcome::Unchanged => return false,
         target::Outcome::Changed | target::Outcome::Unknown => return true,
         target::Outcome::New { before } => {
             let is_leaving = change.entry.as_ref().is_some_and(|entry| entry.is_leaving);
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -89,6 +89,8 @@
 pub enum Outcome {
     /// Ignored: a version at least as new is known.
     Stale,
+    /// The entry was written again with the same content.
+    Unchanged,
     /// The target is new, or a new process under a known name.
     New {
         /// Address of the previous process of that name, if any.
@@ -156,6 +158,9 @@
 /// hundred ms old when they are read.
 const CORRECTION_LIFETIME: time::Duration = time::Duration::from_secs(4);
 
+/// Minimum interval between two corrections of the same content that count as news.
+const REPEAT_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
 impl Row {
     fn new(version: ids::Version, entry: Entry) -> Self {
         Self {
@@ -257,8 +262,11 @@
         match self.rows.get_mut(target) {
             Some(row) if row.entry.born == entry.born && row.entry.address == entry.address => {
                 let starts_leaving = entry.is_leaving && !row.entry.is_leaving;
-                row.absence = None;
+                let is_back = row.absence.take().is_some();
                 row.version = version;
+                if row.entry == entry && !is_back {
+                    return Outcome::Unchanged;
+                }
                 row.entry = entry;
                 if starts_leaving { Outcome::Leaving } else { Outcome::Changed }
             }
@@ -319,18 +327,23 @@
     }
 
     /// Records that an order has changed what a target holds, ahead of its entry.
+    /// Returns whether this is news: messages about it may arrive more than once.
     pub fn correct(
         &mut self,
         now: ids::Time,
         target: &ids::Target,
         item: &sync::Arc<str>,
         present: bool,
-    ) {
+    ) -> bool {
         let Some(row) = self.rows.get_mut(target) else {
-            return;
+            return false;
         };
-        let correction = Correction { present, until: now + CORRECTION_LIFETIME };
-        row.corrections.insert(sync::Arc::clone(item), correction);
+        let until = now + CORRECTION_LIFETIME;
+        let correction = Correction { present, until };
+        let known = row.corrections.insert(sync::Arc::clone(item), correction);
+        known.is_none_or(|known| {
+            known.present != present || until.since(known.until) >= REPEAT_INTERVAL
+        })
     }
 
     /// Looks up a target.
--- a/crates/relay/tests/calls.rs
+++ b/crates/relay/tests/calls.rs
@@ -168,7 +168,7 @@
 #[test]
 fn a_late_membership_update_reduces_the_retry_budget() {
     let mut world = World::new((0..9).map(|n| desk(&format!("d-{n}"))).collect());
-    world.step([Input::Members(silent_peers(35))]);
+    world.step([world::members(silent_peers(35))]);
     world.pass(1_000);
     let mut retries = 0;
     for _ in 0..10 {
@@ -432,7 +432,7 @@
     let (call, seen) = world.arrive(request);
     assert_eq!(seen.refused, [], "its account's share is not known yet");
     world.pass(40);
-    let mut seen = world.step([Input::Members(vec![World::member()])]);
+    let mut seen = world.step([world::members(vec![World::member()])]);
     seen.extend(world.wait(100));
     assert_eq!(seen.begun.iter().map(|begun| begun.call).collect::<Vec<_>>(), [call]);
 }
@@ -442,7 +442,7 @@
     let mut world = World::unknown();
     world.configure(configuration(1));
     world.targets(vec![desk("d-1"), desk("d-2")]);
-    world.step([Input::Members(silent_peers(35))]);
+    world.step([world::members(silent_peers(35))]);
     let mut begun = 0;
     for _ in 0..10 {
         begun += world.arrive(envelope("book", Some("key-2"))).1.begun.len();
--- /dev/null
+++ b/crates/relay/tests/fleet/mod.rs
@@ -0,0 +1,359 @@
+//! Test harness: a whole fleet of decision cores with a store, in virtual time.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::{collections, sync, time};
+
+use relay::{Input, Output, Relay, Settings, config, envelope, input, output, peer, quota, target};
+
+/// Interval at which all VMs are stepped.
+const STEP: time::Duration = time::Duration::from_millis(20);
+/// Interval at which a reader polls the targets.
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(400);
+/// Minimum interval between two reads of the members by a VM.
+const MEMBERS_INTERVAL: time::Duration = time::Duration::from_millis(300);
+
+pub struct Vm {
+    pub name: ids::Vm,
+    pub centre: ids::Centre,
+    pub relay: Option<Relay>,
+    incarnation: u64,
+    links: collections::BTreeSet<ids::Vm>,
+    follow: output::Follow,
+    /// Store version of the members delivered last, if they are watched.
+    members_read: Option<u64>,
+    members_read_at: ids::Time,
+    lease_read: Option<u64>,
+    polled_at: ids::Time,
+    inbox: Vec<Input>,
+    /// Other VMs whose messages it does not receive.
+    pub deaf_to: collections::BTreeSet<ids::Vm>,
+}
+
+/// Counters of the traffic of a fleet.
+#[derive(Clone, Debug, Default)]
+pub struct Traffic {
+    pub messages: u64,
+    pub bytes_between_centres: u64,
+    pub bytes_by_kind: collections::BTreeMap<&'static str, u64>,
+    pub store_calls: collections::BTreeMap<&'static str, u64>,
+    /// Messages to a VM without a connection.
+    pub unlinked: u64,
+    /// Lines that say that a VM is heard again.
+    pub heard_lines: u64,
+}
+
+pub struct Fleet {
+    pub now: ids::Time,
+    pub vms: Vec<Vm>,
+    indices: collections::BTreeMap<ids::Vm, usize>,
+    config: sync::Arc<config::Config>,
+    targets: Vec<target::Entry>,
+    version: u64,
+    lease: Option<store::table::Row>,
+    members: collections::BTreeMap<sync::Arc<str>, (u64, member::Member)>,
+    members_version: u64,
+    /// Messages and answers under way: arrival time, index of the receiver.
+    in_flight: Vec<(ids::Time, usize, Input)>,
+    pub traffic: Traffic,
+    last_call: u64,
+    pub admitted: u64,
+    pub refused: collections::BTreeMap<&'static str, u64>,
+    /// Calls sent to each target.
+    pub sent: collections::BTreeMap<ids::Target, u64>,
+}
+
+impl Vm {
+    /// The tables of the store that it watches.
+    pub const fn follow(&self) -> output::Follow {
+        self.follow
+    }
+}
+
+impl Fleet {
+    /// Creates a fleet of `size` VMs in `centres` data centres that all start at once.
+    pub fn new(
+        size: usize,
+        centres: usize,
+        config: config::Config,
+        targets: Vec<target::Entry>,
+    ) -> Self {
+        let vm = |index: usize| Vm {
+            name: format!("vm-{}-{}", index % centres, index / centres).as_str().into(),
+            centre: format!("centre-{}", index % centres).as_str().into(),
+            relay: None,
+            incarnation: 0,
+            links: collections::BTreeSet::new(),
+            follow: output::Follow { is_reader: false, watches_members: true, watches_lease: true },
+            members_read: None,
+            members_read_at: ids::Time::default(),
+            lease_read: None,
+            polled_at: ids::Time::default(),
+            inbox: Vec::new(),
+            deaf_to: collections::BTreeSet::new(),
+        };
+        let vms: Vec<_> = (0..size).map(vm).collect();
+        let indices = vms.iter().enumerate().map(|(index, vm)| (vm.name.clone(), index));
+        let mut fleet = Self {
+            now: ids::Time::from_millis(100_000),
+            indices: indices.collect(),
+            vms,
+            config: sync::Arc::new(config),
+            targets,
+            version: 1,
+            lease: None,
+            members: collections::BTreeMap::new(),
+            members_version: 1,
+            in_flight: Vec::new(),
+            traffic: Traffic::default(),
+            last_call: 0,
+            admitted: 0,
+            refused: collections::BTreeMap::new(),
+            sent: collections::BTreeMap::new(),
+        };
+        (0..size).for_each(|index| fleet.start(index));
+        fleet
+    }
+
+    /// Starts a VM's process anew.
+    pub fn start(&mut self, index: usize) {
+        let vm = &mut self.vms[index];
+        vm.incarnation += 1;
+        let address = format!("10.0.0.{index}:7000");
+        let settings =
+            Settings::new(vm.name.as_str(), vm.centre.as_str(), vm.incarnation).with_peer(&address);
+        vm.relay = Some(Relay::new(settings));
+        vm.links.clear();
+        vm.follow = output::Follow { is_reader: false, watches_members: true, watches_lease: true };
+        (vm.members_read, vm.lease_read) = (None, None);
+        vm.inbox.clear();
+    }
+
+    /// Kills a VM's process.
+    pub fn kill(&mut self, index: usize) {
+        self.vms[index].relay = None;
+    }
+
+    pub fn index_of(&self, name: &str) -> usize {
+        self.vms.iter().position(|vm| vm.name.as_str() == name).expect("a VM of this name")
+    }
+
+    /// The VMs that run.
+    pub fn running(&self) -> impl Iterator<Item = &Vm> {
+        self.vms.iter().filter(|vm| vm.relay.is_some())
+    }
+
+    /// Views of the VMs that run, for quotas.
+    pub fn views(&self) -> Vec<quota::View> {
+        self.running().filter_map(|vm| Some(vm.relay.as_ref()?.view(self.now))).collect()
+    }
+
+    /// Accepts a configuration.
+    pub fn configure(&mut self, config: config::Config) {
+        self.version += 1;
+        self.config = sync::Arc::new(config);
+    }
+
+    /// Changes the entry of a target.
+    pub fn change(&mut self, entry: target::Entry) {
+        self.version += 1;
+        let change = target::Change {
+            target: entry.target.clone(),
+            version: ids::Version::new(self.version),
+            entry: Some(entry.clone()),
+        };
+        self.targets.retain(|known| known.target != entry.target);
+        self.targets.push(entry);
+        let version = ids::Version::new(self.version);
+        for index in 0..self.vms.len() {
+            if self.vms[index].follow.is_reader {
+                let changes = vec![change.clone()];
+                let targets = input::Targets { is_full: false, version, changes };
+                self.deliver(index, Input::Targets(targets));
+            }
+        }
+    }
+
+    /// A call arrives at a VM. It ends at once if it is sent to a target.
+    pub fn arrive(&mut self, index: usize, envelope: envelope::Envelope) {
+        self.last_call += 1;
+        let (call, arrived) = (ids::Call::new(self.last_call), self.now);
+        self.vms[index].inbox.push(Input::Arrival { call, envelope, arrived });
+    }
+
+    /// Advances time; `each` acts on the fleet before each step.
+    pub fn run(&mut self, millis: u64, mut each: impl FnMut(&mut Self)) {
+        for _ in 0..millis / 20 {
+            self.now = self.now + STEP;
+            each(self);
+            self.serve_store();
+            let now = self.now;
+            let all = std::mem::take(&mut self.in_flight);
+            let (due, later) = all.into_iter().partition(|(at, _, _)| *at <= now);
+            self.in_flight = later;
+            let due: Vec<(ids::Time, usize, Input)> = due;
+            for (_, index, input) in due {
+                self.vms[index].inbox.push(input);
+            }
+            for index in 0..self.vms.len() {
+                self.step(index);
+            }
+        }
+    }
+
+    fn step(&mut self, index: usize) {
+        let mut outputs = Vec::new();
+        let vm = &mut self.vms[index];
+        let inputs = std::mem::take(&mut vm.inbox);
+        let Some(relay) = &mut vm.relay else {
+            return;
+        };
+        relay.step(self.now, inputs, &mut outputs);
+        for output in outputs {
+            self.apply(index, output);
+        }
+    }
+
+    fn apply(&mut self, index: usize, output: Output) {
+        match output {
+            Output::Peer { to, message } => self.send(index, &to, &message),
+            Output::Members(members) => {
+                let names = members.into_iter().map(|member| member.vm);
+                self.vms[index].links = names.collect();
+            }
+            Output::Follow(follow) => {
+                let vm = &mut self.vms[index];
+                if follow.is_reader && !vm.follow.is_reader {
+                    vm.polled_at = ids::Time::default();
+                }
+                if !follow.watches_members {
+                    vm.members_read = None;
+                }
+                if !follow.watches_lease {
+                    vm.lease_read = None;
+                }
+                vm.follow = follow;
+            }
+            Output::Write { op, write } => self.write(index, op, write),
+            Output::Begin(begin) => {
+                self.admitted += 1;
+                *self.sent.entry(begin.target).or_default() += 1;
+                self.vms[index].inbox.push(Input::Closed { call: begin.call });
+            }
+            Output::Refuse { reason, .. } => *self.refused.entry(reason).or_default() += 1,
+            Output::Decode { .. } => {
+                let config = sync::Arc::clone(&self.config);
+                self.vms[index].inbox.push(Input::Config { text: "text".into(), config });
+            }
+            Output::Log(line) if line.outcome == "heard" => self.traffic.heard_lines += 1,
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &[ids::Vm], message: &peer::Message) {
+        let sender = &self.vms[from];
+        let (name, centre) = (sender.name.clone(), sender.centre.clone());
+        let incarnation = ids::Incarnation::new(sender.incarnation);
+        let mut size = None;
+        for receiver in to {
+            if !self.vms[from].links.contains(receiver) {
+                self.traffic.unlinked += 1;
+                continue;
+            }
+            let Some(index) = self.indices.get(receiver).copied() else {
+                continue;
+            };
+            self.traffic.messages += 1;
+            if self.vms[index].centre != centre {
+                let size = *size.get_or_insert_with(|| {
+                    serde_json::to_string(message).map_or(0, |text| text.len()) as u64
+                });
+                self.traffic.bytes_between_centres += size;
+                *self.traffic.bytes_by_kind.entry(message.kind()).or_default() += size;
+            }
+            let (from, message) = (name.clone(), message.clone());
+            if self.vms[index].relay.is_some() && !self.vms[index].deaf_to.contains(&from) {
+                self.deliver(index, Input::Peer { from, incarnation, message });
+            }
+        }
+    }
+
+    /// Delivers an input in the next step.
+    fn deliver(&mut self, index: usize, input: Input) {
+        self.in_flight.push((self.now + STEP, index, input));
+    }
+
+    fn write(&mut self, index: usize, op: ids::Op, write: store::table::Write) {
+        *self.traffic.store_calls.entry("writes").or_default() += 1;
+        self.version += 1;
+        let version = ids::Version::new(self.version);
+        let clock_ms = self.now.as_millis();
+        let written = if &*write.key == relay::lease::KEY {
+            let known = self.lease.as_ref().map(|row| row.version);
+            if known == write.expect {
+                let value = write.value.unwrap_or_default();
+                self.lease = Some(store::table::Row { key: write.key, value, version });
+                input::Written::Done { version, clock_ms }
+            } else {
+                input::Written::Conflict(self.lease.clone())
+            }
+        } else {
+            self.members_version = self.version;
+            match write.value.and_then(|value| serde_json::from_str(&value).ok()) {
+                Some(member) => self.members.insert(write.key, (self.version, member)),
+                None => self.members.remove(&write.key),
+            };
+            input::Written::Done { version, clock_ms }
+        };
+        self.deliver(index, Input::Written { op, result: Ok(written) });
+    }
+
+    /// Answers the polls of all VMs.
+    fn serve_store(&mut self) {
+        let members: Vec<_> = self.members.values().map(|(_, member)| member.clone()).collect();
+        for index in 0..self.vms.len() {
+            if self.vms[index].relay.is_none() {
+                continue;
+            }
+            let (now, version) = (self.now, ids::Version::new(self.version));
+            let follow = self.vms[index].follow;
+            let vm = &self.vms[index];
+            if follow.watches_members
+                && vm.members_read != Some(self.members_version)
+                && now.since(vm.members_read_at) >= MEMBERS_INTERVAL
+            {
+                *self.traffic.store_calls.entry("members").or_default() += 1;
+                self.vms[index].members_read_at = now;
+                self.vms[index].members_read = Some(self.members_version);
+                let version = ids::Version::new(self.members_version);
+                self.deliver(index, Input::Members { version, members: members.clone() });
+            }
+            let lease_version = self.lease.as_ref().map_or(0, |row| row.version.get());
+            if follow.watches_lease && self.vms[index].lease_read != Some(lease_version) {
+                *self.traffic.store_calls.entry("lease").or_default() += 1;
+                self.vms[index].lease_read = Some(lease_version);
+                let clock_ms = now.as_millis();
+                self.deliver(index, Input::Lease { row: self.lease.clone(), clock_ms });
+            }
+            if follow.is_reader && now.since(self.vms[index].polled_at) >= POLL_INTERVAL {
+                *self.traffic.store_calls.entry("targets").or_default() += 1;
+                let is_first = self.vms[index].polled_at == ids::Time::default();
+                self.vms[index].polled_at = now;
+                let config = sync::Arc::clone(&self.config);
+                self.deliver(index, Input::Config { text: "text".into(), config });
+                let input = if is_first {
+                    let change = |entry: &target::Entry| target::Change {
+                        target: entry.target.clone(),
+                        version,
+                        entry: Some(entry.clone()),
+                    };
+                    let changes = self.targets.iter().map(change).collect();
+                    Input::Targets(input::Targets { is_full: true, version, changes })
+                } else {
+                    Input::Unchanged
+                };
+                self.deliver(index, input);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/large.rs
@@ -0,0 +1,227 @@
+//! Tests of fleets of up to 330 VMs: communication, recovery, quotas and calls of the store.
+
+mod fleet;
+mod world;
+
+use fleet::Fleet;
+use relay::{config, envelope, quota};
+use world::{configuration, draft, runner};
+
+/// Units per second of the limited account.
+const RATE: f64 = 286_000.0;
+/// Units of a call.
+const CALL_UNITS: u64 = 1_520;
+/// Number of data centres.
+const CENTRES: usize = 6;
+/// Time after which a fleet that starts has met, in ms.
+const START_MS: u64 = 4_000;
+
+fn config(version: u64) -> config::Config {
+    let mut config = configuration(version);
+    let account = config.accounts.get_mut(&ids::Account::from("mayors")).expect("an account");
+    (account.rate, account.burst) = (RATE, RATE);
+    config
+}
+
+/// A fleet with 160 runners that has just started, and its traffic from then on.
+fn started(size: usize) -> Fleet {
+    let runners = (0..160).map(|index| relay::target::Entry {
+        slots: 64,
+        ..runner(&format!("i-{index:08}"), &["alpha", "beta"])
+    });
+    let mut config = config(1);
+    for service in config.services.values_mut() {
+        if let Some(engine) = &mut service.engine {
+            engine.kv_tokens = 100_000;
+        }
+    }
+    let mut fleet = Fleet::new(size, CENTRES, config, runners.collect());
+    fleet.run(START_MS, |_| {});
+    fleet.traffic = fleet::Traffic::default();
+    fleet
+}
+
+fn paid_draft() -> envelope::Envelope {
+    let mut envelope = draft("draft", "alpha", CALL_UNITS - 20);
+    envelope.key = Some("key-1".into());
+    envelope
+}
+
+/// Calls that arrive evenly at the running VMs at `times` the rate of the account.
+fn arrivals(times: f64) -> impl FnMut(&mut Fleet) {
+    let (mut owed, mut next) = (0.0, 0_usize);
+    move |fleet| {
+        owed += times * RATE * 0.02 / CALL_UNITS as f64;
+        while owed >= 1.0 {
+            owed -= 1.0;
+            let running: Vec<_> =
+                (0..fleet.vms.len()).filter(|index| fleet.vms[*index].relay.is_some()).collect();
+            // A stride that is coprime to the size mixes the data centres.
+            next += 7;
+            fleet.arrive(running[next % running.len()], paid_draft());
+        }
+    }
+}
+
+fn are_together(fleet: &Fleet, expected: usize, of: usize) -> bool {
+    fleet.views().iter().all(|view| *view == quota::View::Together { heard: expected, all: of })
+}
+
+#[test]
+fn all_vms_of_a_large_fleet_share_one_view() {
+    for size in [5, 36, 118, 330] {
+        let mut fleet = started(size);
+        for _ in 0..25 {
+            fleet.run(200, |_| {});
+            assert!(are_together(&fleet, size, size), "{size}: {:?}", fleet.views());
+        }
+        assert_eq!(fleet.traffic.heard_lines, 0, "{size} VMs");
+        assert_eq!(fleet.traffic.unlinked, 0, "{size} VMs");
+    }
+}
+
+#[test]
+fn traffic_between_data_centres_stays_level() {
+    let cost = |size: usize| {
+        let mut fleet = started(size);
+        fleet.run(5_000, arrivals(0.5));
+        let traffic = &fleet.traffic;
+        let messages = traffic.messages as f64 / size as f64 / 5.0;
+        (traffic.bytes_between_centres as f64 / 5.0, messages)
+    };
+    let ((small, _), (medium, medium_messages), (large, large_messages)) =
+        (cost(36), cost(118), cost(330));
+    assert!(medium < 1.5 * small, "{small} bytes a second for 36 VMs, {medium} for 118");
+    assert!(large < 1.5 * small, "{small} bytes a second for 36 VMs, {large} for 330");
+    assert!(medium_messages < 200.0, "{medium_messages} messages a second and VM");
+    assert!(large_messages < 200.0, "{large_messages} messages a second and VM");
+}
+
+#[test]
+fn calls_of_the_store_do_not_grow_with_the_fleet() {
+    for size in [36, 118, 330] {
+        let mut fleet = started(size);
+        fleet.run(10_000, arrivals(0.5));
+        let readers = fleet.running().filter(|vm| vm.follow().is_reader).count();
+        assert_eq!(readers, 2, "{size} VMs");
+        // Two readers poll two and a half times a second; the lease is renewed.
+        let calls = fleet.traffic.store_calls.values().sum::<u64>() as f64 / 10.0;
+        assert!(calls < 10.0, "{size} VMs: {calls} calls a second");
+    }
+}
+
+#[test]
+fn a_fleet_that_starts_reads_the_store_a_few_times_for_each_vm() {
+    let size = 118;
+    let runners = vec![runner("i-1", &["alpha"])];
+    let mut fleet = Fleet::new(size, CENTRES, config(1), runners);
+    fleet.run(START_MS, |_| {});
+    let calls = fleet.traffic.store_calls.values().sum::<u64>() as f64 / size as f64;
+    assert!(calls < 5.0, "{calls} calls for each VM: {:?}", fleet.traffic.store_calls);
+    for vm in fleet.running() {
+        let relay = vm.relay.as_ref().expect("it runs");
+        assert_eq!(relay.version(), ids::Version::new(1), "{}", vm.name);
+    }
+}
+
+#[test]
+fn a_killed_aggregator_is_replaced() {
+    let mut fleet = started(118);
+    let killed = fleet.index_of("vm-2-0");
+    fleet.kill(killed);
+    fleet.run(3_000, arrivals(0.5));
+    assert!(are_together(&fleet, 117, 118), "{:?}", fleet.views());
+    fleet.start(killed);
+    fleet.run(3_000, arrivals(0.5));
+    assert!(are_together(&fleet, 118, 118), "{:?}", fleet.views());
+}
+
+#[test]
+fn half_of_the_fleet_may_fail_at_once() {
+    let mut fleet = started(118);
+    // The first VMs of each data centre: all aggregators, the readers and the planner.
+    (0..59).for_each(|index| fleet.kill(index));
+    fleet.run(6_000, arrivals(0.3));
+    assert!(are_together(&fleet, 59, 118), "{:?}", fleet.views());
+    fleet.configure(config(2));
+    fleet.run(3_000, arrivals(0.3));
+    for vm in fleet.running() {
+        let relay = vm.relay.as_ref().expect("it runs");
+        assert_eq!(relay.version(), ids::Version::new(2), "{}", vm.name);
+    }
+}
+
+#[test]
+fn a_new_configuration_reaches_all_vms_within_a_second() {
+    for size in [36, 118, 330] {
+        let mut fleet = started(size);
+        fleet.configure(config(2));
+        fleet.run(1_000, |_| {});
+        let late = fleet.running().filter(|vm| {
+            vm.relay.as_ref().is_some_and(|relay| relay.version() < ids::Version::new(2))
+        });
+        assert_eq!(late.count(), 0, "{size} VMs");
+    }
+}
+
+#[test]
+fn a_leaving_target_gets_no_calls_from_any_vm() {
+    let mut fleet = started(118);
+    let mut entry = runner("i-00000003", &["alpha", "beta"]);
+    entry.is_leaving = true;
+    fleet.change(entry);
+    fleet.run(500, arrivals(0.5));
+    fleet.sent.clear();
+    fleet.run(3_000, arrivals(0.5));
+    assert_eq!(fleet.sent.get(&ids::Target::from("i-00000003")), None);
+}
+
+#[test]
+fn calls_within_the_rate_are_not_refused() {
+    let mut fleet = started(118);
+    fleet.run(2_000, arrivals(0.55));
+    (fleet.admitted, fleet.refused) = (0, std::collections::BTreeMap::new());
+    fleet.run(10_000, arrivals(0.55));
+    let refused = fleet.refused.get("over quota").copied().unwrap_or_default();
+    assert!(refused * 100 <= fleet.admitted, "{refused} refused, {} admitted", fleet.admitted);
+}
+
+#[test]
+fn calls_within_the_rate_are_not_refused_while_vms_fail_and_start() {
+    let mut fleet = started(118);
+    fleet.run(2_000, arrivals(0.55));
+    (fleet.admitted, fleet.refused) = (0, std::collections::BTreeMap::new());
+    for index in [0, 20, 45, 70, 95] {
+        fleet.kill(index);
+        fleet.run(1_000, arrivals(0.55));
+        fleet.start(index);
+        fleet.run(1_000, arrivals(0.55));
+    }
+    let refused = fleet.refused.get("over quota").copied().unwrap_or_default();
+    assert!(refused * 20 <= fleet.admitted, "{refused} refused, {} admitted", fleet.admitted);
+}
+
+#[test]
+fn an_account_gets_its_rate_and_no_more_under_overload() {
+    let mut fleet = started(118);
+    fleet.run(2_000, arrivals(0.55));
+    fleet.admitted = 0;
+    fleet.run(8_000, arrivals(4.5));
+    let units = fleet.admitted as f64 * CALL_UNITS as f64;
+    assert!(units <= RATE * 9.0 * 1.1 + 17_000.0, "{units} units");
+    assert!(units >= RATE * 8.0 * 0.9, "{units} units");
+}
+
+#[test]
+fn an_account_gets_no_more_than_its_rate_while_aggregators_fail() {
+    let mut fleet = started(118);
+    fleet.run(6_000, arrivals(4.5));
+    fleet.admitted = 0;
+    let mut overload = arrivals(4.5);
+    for index in 0..4 {
+        fleet.kill(index);
+        fleet.run(2_000, &mut overload);
+    }
+    let units = fleet.admitted as f64 * CALL_UNITS as f64;
+    assert!(units <= RATE * 9.0 * 1.1 + 17_000.0, "{units} units");
+}
--- a/crates/relay/tests/pace.rs
+++ b/crates/relay/tests/pace.rs
@@ -47,7 +47,7 @@
 fn reported_demand(first_ms: u64) -> f64 {
     let mut world = World::new(vec![runner("r-1", &["alpha"])]);
     let planner = relay::Settings::new("vm-2", "north", 1).with_peer("127.0.0.1:9").member();
-    world.step([Input::Members(vec![planner])]);
+    world.step([world::members(vec![planner])]);
     let mut reported_demand = 0.0;
     for _ in 0..40 {
         let digest =
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -48,7 +48,7 @@
 fn two_vms_read_the_store_and_a_failed_reader_is_replaced() {
     let mut world = World::new(vec![desk("d-1")]);
     let members = ["vm-0a", "vm-0b", "vm-1", "vm-2"].map(member);
-    world.step([Input::Members(members.to_vec())]);
+    world.step([world::members(members.to_vec())]);
     let follow = follow_after_digests(&mut world, &[("vm-0a", Some(10)), ("vm-0b", Some(10))]);
     assert!(!follow.expect("a change").is_reader);
     let follow = follow_after_digests(&mut world, &[("vm-0a", Some(10)), ("vm-0b", Some(5_000))]);
@@ -62,7 +62,7 @@
 #[test]
 fn a_vm_that_is_behind_gets_configuration_and_targets() {
     let mut world = World::new(vec![desk("d-1")]);
-    world.step([Input::Members(vec![member("vm-1"), member("vm-2")])]);
+    world.step([world::members(vec![member("vm-1"), member("vm-2")])]);
     world.step([Input::Unchanged]);
     receive(&mut world, "vm-2", digest(0, None));
     let seen = world.wait(200);
@@ -93,13 +93,14 @@
 #[test]
 fn changes_in_flight_do_not_trigger_a_complete_copy() {
     let mut world = World::new(vec![desk("d-1")]);
-    world.step([Input::Members(vec![member("vm-1"), member("vm-2")])]);
+    world.step([world::members(vec![member("vm-1"), member("vm-2")])]);
     receive(&mut world, "vm-2", digest_with_versions(1, 1));
     world.wait(1_000);
     let mut sent = Vec::new();
     // Each change is sent at once; the digest of vm-2 was sent before it arrived.
     for version in 2..12 {
-        sent.extend(world.changes(version, vec![change(version, desk("d-1"))]).messages);
+        let entry = desk_with_slots("d-1", version);
+        sent.extend(world.changes(version, vec![change(version, entry)]).messages);
         receive(&mut world, "vm-2", digest_with_versions(1, version - 1));
         sent.extend(world.wait(200).messages);
         receive(&mut world, "vm-2", digest_with_versions(1, version));
@@ -109,13 +110,36 @@
     assert_eq!(news.count(), 10);
 }
 
+/// A desk whose entry differs for each number of slots.
+fn desk_with_slots(name: &str, slots: u64) -> relay::target::Entry {
+    relay::target::Entry { slots: u32::try_from(slots).expect("a few slots"), ..desk(name) }
+}
+
+#[test]
+fn entries_written_again_without_a_change_are_not_sent() {
+    let mut world = World::new(vec![desk("d-1")]);
+    world.step([world::members(vec![member("vm-1"), member("vm-2")])]);
+    receive(&mut world, "vm-2", digest_with_versions(1, 1));
+    world.wait(1_000);
+    let mut sent = Vec::new();
+    // Runners write their entries about every second.
+    for version in 2..12 {
+        sent.extend(world.changes(version, vec![change(version, desk("d-1"))]).messages);
+        receive(&mut world, "vm-2", digest_with_versions(1, 1));
+        sent.extend(world.wait(1_000).messages);
+    }
+    let is_targets =
+        |(_, message): &&(ids::Vm, peer::Message)| matches!(message, peer::Message::Targets(_));
+    assert_eq!(sent.iter().filter(is_targets).count(), 0);
+}
+
 #[test]
 fn a_vm_that_missed_a_change_gets_a_complete_copy_within_a_second() {
     let mut world = World::new(vec![desk("d-1")]);
-    world.step([Input::Members(vec![member("vm-1"), member("vm-2")])]);
+    world.step([world::members(vec![member("vm-1"), member("vm-2")])]);
     receive(&mut world, "vm-2", digest_with_versions(1, 1));
     world.wait(1_000);
-    world.changes(2, vec![change(2, desk("d-1"))]);
+    world.changes(2, vec![change(2, desk_with_slots("d-1", 2))]);
     let mut sent = Vec::new();
     for _ in 0..10 {
         receive(&mut world, "vm-2", digest_with_versions(1, 1));
@@ -129,7 +153,7 @@
 fn a_vm_that_is_no_reader_sends_a_configuration_only_after_a_delay() {
     let mut world = World::empty();
     let names = ["vm-1", "vm-0a", "vm-0b", "vm-2"];
-    world.step([Input::Members(names.map(member).to_vec())]);
+    world.step([world::members(names.map(member).to_vec())]);
     let mut sent = Vec::new();
     for version in [1, 2] {
         // Two other VMs are readers; vm-2 does not have the configuration yet.
@@ -155,7 +179,7 @@
 #[test]
 fn the_first_targets_of_a_vm_are_not_sent_to_others() {
     let mut world = World::empty();
-    world.step([Input::Members(vec![member("vm-1"), member("vm-2")])]);
+    world.step([world::members(vec![member("vm-1"), member("vm-2")])]);
     receive(&mut world, "vm-2", digest_with_versions(0, 1));
     assert_eq!(world.targets(vec![desk("d-1")]).messages.len(), 0);
 }
@@ -164,7 +188,7 @@
 fn targets_from_peers_are_applied_only_without_a_gap() {
     let mut world = World::empty();
     world.configure(configuration(1));
-    world.step([Input::Members(vec![member("vm-1"), member("vm-2")])]);
+    world.step([world::members(vec![member("vm-1"), member("vm-2")])]);
     let targets = |since: Option<u64>, version: u64, name: &str| {
         peer::Message::Targets(peer::Targets {
             since: since.map(ids::Version::new),
@@ -193,7 +217,7 @@
 #[test]
 fn a_late_page_does_not_restore_removed_targets() {
     let mut world = World::new(vec![desk("d-1"), desk("d-2"), desk("d-3")]);
-    world.step([Input::Members(vec![member("vm-1"), member("vm-2")])]);
+    world.step([world::members(vec![member("vm-1"), member("vm-2")])]);
     world.pass(STARTUP_MS);
     let mut leaving = desk("d-2");
     leaving.is_leaving = true;
@@ -219,7 +243,7 @@
 #[test]
 fn a_late_complete_read_neither_restores_nor_removes_targets() {
     let mut world = World::new(vec![desk("d-1")]);
-    world.step([Input::Members(vec![member("vm-1"), member("vm-2")])]);
+    world.step([world::members(vec![member("vm-1"), member("vm-2")])]);
     let copy = peer::Targets {
         since: Some(ids::Version::new(1)),
         version: ids::Version::new(9),
@@ -244,7 +268,7 @@
 #[test]
 fn targets_loaded_by_other_vms_are_avoided() {
     let mut world = World::new(vec![desk("d-1"), desk("d-2")]);
-    world.step([Input::Members(vec![member("vm-1"), member("vm-2")])]);
+    world.step([world::members(vec![member("vm-1"), member("vm-2")])]);
     let load = relay::target::Load { calls: 5, kv: 0, prefill: 0 };
     let loads = vec![("d-1".into(), load)];
     let digest = peer::Digest { loads, ..peer::Digest::default() };
@@ -259,7 +283,7 @@
 fn messages_of_an_earlier_incarnation_are_ignored() {
     let mut world = World::new(vec![desk("d-1")]);
     let newer = relay::Settings::new("vm-2", "north", 5).with_peer("127.0.0.1:9").member();
-    world.step([Input::Members(vec![member("vm-1"), newer])]);
+    world.step([world::members(vec![member("vm-1"), newer])]);
     let message = peer::Message::Placed(peer::Placed {
         target: "d-1".into(),
         item: "alpha".into(),
--- a/crates/relay/tests/planner.rs
+++ b/crates/relay/tests/planner.rs
@@ -297,7 +297,7 @@
 fn a_vm_that_missed_an_adapter_load_is_informed_on_request() {
     let mut fleet = Fleet::new(&[("r-1", &["alpha"])]);
     let second = relay::Settings::new("vm-2", "north", 1).with_peer("127.0.0.1:9").member();
-    fleet.world.step([Input::Members(vec![World::member(), second])]);
+    fleet.world.step([world::members(vec![World::member(), second])]);
     let mut envelope = draft("draft", "alpha", 100);
     envelope.work.as_mut().expect("work").adapter = Some("a1".into());
     fleet.run(
@@ -311,6 +311,7 @@
         model: "alpha".into(),
         adapter: "a1".into(),
         is_offered: false,
+        hops: 0,
     };
     let incarnation = ids::Incarnation::new(1);
     let mut told = Vec::new();
@@ -333,7 +334,7 @@
     held.models.insert("alpha".into(), [ids::Adapter::from("a1")].into());
     let mut world = World::new(vec![held]);
     let second = relay::Settings::new("vm-2", "north", 1).with_peer("127.0.0.1:9").member();
-    world.step([Input::Members(vec![World::member(), second])]);
+    world.step([world::members(vec![World::member(), second])]);
     let digest = peer::Digest { leader_fence: Some(ids::Fence::new(1)), ..peer::Digest::default() };
     let message = peer::Message::Digest(digest);
     let incarnation = ids::Incarnation::new(1);
--- a/crates/relay/tests/quota.rs
+++ b/crates/relay/tests/quota.rs
@@ -185,9 +185,11 @@
                         self.views = self.views();
                     }
                     let heard = self.views[to];
-                    let vm = format!("vm-{from}").as_str().into();
+                    let vm = ids::Vm::from(format!("vm-{from}").as_str());
                     let incarnation = ids::Incarnation::new(self.starts[from]);
-                    self.tables[to].apply_usage(now, heard, &vm, incarnation, &usages);
+                    let source = quota::Source::Vm(vm.clone());
+                    let reporter = quota::Reporter { vm, incarnation };
+                    self.tables[to].apply_usage(now, heard, &source, &reporter, &usages);
                 }
             }
         }
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -34,6 +34,11 @@
     version: u64,
 }
 
+/// The membership as read from the store at its first version.
+pub fn members(members: Vec<member::Member>) -> Input {
+    Input::Members { version: ids::Version::new(1), members }
+}
+
 /// A change to a target's entry at a store version.
 pub fn change(version: u64, entry: target::Entry) -> target::Change {
     let target = entry.target.clone();
@@ -164,8 +169,7 @@
     /// A VM without configuration and targets that knows it is the only VM.
     pub fn empty() -> Self {
         let mut world = Self::unknown();
-        let members = vec![Self::member()];
-        world.step([Input::Members(members)]);
+        world.step([members(vec![Self::member()])]);
         world
     }
 
@@ -216,7 +220,9 @@
                 Output::Order { op, order } => seen.orders.push((op, order)),
                 Output::Report { target, .. } => seen.reports.push(target),
                 Output::Write { op, write } => seen.writes.push((op, write)),
-                Output::Peer { to, message } => seen.messages.push((to, message)),
+                Output::Peer { to, message } => {
+                    seen.messages.extend(to.into_iter().map(|vm| (vm, message.clone())));
+                }
                 Output::Ready(ready) => seen.ready.push(ready),
                 Output::Stopped => seen.stopped = true,
                 Output::Follow(follow) => seen.follow = Some(follow),
@@ -254,9 +260,8 @@
 
     /// Makes this VM the planner by granting its lease writes.
     pub fn lead(&mut self) -> Seen {
-        let members = vec![Self::member()];
-        let mut seen =
-            self.step([Input::Members(members), Input::Lease { row: None, clock_ms: 0 }]);
+        let alone = members(vec![Self::member()]);
+        let mut seen = self.step([alone, Input::Lease { row: None, clock_ms: 0 }]);
         seen.extend(self.wait(20));
         self.grant(&seen);
         seen
