daemon, platform: bytes without end that are no answer are bounded

Cause, found with servers that send a prefix and then the same bytes until the caller closes, in a head and in a body of each framing: (1) hyper's client skips interim answers (1xx) without a limit, so a target that sent them without end held a VM's only thread for turns; a call with a deadline of 2 s ended after 10.4 s in the debug build, and nothing else was served meanwhile. (2) A stream without any event was passed on to its caller once it was longer than 1 MiB. (3) The body of a refusal was read up to 16 MiB before the call was tried elsewhere. (4) A request with two Authorization headers ran for the account of the first.

Change: bytes until a head is complete are counted and limited, the head itself to 64 KiB; a stream breaks off when no event ends within 256 KiB, and only new bytes are searched for its end; the body of a refusal is read for 50 ms at most; incomplete answers take at most 8 MiB each and 32 MiB together; different keys in one request are a 401, on the product's own interface a 400.

A bare line feed in a head is still accepted, as RFC 9112 allows: the HTTP libraries parse heads.

--- a/crates/daemon/src/caller/request.rs
+++ b/crates/daemon/src/caller/request.rs
@@ -88,6 +88,9 @@
     let Some(value) = headers.get(header::AUTHORIZATION) else {
         return Ok(None);
     };
+    if headers.get_all(header::AUTHORIZATION).iter().any(|other| other != value) {
+        return Err(problem::Problem::bad_request("header authorization: several keys"));
+    }
     let text = value.to_str().unwrap_or_default();
     let Some((scheme, token)) = text.split_once(' ') else {
         return Err(invalid_key());
--- a/crates/daemon/src/relay/events.rs
+++ b/crates/daemon/src/relay/events.rs
@@ -1,7 +1,17 @@
 //! Splits a server-sent event stream so that only complete events are forwarded.
 
-/// Largest buffered event in bytes; a longer one is forwarded incomplete.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// Largest event in bytes.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// Result of splitting a stream.
+pub type Result<T, E = TooLong> = std::result::Result<T, E>;
+
+/// an event is longer than the limit
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
+pub struct TooLong;
+
+impl std::error::Error for TooLong {}
 
 /// Bytes of complete events, with the id of the most recent one.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -20,15 +30,24 @@
 
 impl Splitter {
     /// Appends bytes and returns the events that are complete now.
-    pub fn push(&mut self, bytes: &[u8]) -> Batch {
+    ///
+    /// # Errors
+    ///
+    /// [`TooLong`] if the bytes after the last complete event exceed the largest event;
+    /// a target in trouble may send bytes without end.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Batch> {
+        // Only the end of what was searched before can be part of a blank line.
+        let searched = self.buffer.len().saturating_sub(BLANK_LINE_BYTES - 1);
         self.buffer.extend_from_slice(bytes);
-        let end = complete_length(&self.buffer)
-            .or_else(|| (self.buffer.len() > MAX_EVENT_BYTES).then_some(self.buffer.len()));
-        let Some(end) = end else {
-            return Batch::default();
+        let Some(end) = complete_length(&self.buffer[searched..]) else {
+            return if self.buffer.len() > MAX_EVENT_BYTES {
+                Err(TooLong)
+            } else {
+                Ok(Batch::default())
+            };
         };
-        let bytes = self.buffer.split_to(end).freeze();
-        Batch { last_id: last_event_id(&bytes), bytes }
+        let bytes = self.buffer.split_to(searched + end).freeze();
+        Ok(Batch { last_id: last_event_id(&bytes), bytes })
     }
 
     /// Returns the buffered remainder after the stream has ended without an error.
@@ -37,6 +56,9 @@
     }
 }
 
+/// Length of the longest blank line after an event, with the end of the line before it.
+const BLANK_LINE_BYTES: usize = 4;
+
 /// Returns the length of the complete events in `bytes`: the end of the last
 /// blank line.
 fn complete_length(bytes: &[u8]) -> Option<usize> {
--- a/crates/daemon/src/relay/exchange.rs
+++ b/crates/daemon/src/relay/exchange.rs
@@ -11,7 +11,12 @@
 use crate::{clock, relay::pool};
 
 /// Largest answer that is buffered, in bytes.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+/// Largest body of a refusal that is read so that its connection can be used again, in
+/// bytes.
+const MAX_REFUSAL_BYTES: usize = 64 * 1024;
+/// Longest time for reading it: normally it arrives with the head.
+const REFUSAL_TIMEOUT: time::Duration = time::Duration::from_millis(50);
 /// Idle connections that may turn out to be closed before a new one is opened.
 const MAX_STALE_CONNECTIONS: usize = 3;
 
@@ -77,7 +82,8 @@
     if answer.has_not_run {
         let event =
             Event::Refused { status: head.status.as_u16(), retry_after: answer.retry_after };
-        if read_body(body).await.is_ok() {
+        let rest = Limited::new(body, MAX_REFUSAL_BYTES).collect();
+        if let Ok(Ok(_rest)) = tokio::time::timeout(REFUSAL_TIMEOUT, rest).await {
             release(pool, connection, keep_alive);
         }
         return Outcome::NoAnswer(event);
@@ -92,7 +98,7 @@
         connection.is_fresh = false;
         return Outcome::Stream(Box::new(Stream { head, body, connection, keep_alive }));
     }
-    match read_body(body).await {
+    match read_body(pool, body).await {
         Ok(bytes) => {
             release(pool, connection, keep_alive);
             let is_success = head.status.is_success();
@@ -126,9 +132,22 @@
     )
 }
 
-async fn read_body(body: Incoming) -> Result<bytes::Bytes, String> {
-    let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-    collected.map(http_body_util::Collected::to_bytes).map_err(|cause| cause.to_string())
+/// Reads a complete body, within the memory that all answers may take together.
+async fn read_body(pool: &pool::Pool, mut body: Incoming) -> Result<bytes::Bytes, String> {
+    let mut reserved = pool.reserve();
+    let mut buffer = bytes::BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|cause| cause.to_string())?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if buffer.len() + data.len() > MAX_ANSWER_BYTES {
+            return Err(format!("the answer is longer than {MAX_ANSWER_BYTES} bytes"));
+        }
+        reserved.add(data.len())?;
+        buffer.extend_from_slice(&data);
+    }
+    Ok(buffer.freeze())
 }
 
 /// Sends the request. Retries on another connection if an idle one turns out to
@@ -182,7 +201,7 @@
             connection.sender.send_request(request).await.map_err(|cause| cause.to_string())?;
         let (head, body) = response.into_parts();
         let keep_alive = answer::decode(&head, "").keep_alive;
-        let bytes = read_body(body).await?;
+        let bytes = read_body(pool, body).await?;
         release(pool, connection, keep_alive);
         Ok((head.status, bytes))
     };
--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -21,6 +21,7 @@
 pub mod exchange;
 pub mod front;
 pub mod handler;
+pub mod head;
 pub mod inbox;
 pub mod metric;
 pub mod pool;
--- a/crates/daemon/src/relay/pool.rs
+++ b/crates/daemon/src/relay/pool.rs
@@ -1,13 +1,19 @@
 //! Pool of keep-alive connections to targets, because each new connection costs
 //! the target time.
 
-use std::{collections, sync, time};
+use std::{
+    collections,
+    sync::{self, atomic},
+    time,
+};
 
 use http_body_util::Full;
-use hyper::client::conn::http1;
+use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use tokio::net;
 
+use crate::relay::head;
+
 /// Timeout for opening a connection: many times the round trip to another data
 /// centre, yet short enough to try another one if a target is unreachable.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
@@ -20,8 +26,65 @@
 /// stays open; the rest covers network delay and a late timer.
 const KEEP_ALIVE_FRACTION: f64 = 0.7;
 
+/// Size of the read buffer of a connection, and so of the largest head of an answer,
+/// in bytes.
+const BUFFER_BYTES: usize = 64 * 1024;
+
+/// A request with a complete body.
+type Request = http::Request<Full<bytes::Bytes>>;
+/// Error of a request, which returns it if no byte of it was sent.
+type SendError = hyper::client::conn::TrySendError<Request>;
+
 /// The sending half of a connection to a target.
-pub type Sender = http1::SendRequest<Full<bytes::Bytes>>;
+#[derive(Debug)]
+pub struct Sender {
+    inner: http1::SendRequest<Full<bytes::Bytes>>,
+    head: head::Watch,
+}
+
+impl Sender {
+    /// Whether the connection is closed.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.inner.is_closed()
+    }
+
+    /// Waits until a request can be sent.
+    ///
+    /// # Errors
+    ///
+    /// The connection was closed.
+    pub async fn ready(&mut self) -> hyper::Result<()> {
+        self.inner.ready().await
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// The connection failed, or what came is not the head of an answer.
+    pub async fn send_request(
+        &mut self,
+        request: Request,
+    ) -> hyper::Result<http::Response<Incoming>> {
+        let _awaited = self.head.expect();
+        self.inner.send_request(request).await
+    }
+
+    /// Sends a request, as [`Sender::send_request`] does; the error returns it if no byte
+    /// of it was sent.
+    ///
+    /// # Errors
+    ///
+    /// The connection failed, or what came is not the head of an answer.
+    pub async fn try_send_request(
+        &mut self,
+        request: Request,
+    ) -> Result<http::Response<Incoming>, SendError> {
+        let _awaited = self.head.expect();
+        self.inner.try_send_request(request).await
+    }
+}
 
 /// An idle connection and the time at which the pool closes it.
 #[derive(Debug)]
@@ -37,10 +100,45 @@
     open_count: usize,
 }
 
+/// Bytes of incomplete answers that are buffered at most: a fraction of the memory of a
+/// small VM.
+const MAX_BUFFERED_BYTES: usize = 32 * 1024 * 1024;
+
 /// The connections to all targets, by address. Clones share the same pool.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     targets: sync::Arc<sync::Mutex<collections::HashMap<sync::Arc<str>, Target>>>,
+    /// Bytes of incomplete answers that are buffered.
+    buffered: sync::Arc<atomic::AtomicUsize>,
+}
+
+/// Memory for one answer; it is returned when this is dropped.
+#[derive(Debug)]
+pub struct Reservation {
+    buffered: sync::Arc<atomic::AtomicUsize>,
+    bytes: usize,
+}
+
+impl Reservation {
+    /// Reserves more bytes.
+    ///
+    /// # Errors
+    ///
+    /// A short reason if all answers together would take too much memory.
+    pub fn add(&mut self, bytes: usize) -> Result<(), String> {
+        self.bytes += bytes;
+        let total = self.buffered.fetch_add(bytes, atomic::Ordering::Relaxed) + bytes;
+        if total <= MAX_BUFFERED_BYTES {
+            return Ok(());
+        }
+        Err(format!("incomplete answers take more than {MAX_BUFFERED_BYTES} bytes"))
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.buffered.fetch_sub(self.bytes, atomic::Ordering::Relaxed);
+    }
 }
 
 /// A connection that is checked out of the pool.
@@ -69,6 +167,12 @@
 }
 
 impl Pool {
+    /// Begins to count the memory of an answer.
+    #[must_use]
+    pub fn reserve(&self) -> Reservation {
+        Reservation { buffered: sync::Arc::clone(&self.buffered), bytes: 0 }
+    }
+
     /// Checks out an idle connection to `address`, or opens a new one if
     /// `may_reuse` is false or none is idle. `max_connections` bounds the
     /// connections to `address`.
@@ -163,13 +267,16 @@
         Ok(())
     };
     options().map_err(|cause| cause.to_string())?;
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|cause| cause.to_string())?;
+    let head = head::Watch::default();
+    let stream = TokioIo::new(head::Stream::new(stream, head.clone()));
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(BUFFER_BYTES);
+    let (inner, connection) = builder.handshake(stream).await.map_err(|cause| cause.to_string())?;
     tokio::spawn(async move {
         // A request in flight on the connection gets the error too.
         if let Err(cause) = connection.await {
             tracing::debug!(%cause, "connection to a target or the store ended with an error");
         }
     });
-    Ok(sender)
+    Ok(Sender { inner, head })
 }
--- a/crates/daemon/src/relay/pump.rs
+++ b/crates/daemon/src/relay/pump.rs
@@ -151,7 +151,10 @@
     let mut data = first;
     loop {
         if let Some(bytes) = data.take() {
-            let events = forwarded.splitter.push(&bytes);
+            let events = match forwarded.splitter.push(&bytes) {
+                Ok(events) => events,
+                Err(cause) => return End::Broken(cause.to_string()),
+            };
             forwarded.last_id = events.last_id.or(forwarded.last_id);
             if !events.bytes.is_empty() {
                 tokio::select! {
--- a/crates/daemon/tests/caller.rs
+++ b/crates/daemon/tests/caller.rs
@@ -308,3 +308,43 @@
     let answer = read.await.expect("a thread");
     assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endless_body_is_rejected() {
+    let harness = Harness::start();
+    for path in ["/v1/chat/completions", "/svc/desk/x", "/unknown"] {
+        let socket = net::TcpStream::connect(harness.address).expect("a connection");
+        socket.set_read_timeout(Some(DEADLINE)).expect("an option");
+        let mut sender = socket.try_clone().expect("a handle");
+        let head = format!("POST {path} HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n");
+        let begun = time::Instant::now();
+        let sending = std::thread::spawn(move || {
+            let mut sent = sender.write_all(head.as_bytes());
+            let chunks = "1000\r\n".to_owned() + &"x".repeat(0x1000) + "\r\n";
+            while sent.is_ok() && begun.elapsed() < DEADLINE {
+                sent = sender.write_all(chunks.as_bytes());
+            }
+        });
+        let mut reader = socket;
+        let read = tokio::task::spawn_blocking(move || {
+            let mut answer = [0; 64];
+            let count = std::io::Read::read(&mut reader, &mut answer).unwrap_or_default();
+            drop(reader.shutdown(net::Shutdown::Both));
+            String::from_utf8_lossy(&answer[..count]).into_owned()
+        });
+        let answer = read.await.expect("a thread");
+        sending.join().expect("a thread");
+        let expected = if path == "/unknown" { "HTTP/1.1 404" } else { "HTTP/1.1 413" };
+        assert!(answer.starts_with(expected), "{path}: {answer}");
+        assert!(begun.elapsed() < time::Duration::from_secs(6), "{path}: {:?}", begun.elapsed());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn several_keys_are_rejected() {
+    let harness = Harness::start();
+    let keys = [("authorization", "Bearer pp.k1.secret"), ("authorization", "Bearer pp.k2.secret")];
+    let response = harness.send_request("POST", "/v1/chat/completions", &keys, CHAT);
+    let response = response.await.expect("a response");
+    assert_eq!(response.status(), 400);
+}
