daemon: a late copy of a call's answer is no reply to an order

Cause: orders and reports share the connections of calls and their answers carry no id. A copy of a call's answer that came late, when the connection carried an order, was taken for the order's reply: a 200 says that the order already holds.

Change: an answer with a call's id is an error there. The test was red (200 in place of an error).

--- a/crates/daemon/src/relay/exchange.rs
+++ b/crates/daemon/src/relay/exchange.rs
@@ -200,7 +200,11 @@
         let response =
             connection.sender.send_request(request).await.map_err(|cause| cause.to_string())?;
         let (head, body) = response.into_parts();
-        let keep_alive = answer::decode(&head, "").keep_alive;
+        let answer::Answer { echo, keep_alive, .. } = answer::decode(&head, "");
+        // Only answers to calls carry an id: this one is a late copy of an earlier answer.
+        if echo != answer::Echo::Missing {
+            return Err("the answer belongs to another request".to_owned());
+        }
         let bytes = read_body(pool, body).await?;
         release(pool, connection, keep_alive);
         Ok((head.status, bytes))
--- /dev/null
+++ b/crates/daemon/tests/exchange.rs
@@ -0,0 +1,62 @@
+//! Tests of internal requests to targets over connections that have carried calls.
+
+use std::{sync, time};
+
+use daemon::relay::{exchange, pool};
+use http_body_util::Full;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+
+const TIMEOUT: time::Duration = time::Duration::from_secs(5);
+const CALL_ANSWER: &str = "HTTP/1.1 200 OK\r\nattempt-id: a-1\r\nresponse-signature: s\r\n\
+                           keep-alive: timeout=5\r\ncontent-length: 0\r\n\r\n";
+const ORDER_ANSWER: &str = "HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n";
+
+/// Serves connections: the answer to a call is sent again before the answer to the
+/// second request of a connection.
+async fn serve(listener: tokio::net::TcpListener) {
+    while let Ok((mut stream, _from)) = listener.accept().await {
+        tokio::spawn(async move {
+            let answers = [CALL_ANSWER.to_owned(), format!("{CALL_ANSWER}{ORDER_ANSWER}")];
+            for answer in answers {
+                let mut buffer = [0; 4_096];
+                let count = stream.read(&mut buffer).await.unwrap_or_default();
+                if count == 0 {
+                    return;
+                }
+                let is_order = buffer[..count].starts_with(b"POST /order");
+                let answer = if is_order && !answer.contains("409") {
+                    ORDER_ANSWER
+                } else {
+                    answer.as_str()
+                };
+                if stream.write_all(answer.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+fn request(path: &str) -> http::Request<Full<bytes::Bytes>> {
+    let request = http::Request::post(path).header("host", "a").body(Full::default());
+    request.expect("a request")
+}
+
+#[tokio::test]
+async fn a_late_copy_of_an_answer_is_no_reply_to_an_order() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address: sync::Arc<str> = listener.local_addr().expect("an address").to_string().into();
+    let server = tokio::spawn(serve(listener));
+    let pool = pool::Pool::default();
+    let mut connection = pool.acquire(&address, 4, true).await.expect("a connection");
+    connection.sender.ready().await.expect("open");
+    let response = connection.sender.send_request(request("/call")).await.expect("an answer");
+    assert_eq!(response.status(), 200);
+    drop(response);
+    pool.release(connection, Some(TIMEOUT));
+    let reply = exchange::round_trip(&pool, &address, request("/order"), TIMEOUT).await;
+    assert!(reply.is_err(), "the order was answered by {reply:?}");
+    let reply = exchange::round_trip(&pool, &address, request("/order"), TIMEOUT).await;
+    assert_eq!(reply.map(|(status, _)| status.as_u16()), Ok(409), "over a new connection");
+    server.abort();
+}
--- a/crates/relay/tests/large.rs
+++ b/crates/relay/tests/large.rs
@@ -225,3 +225,27 @@
     let units = fleet.admitted as f64 * CALL_UNITS as f64;
     assert!(units <= RATE * 9.0 * 1.1 + 17_000.0, "{units} units");
 }
+
+#[test]
+fn a_restarted_vm_uses_no_older_configuration_and_no_target_that_has_left() {
+    let mut fleet = started(118);
+    fleet.configure(config(2));
+    let mut entry = runner("i-00000003", &["alpha", "beta"]);
+    entry.is_leaving = true;
+    fleet.change(entry);
+    fleet.run(2_000, |_| {});
+    for index in [0, 1, 7, 60, 117] {
+        fleet.kill(index);
+        fleet.run(500, arrivals(0.3));
+        fleet.start(index);
+        fleet.sent.clear();
+        for _ in 0..50 {
+            fleet.run(20, arrivals(0.3));
+            let version = fleet.vms[index].relay.as_ref().expect("it runs").version();
+            assert!(version.get() != 1, "VM {index}");
+        }
+        assert_eq!(fleet.sent.get(&ids::Target::from("i-00000003")), None, "VM {index}");
+        let version = fleet.vms[index].relay.as_ref().expect("it runs").version();
+        assert_eq!(version.get(), 2, "VM {index}");
+    }
+}
