--- a/crates/relay/tests/large.rs
+++ b/crates/relay/tests/large.rs
@@ -249,3 +249,25 @@
         assert_eq!(version.get(), 2, "VM {index}");
     }
 }
+
+#[test]
+fn vms_that_all_start_again_share_one_view_while_calls_are_held() {
+    // Time after its start in which a VM holds calls back.
+    const HOLD_MS: u64 = 500;
+    for size in [36, 118] {
+        let mut fleet = started(size);
+        (0..size).for_each(|index| fleet.kill(index));
+        fleet.run(1_000, |_| {});
+        // They start within 0.3 s of each other, in any order.
+        let mut next = 0;
+        fleet.run(320, |fleet| {
+            for _ in 0..size.div_ceil(16).min(size - next) {
+                fleet.start(next * 7 % size);
+                next += 1;
+            }
+        });
+        assert_eq!(next, size);
+        fleet.run(HOLD_MS, |_| {});
+        assert!(are_together(&fleet, size, size), "{size} VMs: {:?}", fleet.views());
+    }
+}
