relay: the log of an answer names its framing and its last event

A line `answered` did not tell an answer that was complete from one that ended with its connection, or within an event: the lines of the two drafts of the ORDER incident fit either cause.

The line now has the framing of the target's answer, the last complete event, and the bytes after it.

--- a/crates/daemon/src/relay/exchange.rs
+++ b/crates/daemon/src/relay/exchange.rs
@@ -6,7 +6,10 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use platform::answer;
-use relay::{input::Event, output};
+use relay::{
+    input::{self, Event},
+    output,
+};
 
 use crate::{clock, relay::pool};
 
@@ -54,6 +57,8 @@
     pub head: http::response::Parts,
     /// The rest of the answer.
     pub body: Incoming,
+    /// What delimits the body.
+    pub framing: input::Framing,
     /// The connection that carries the stream.
     pub connection: pool::Connection,
     /// How long the target keeps the connection open after the answer.
@@ -96,7 +101,8 @@
     }
     if head.status.is_success() && begin.is_stream {
         connection.is_fresh = false;
-        return Outcome::Stream(Box::new(Stream { head, body, connection, keep_alive }));
+        let framing = framing(&head.headers);
+        return Outcome::Stream(Box::new(Stream { head, body, framing, connection, keep_alive }));
     }
     match read_body(pool, body).await {
         Ok(bytes) => {
@@ -122,6 +128,18 @@
     }
 }
 
+/// Returns what delimits the body of an answer with these headers.
+#[must_use]
+pub fn framing(headers: &http::HeaderMap) -> input::Framing {
+    if headers.contains_key(http::header::TRANSFER_ENCODING) {
+        input::Framing::Chunked
+    } else if headers.contains_key(http::header::CONTENT_LENGTH) {
+        input::Framing::Length
+    } else {
+        input::Framing::Connection
+    }
+}
+
 /// Whether the status by itself claims that the request has not run.
 const fn implies_not_run(status: StatusCode) -> bool {
     matches!(
--- a/crates/daemon/src/relay/handler.rs
+++ b/crates/daemon/src/relay/handler.rs
@@ -3,7 +3,7 @@
 use std::{sync, time};
 
 use http_body_util::BodyExt as _;
-use relay::input::Event;
+use relay::input::{self, Event};
 
 use crate::{
     clock,
@@ -116,7 +116,8 @@
             }
             exchange::Outcome::Answer(answer) => {
                 send_event(Event::Began);
-                send_event(Event::Ended);
+                let framing = exchange::framing(answer.headers());
+                send_event(Event::Ended(input::Summary { framing, ..input::Summary::default() }));
                 return Ok(forward(answer));
             }
             exchange::Outcome::Stream(stream) => match receive_start(*stream, &mut call).await {
--- a/crates/daemon/src/relay/pump.rs
+++ b/crates/daemon/src/relay/pump.rs
@@ -3,7 +3,10 @@
 use std::{io, sync, time};
 
 use http_body_util::BodyExt as _;
-use relay::{input::Event, output};
+use relay::{
+    input::{self, Event},
+    output,
+};
 use tokio::sync::mpsc;
 
 use crate::relay::{body, calls, events, exchange, front, handler};
@@ -17,8 +20,8 @@
 
 /// Why forwarding the stream of one target ended.
 enum End {
-    /// The stream is complete.
-    Complete,
+    /// The stream is complete, except for this many bytes after its last event.
+    Complete(usize),
     /// The stream failed before its end, for this reason.
     Broken(String),
     /// The core sent a decision; `None` if it has ended.
@@ -88,9 +91,13 @@
         )
         .await;
         let mut next = match end {
-            End::Complete => {
+            End::Complete(incomplete_bytes) => {
                 exchange::release(&state.pool, stream.connection, stream.keep_alive);
-                send_event(Event::Ended);
+                send_event(Event::Ended(input::Summary {
+                    framing: stream.framing,
+                    last_event: forwarded.last_id,
+                    incomplete_bytes,
+                }));
                 return;
             }
             End::CallerClosed => return,
@@ -177,10 +184,11 @@
         }
     }
     let remainder = forwarded.splitter.finish();
-    if !remainder.is_empty() && caller.send(Ok(remainder)).await.is_err() {
+    let incomplete_bytes = remainder.len();
+    if incomplete_bytes > 0 && caller.send(Ok(remainder)).await.is_err() {
         return End::CallerClosed;
     }
-    End::Complete
+    End::Complete(incomplete_bytes)
 }
 
 /// Reports forwarded events to the core, at most every [`PROGRESS_INTERVAL`]
--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -390,7 +390,7 @@
         let Some(request) = self.requests.remove(&job) else {
             return;
         };
-        let event = input::Event::Ended;
+        let event = input::Event::Ended(input::Summary::default());
         self.schedule_input(
             request.vm,
             LINK_DELAY_MS,
--- a/crates/relay/src/input.rs
+++ b/crates/relay/src/input.rs
@@ -147,6 +147,29 @@
     pub models: std::collections::BTreeMap<ids::Model, std::collections::BTreeSet<ids::Adapter>>,
 }
 
+/// What delimits the body of a target's answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Framing {
+    /// Its length is announced.
+    #[default]
+    Length,
+    /// It is sent in chunks.
+    Chunked,
+    /// It ends with the connection.
+    Connection,
+}
+
+/// How an answer ended, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Summary {
+    /// What delimits its body.
+    pub framing: Framing,
+    /// Number of the last complete event of a stream, if any.
+    pub last_event: Option<u64>,
+    /// Length of what followed the last complete event of a stream, in bytes.
+    pub incomplete_bytes: usize,
+}
+
 /// Progress or end of an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
@@ -174,7 +197,7 @@
     /// More of a stream was passed on.
     Progress,
     /// The whole answer was passed on.
-    Ended,
+    Ended(Summary),
     /// The connection broke; the call may have been executed.
     Broken {
         /// The error.
--- a/crates/relay/src/system/attempt.rs
+++ b/crates/relay/src/system/attempt.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     Output, call, event, health,
-    input::Event,
+    input::{self, Event},
     relay::{Relay, line},
     system::{admission, dispatch},
 };
@@ -70,7 +70,7 @@
 ) {
     match event {
         Event::Began | Event::First | Event::Progress => progress(relay, now, attempt, &event, out),
-        Event::Ended => ended(relay, now, attempt, out),
+        Event::Ended(summary) => ended(relay, now, attempt, summary, out),
         Event::Unsent { reason } => {
             let Some((ended, row)) = finish(relay, now, attempt, health::Ending::Broken, out)
             else {
@@ -147,7 +147,13 @@
     }
 }
 
-fn ended(relay: &mut Relay, now: ids::Time, attempt: ids::Attempt, out: &mut Vec<Output>) {
+fn ended(
+    relay: &mut Relay,
+    now: ids::Time,
+    attempt: ids::Attempt,
+    summary: input::Summary,
+    out: &mut Vec<Output>,
+) {
     let Some((ended, row)) = finish(relay, now, attempt, health::Ending::Answered, out) else {
         return;
     };
@@ -161,7 +167,12 @@
         }
         out.push(Output::Measure(event::Measure::First(now.since(row.arrived))));
     }
-    let inputs = format!("took {took:?} since arrival {:?}", now.since(row.arrived));
+    let input::Summary { framing, last_event, incomplete_bytes } = summary;
+    let inputs = format!(
+        "took {took:?} since arrival {:?} framing {framing:?} event {last_event:?} \
+         incomplete {incomplete_bytes} bytes",
+        now.since(row.arrived)
+    );
     out.push(line(&row, &ended.target, "answered", inputs));
     out.push(Output::Measure(event::Measure::Ended { outcome: "answered" }));
 }
--- a/crates/relay/tests/calls.rs
+++ b/crates/relay/tests/calls.rs
@@ -4,7 +4,10 @@
 
 use std::time;
 
-use relay::{Input, config, input::Event};
+use relay::{
+    Input, config,
+    input::{self, Event},
+};
 use world::{World, configuration, desk, draft, envelope, runner};
 
 fn connection_reset() -> Event {
@@ -219,7 +222,7 @@
     let seen = world.wait(60);
     assert_eq!(seen.failed, [(call, 504, "out of time")]);
     // A late answer of the target has no effect.
-    let seen = world.event(ids::Attempt::new(1), Event::Ended);
+    let seen = world.event(ids::Attempt::new(1), Event::Ended(input::Summary::default()));
     assert!(seen.failed.is_empty());
 }
 
@@ -315,7 +318,7 @@
             continue;
         }
         elsewhere += 1;
-        world.event(begun.attempt, Event::Ended);
+        world.event(begun.attempt, Event::Ended(input::Summary::default()));
     }
     assert_eq!(elsewhere, 6);
 }
@@ -336,8 +339,8 @@
     assert!(seen.begun.is_empty(), "the runner has four slots");
     let (paid, seen) = world.arrive(draft("draft", "alpha", 100));
     assert!(seen.begun.is_empty());
-    assert_eq!(world.event(sent[0], Event::Ended).begun[0].call, paid);
-    assert_eq!(world.event(sent[1], Event::Ended).begun[0].call, waits);
+    assert_eq!(world.event(sent[0], Event::Ended(input::Summary::default())).begun[0].call, paid);
+    assert_eq!(world.event(sent[1], Event::Ended(input::Summary::default())).begun[0].call, waits);
 }
 
 #[test]
@@ -361,12 +364,12 @@
     // The load balancer takes two seconds to notice, so calls are still served.
     world.wait(1_000);
     let (_, seen) = world.arrive(envelope("book", Some("key-2")));
-    world.event(seen.begun[0].attempt, Event::Ended);
+    world.event(seen.begun[0].attempt, Event::Ended(input::Summary::default()));
     let seen = world.wait(2_500);
     assert!(!seen.stopped, "one call is open");
     let (_, seen) = world.arrive(envelope("book", Some("key-2")));
     assert_eq!((seen.refused[0].1, seen.refused[0].2), (503, "stopping"));
-    world.event(open.begun[0].attempt, Event::Ended);
+    world.event(open.begun[0].attempt, Event::Ended(input::Summary::default()));
     assert!(world.wait(40).stopped);
 }
 
--- a/crates/relay/tests/pace.rs
+++ b/crates/relay/tests/pace.rs
@@ -4,7 +4,11 @@
 
 use std::time;
 
-use relay::{Input, input::Event, pace, peer};
+use relay::{
+    Input,
+    input::{self, Event},
+    pace, peer,
+};
 use world::{World, draft, runner};
 
 const WEIGHTS_MB: f64 = 72_700.0;
@@ -59,7 +63,7 @@
         if let Some(begun) = seen.begun.first() {
             world.pass(first_ms);
             world.event(begun.attempt, Event::First);
-            world.event(begun.attempt, Event::Ended);
+            world.event(begun.attempt, Event::Ended(input::Summary::default()));
         }
         let seen = world.wait(200 - first_ms);
         for (_, message) in seen.messages {
--- a/crates/relay/tests/planner.rs
+++ b/crates/relay/tests/planner.rs
@@ -6,7 +6,7 @@
 
 use relay::{
     Input, config,
-    input::{Event, Reply, Report, Written},
+    input::{self, Event, Reply, Report, Written},
     lease::{Holder, Lease},
     output::{Order, Verb},
     peer, placement,
@@ -159,7 +159,7 @@
         let (call, mut all) = world.arrive(draft("draft", model, 3_000));
         let begun: Vec<_> = all.begun.iter().map(|begun| begun.attempt).collect();
         for attempt in begun {
-            all.extend(world.event(attempt, Event::Ended));
+            all.extend(world.event(attempt, Event::Ended(input::Summary::default())));
         }
         all.extend(world.step([Input::Closed { call }]));
         all
@@ -285,7 +285,7 @@
             begun.extend(seen.begun);
         }
         assert_eq!(begun.len(), 1, "{adapter}");
-        fleet.world.event(begun[0].attempt, Event::Ended);
+        fleet.world.event(begun[0].attempt, Event::Ended(input::Summary::default()));
         fleet.world.step([Input::Closed { call }]);
         fleet.run(2_000, |_, _| Seen::default());
     }
