--- a/crates/daemon/src/relay/events.rs
+++ b/crates/daemon/src/relay/events.rs
@@ -4,14 +4,19 @@
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
 /// Result of splitting a stream.
-pub type Result<T, E = TooLong> = std::result::Result<T, E>;
+pub type Result<T, E = Error> = std::result::Result<T, E>;
 
-/// an event is longer than the limit
+/// Why a stream is not a series of complete events.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(displaydoc::Display)]
-pub struct TooLong;
+pub enum Error {
+    /// an event is longer than the limit
+    TooLong,
+    /// the stream ended within an event, after {0} bytes of it
+    Incomplete(usize),
+}
 
-impl std::error::Error for TooLong {}
+impl std::error::Error for Error {}
 
 /// Bytes of complete events, with the id of the most recent one.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -33,7 +38,7 @@
     ///
     /// # Errors
     ///
-    /// [`TooLong`] if the bytes after the last complete event exceed the largest event;
+    /// [`Error::TooLong`] if the bytes after the last complete event exceed the largest event;
     /// a target in trouble may send bytes without end.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Batch> {
         // Only the end of what was searched before can be part of a blank line.
@@ -41,7 +46,7 @@
         self.buffer.extend_from_slice(bytes);
         let Some(end) = complete_length(&self.buffer[searched..]) else {
             return if self.buffer.len() > MAX_EVENT_BYTES {
-                Err(TooLong)
+                Err(Error::TooLong)
             } else {
                 Ok(Batch::default())
             };
@@ -50,9 +55,17 @@
         Ok(Batch { last_id: last_event_id(&bytes), bytes })
     }
 
-    /// Returns the buffered remainder after the stream has ended without an error.
-    pub fn finish(&mut self) -> bytes::Bytes {
-        self.buffer.split().freeze()
+    /// Checks that the stream has ended after a complete event.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Incomplete`] if it ended within an event: it was broken off, even if its
+    /// framing is complete.
+    pub fn finish(&self) -> Result<()> {
+        match self.buffer.len() {
+            0 => Ok(()),
+            length => Err(Error::Incomplete(length)),
+        }
     }
 }
 
--- a/crates/daemon/src/relay/exchange.rs
+++ b/crates/daemon/src/relay/exchange.rs
@@ -65,6 +65,22 @@
     pub keep_alive: answer::KeepAlive,
 }
 
+impl Stream {
+    /// Checks a stream that ended before its first byte.
+    ///
+    /// # Errors
+    ///
+    /// [`Event::Broken`] unless the target announced an empty answer: a connection that ends
+    /// early may also have been closed by a crash.
+    pub fn check_empty(&self) -> Result<(), Event> {
+        if self.framing != input::Framing::Connection {
+            return Ok(());
+        }
+        let reason = "the connection ended before the first event".into();
+        Err(Event::Broken { reason, last_event: None })
+    }
+}
+
 /// Sends a call to a target and waits for the complete answer, or for the head
 /// of a stream.
 pub async fn run(pool: &pool::Pool, request: &Request, begin: &output::Begin) -> Outcome {
--- a/crates/daemon/src/relay/handler.rs
+++ b/crates/daemon/src/relay/handler.rs
@@ -153,7 +153,10 @@
 async fn receive_start(mut stream: exchange::Stream, call: &mut calls::Call) -> Start {
     tokio::select! {
         frame = stream.body.frame() => match frame {
-            None => Start::Data(stream, None),
+            None => match stream.check_empty() {
+                Ok(()) => Start::Data(stream, None),
+                Err(event) => Start::Broken(event),
+            },
             Some(Ok(frame)) => {
                 let data = frame.into_data().unwrap_or_default();
                 Start::Data(stream, Some(data))
--- a/crates/daemon/src/relay/pump.rs
+++ b/crates/daemon/src/relay/pump.rs
@@ -20,8 +20,8 @@
 
 /// Why forwarding the stream of one target ended.
 enum End {
-    /// The stream is complete, except for this many bytes after its last event.
-    Complete(usize),
+    /// The stream is complete.
+    Complete,
     /// The stream failed before its end, for this reason.
     Broken(String),
     /// The core sent a decision; `None` if it has ended.
@@ -91,12 +91,11 @@
         )
         .await;
         let mut next = match end {
-            End::Complete(incomplete_bytes) => {
+            End::Complete => {
                 exchange::release(&state.pool, stream.connection, stream.keep_alive);
                 send_event(Event::Ended(input::Summary {
                     framing: stream.framing,
                     last_event: forwarded.last_id,
-                    incomplete_bytes,
                 }));
                 return;
             }
@@ -183,12 +182,10 @@
             () = caller.closed() => return End::CallerClosed,
         }
     }
-    let remainder = forwarded.splitter.finish();
-    let incomplete_bytes = remainder.len();
-    if incomplete_bytes > 0 && caller.send(Ok(remainder)).await.is_err() {
-        return End::CallerClosed;
+    if let Err(cause) = forwarded.splitter.finish() {
+        return End::Broken(format!("{cause} (framing {:?})", stream.framing));
     }
-    End::Complete(incomplete_bytes)
+    End::Complete
 }
 
 /// Reports forwarded events to the core, at most every [`PROGRESS_INTERVAL`]
--- a/crates/relay/src/input.rs
+++ b/crates/relay/src/input.rs
@@ -166,8 +166,6 @@
     pub framing: Framing,
     /// Number of the last complete event of a stream, if any.
     pub last_event: Option<u64>,
-    /// Length of what followed the last complete event of a stream, in bytes.
-    pub incomplete_bytes: usize,
 }
 
 /// Progress or end of an attempt.
--- a/crates/relay/src/system/attempt.rs
+++ b/crates/relay/src/system/attempt.rs
@@ -167,10 +167,9 @@
         }
         out.push(Output::Measure(event::Measure::First(now.since(row.arrived))));
     }
-    let input::Summary { framing, last_event, incomplete_bytes } = summary;
+    let input::Summary { framing, last_event } = summary;
     let inputs = format!(
-        "took {took:?} since arrival {:?} framing {framing:?} event {last_event:?} \
-         incomplete {incomplete_bytes} bytes",
+        "took {took:?} since arrival {:?} framing {framing:?} event {last_event:?}",
         now.since(row.arrived)
     );
     out.push(line(&row, &ended.target, "answered", inputs));
