relay: a broken stream resets the connection of a caller without chunks (ORDER)

Found while looking for the cause of ORDER elsewhere: the other side of the VM has the same ambiguity. A caller that speaks HTTP/1.0 gets no chunks, its answer ends with its connection, and a stream that was broken off closed the connection in the regular way. The caller took it for complete.

The connection of such a caller is now reset after an error. Others are closed as before, for a missing last chunk shows the break and a reset could discard events that are on their way.

--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -1,6 +1,10 @@
 //! HTTP server for callers: accepts and serves their connections.
 
-use std::{fmt, sync, time};
+use std::{
+    fmt, pin,
+    sync::{self, atomic},
+    time,
+};
 
 use hyper::{server::conn::http1, service};
 use hyper_util::rt;
@@ -80,28 +84,40 @@
 async fn serve(stream: net::TcpStream, state: sync::Arc<State>) {
     let limits = state.limits();
     let mut stop = state.stop.clone();
-    let service_state = sync::Arc::clone(&state);
-    let service =
-        service::service_fn(move |request| answer(sync::Arc::clone(&service_state), request));
+    let lacks_chunks = sync::Arc::<atomic::AtomicBool>::default();
+    let service_state = (sync::Arc::clone(&state), sync::Arc::clone(&lacks_chunks));
+    let service = service::service_fn(move |request: http::Request<_>| {
+        let (state, lacks_chunks) = &service_state;
+        let is_old = request.version() < http::Version::HTTP_11;
+        lacks_chunks.store(is_old, atomic::Ordering::Relaxed);
+        answer(sync::Arc::clone(state), request)
+    });
     let mut builder = http1::Builder::new();
     builder
         .timer(rt::TokioTimer::new())
         // hyper's timeout covers the idle time and the request head together.
         .header_read_timeout(limits.idle_time + IDLE_SLACK)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES));
-    let connection = builder.serve_connection(rt::TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
+    let mut connection = builder.serve_connection(rt::TokioIo::new(stream), service);
     // Drops the guard that `wait_for` returns: it must not be held while the connection closes.
     let closed = async { stop.wait_for(|stage| *stage == Stage::Closed).await.is_ok() };
     let result = tokio::select! {
-        result = connection.as_mut() => result,
+        result = &mut connection => result,
         _ = closed => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            pin::Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
     };
-    if let Err(cause) = result {
-        tracing::debug!(%cause, "connection of a caller closed with an error");
+    let Err(cause) = result else {
+        return;
+    };
+    tracing::debug!(%cause, "connection of a caller closed with an error");
+    if lacks_chunks.load(atomic::Ordering::Relaxed) {
+        // The end of the connection ends such an answer, so only a reset marks it as broken.
+        let stream = connection.into_parts().io.into_inner();
+        if let Err(cause) = stream.set_zero_linger() {
+            tracing::debug!(%cause, "the connection of a caller is closed without a reset");
+        }
     }
 }
 
