--- a/crates/daemon/src/relay/effect.rs
+++ b/crates/daemon/src/relay/effect.rs
@@ -71,6 +71,7 @@
             Output::Write { op, write } => self.write(op, write),
             Output::Order { op, order } => self.order(op, order),
             Output::Report { target, address } => self.report(target, address),
+            Output::Probe { target, born, address } => self.probe(target, born, address),
             Output::Disconnect { address } => self.pool.close_idle(&address),
             Output::Ready(ready) => {
                 self.ready.send_replace(ready);
@@ -137,25 +138,30 @@
         });
     }
 
-    fn report(&self, target: ids::Target, address: sync::Arc<str>) {
+    fn probe(&self, target: ids::Target, born: u64, address: sync::Arc<str>) {
         let (pool, inbox) = (self.pool.clone(), self.inbox.clone());
         tokio::spawn(async move {
-            let request = http::Request::builder()
-                .uri(platform::entry::REPORT_PATH)
-                .header(http::header::HOST, &*address)
-                .body(Full::default());
-            let answer = match request {
-                Ok(request) => exchange::round_trip(&pool, &address, request, REPORT_TIMEOUT).await,
-                Err(cause) => Err(cause.to_string()),
-            };
-            let decoded = answer.and_then(|(status, body)| {
-                if status != http::StatusCode::OK {
-                    return Err(format!("status {status}"));
+            // Only a refused connection proves that nothing listens: a full target resets it.
+            let probe = if pool::refuses_connections(&address).await {
+                relay::input::Probe::Refused
+            } else {
+                match read_report(&pool, &target, &address).await {
+                    Ok(report) if report.born != 0 => relay::input::Probe::Runs(report.born),
+                    Ok(_) => relay::input::Probe::Unknown,
+                    Err(reason) => {
+                        tracing::debug!(peer = %target, reason, "it is unknown whether it runs");
+                        relay::input::Probe::Unknown
+                    }
                 }
-                let name = target.as_str();
-                platform::entry::decode_report(name, &body).map_err(|fault| fault.to_string())
-            });
-            let report = match decoded {
+            };
+            inbox.send(Input::Probed { target, born, probe });
+        });
+    }
+
+    fn report(&self, target: ids::Target, address: sync::Arc<str>) {
+        let (pool, inbox) = (self.pool.clone(), self.inbox.clone());
+        tokio::spawn(async move {
+            let report = match read_report(&pool, &target, &address).await {
                 Ok(report) => Some(report),
                 Err(reason) => {
                     tracing::warn!(
@@ -172,6 +178,24 @@
     }
 }
 
+/// Requests the report of a runner.
+async fn read_report(
+    pool: &pool::Pool,
+    target: &ids::Target,
+    address: &sync::Arc<str>,
+) -> Result<relay::input::Report, String> {
+    let request = http::Request::builder()
+        .uri(platform::entry::REPORT_PATH)
+        .header(http::header::HOST, &**address)
+        .body(Full::default())
+        .map_err(|cause| cause.to_string())?;
+    let (status, body) = exchange::round_trip(pool, address, request, REPORT_TIMEOUT).await?;
+    if status != http::StatusCode::OK {
+        return Err(format!("status {status}"));
+    }
+    platform::entry::decode_report(target.as_str(), &body).map_err(|fault| fault.to_string())
+}
+
 fn log(event: &event::Event) {
     let id = event.id.as_deref().unwrap_or_default();
     tracing::info!(
--- a/crates/daemon/src/relay/pool.rs
+++ b/crates/daemon/src/relay/pool.rs
@@ -2,7 +2,7 @@
 //! the target time.
 
 use std::{
-    collections,
+    collections, io,
     sync::{self, atomic},
     time,
 };
@@ -254,6 +254,13 @@
     }
 }
 
+/// Whether nothing listens on `address`, as far as one attempt to connect tells.
+pub async fn refuses_connections(address: &str) -> bool {
+    let connecting = net::TcpStream::connect(address);
+    let result = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+    matches!(result, Ok(Err(cause)) if cause.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// Opens a connection to `address`, outside any pool.
 ///
 /// # Errors
--- a/crates/relay/src/centre.rs
+++ b/crates/relay/src/centre.rs
@@ -7,7 +7,7 @@
 
 use std::{collections, sync, time};
 
-use crate::{quota, target};
+use crate::{poison, quota, target};
 
 /// How long a report about a data centre is valid. A failed aggregator is replaced
 /// within this time: a heard timeout, until its successor reports.
@@ -70,6 +70,9 @@
     /// For the planner: adapters used by open calls, by target.
     #[serde(rename = "a")]
     pub adapters: Vec<(ids::Target, sync::Arc<str>)>,
+    /// What is new about prompt parts that crash engines.
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+    pub poison: Vec<poison::Entry>,
 }
 
 /// State of a data centre, for the aggregators of the others.
--- a/crates/relay/src/input.rs
+++ b/crates/relay/src/input.rs
@@ -81,6 +81,15 @@
         /// The report; `None` if the request failed.
         report: Option<Report>,
     },
+    /// The outcome of the question whether a target has crashed.
+    Probed {
+        /// The target.
+        target: ids::Target,
+        /// Start time of the process that is asked about.
+        born: u64,
+        /// The outcome.
+        probe: Probe,
+    },
     /// A message arrived from another VM.
     Peer {
         /// The sender.
@@ -134,6 +143,17 @@
     Unknown,
 }
 
+/// Whether a target runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Probe {
+    /// Its address refuses connections.
+    Refused,
+    /// It runs; carries the start time of its process, in ms since the Unix epoch.
+    Runs(u64),
+    /// There was no answer that tells.
+    Unknown,
+}
+
 /// A runner's report of its own state.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Report {
--- a/crates/relay/src/lease.rs
+++ b/crates/relay/src/lease.rs
@@ -10,7 +10,7 @@
 
 use store::table;
 
-use crate::{input, quota};
+use crate::{input, poison, quota};
 
 /// Key of the lease row.
 pub const KEY: &str = "planner";
@@ -42,6 +42,18 @@
     /// Saved quota buckets, restored by VMs after a restart.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub quota: Option<quota::Saved>,
+    /// Prompt parts that are blocked, restored by VMs after a restart.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub poison: Vec<poison::Entry>,
+}
+
+/// What is saved in the row besides the lease.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Saved {
+    /// The quota buckets, if they are known.
+    pub quota: Option<quota::Saved>,
+    /// The prompt parts that are blocked.
+    pub poison: Vec<poison::Entry>,
 }
 
 /// The quota buckets saved in a lease row.
@@ -52,6 +64,14 @@
     holder?.quota
 }
 
+/// The blocked prompt parts saved in a lease row.
+#[must_use]
+pub fn saved_poison(row: Option<&table::Row>) -> Vec<poison::Entry> {
+    // An unreadable row is logged by the caller of `Lease::observe`.
+    let holder = row.and_then(|row| serde_json::from_str::<Holder>(&row.value).ok());
+    holder.map(|holder| holder.poison).unwrap_or_default()
+}
+
 /// The last observed state of the row.
 #[derive(Clone, Debug)]
 struct Seen {
@@ -162,14 +182,13 @@
 
     /// Returns the write that is due, if any. The lease of a holder that is heard
     /// (`is_led`) is never taken over. `rank` is this VM's position among the
-    /// candidates; higher ranks wait longer. `save` returns the quota buckets to
-    /// store in the row.
+    /// candidates; higher ranks wait longer. `save` returns what to save in the row.
     pub fn tick(
         &mut self,
         now: ids::Time,
         is_led: bool,
         rank: u32,
-        save: impl FnOnce() -> Option<quota::Saved>,
+        save: impl FnOnce() -> Saved,
         next_op: impl FnOnce() -> ids::Op,
     ) -> Option<(ids::Op, table::Write)> {
         let timed_out = |pending: &Pending| now.since(pending.sent) > ANSWER_TIMEOUT;
@@ -198,7 +217,8 @@
         };
         // Buckets saved by an earlier holder are kept until newer ones exist.
         let last_saved = || seen.holder.as_ref().and_then(|holder| holder.quota.clone());
-        let next = Holder { quota: save().or_else(last_saved), ..next };
+        let Saved { quota, poison } = save();
+        let next = Holder { quota: quota.or_else(last_saved), poison, ..next };
         // A holder always has a JSON form.
         let value = serde_json::to_string(&next).unwrap_or_default();
         let expect = (seen.version.get() > 0).then_some(seen.version);
@@ -215,6 +235,7 @@
             fence,
             renewals: 0,
             quota: None,
+            poison: Vec::new(),
         }
     }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`call`] holds open calls and their attempts, [`quota`] enforces account rates
 //!   across all VMs; calls wait in a [`route::queue`];
 //! - [`throughput`] estimates queueing delays, so that hopeless calls are refused at once;
+//! - [`poison`] finds prompt parts that crash engines, which are blocked then;
 //! - [`target`] holds the targets, with their [`health`] and prompt [`cache`]; [`pace`] is the
 //!   relative speed of models; [`choice`] selects the target with the lowest expected latency;
 //! - [`demand`] and [`placement`] decide which model to load where; the [`planner`] sends
@@ -42,6 +43,7 @@
 pub mod peer;
 pub mod placement;
 pub mod planner;
+pub mod poison;
 pub mod quota;
 mod relay;
 pub mod settings;
--- a/crates/relay/src/output.rs
+++ b/crates/relay/src/output.rs
@@ -78,6 +78,15 @@
         /// Its address.
         address: sync::Arc<str>,
     },
+    /// Ask whether a target has crashed, over a new connection.
+    Probe {
+        /// The target.
+        target: ids::Target,
+        /// Start time of the process that is asked about.
+        born: u64,
+        /// Its address.
+        address: sync::Arc<str>,
+    },
     /// Close the connections to a target that no longer exists.
     Disconnect {
         /// Its former address.
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, sync, time};
 
-use crate::{centre, quota, target};
+use crate::{centre, poison, quota, target};
 
 /// Digest interval of a small fleet; the age of digests bounds the error of loads and
 /// quotas.
@@ -157,6 +157,9 @@
     /// Its fencing token, if it is the planner.
     #[serde(rename = "f")]
     pub leader_fence: Option<ids::Fence>,
+    /// What is new about prompt parts that crash engines.
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+    pub poison: Vec<poison::Entry>,
 }
 
 /// State of another VM.
--- /dev/null
+++ b/crates/relay/src/poison.rs
@@ -0,0 +1,266 @@
+//! Prompt parts that crash engines.
+//!
+//! A part of a prompt may crash each engine that begins to write an answer on it. The
+//! crash also breaks off the sound calls of that engine, so a single one does not tell
+//! which call caused it. All VMs together count the crashes by the parts of the calls
+//! that were broken off. A part is blocked once several engines have crashed and no call
+//! with it has been answered since: parts of sound calls are answered elsewhere.
+//!
+//! The ledger of a VM merges those of the others. Merging in any order, and more than
+//! once, has the same result, so lost and repeated messages do no harm.
+
+use std::{collections, time};
+
+use crate::envelope;
+
+/// Crashes without an answer since, after which a part is blocked.
+pub const MIN_CRASHES: usize = 3;
+/// Time from the last of these crashes until the part is blocked, within which answers
+/// to sound calls become known to all VMs.
+pub const SETTLE_TIME: time::Duration = time::Duration::from_millis(500);
+/// Time after its last crash in which a part is remembered, unless it is blocked.
+const MEMORY_TIME: time::Duration = time::Duration::from_mins(2);
+/// Time after the last call with it, or its last crash, for which a part stays blocked.
+pub const BLOCK_TIME: time::Duration = time::Duration::from_mins(10);
+/// Largest number of parts remembered, and of crashes per part.
+const MAX_PARTS: usize = 4_096;
+const MAX_CRASHES: usize = 32;
+/// Largest number of blocked parts that are saved.
+const MAX_SAVED: usize = 64;
+
+/// Identifies a crash of an engine: a hash of its name and start time.
+pub type Crash = u64;
+
+/// What a VM knows of a part, for the other VMs.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Entry {
+    /// Hash of the part's name.
+    #[serde(rename = "p")]
+    pub part: u64,
+    /// Crashes that broke off a call with it.
+    #[serde(rename = "c")]
+    pub crashes: Vec<Crash>,
+    /// Those of them after which a call with it was answered.
+    #[serde(rename = "a")]
+    pub answered: Vec<Crash>,
+    /// Time since its last crash, or since the last call that was blocked, in ms.
+    #[serde(rename = "i")]
+    pub idle_ms: u64,
+    /// Whether the sender blocks it.
+    #[serde(rename = "b")]
+    pub is_blocked: bool,
+}
+
+/// A part that was blocked or released.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// Hash of the part's name.
+    pub part: u64,
+    /// Whether it is blocked now.
+    pub is_blocked: bool,
+    /// Number of crashes without an answer since.
+    pub crashes: usize,
+}
+
+/// What is known of one part.
+#[derive(Clone, Debug)]
+struct Row {
+    /// Crashes and when they became known.
+    crashes: collections::BTreeMap<Crash, ids::Time>,
+    answered: collections::BTreeSet<Crash>,
+    changed_at: ids::Time,
+    /// Time of the last crash, or of the last call that was blocked.
+    seen_at: ids::Time,
+}
+
+impl Row {
+    fn new(now: ids::Time) -> Self {
+        Self {
+            crashes: collections::BTreeMap::new(),
+            answered: collections::BTreeSet::new(),
+            changed_at: now,
+            seen_at: ids::Time::default(),
+        }
+    }
+
+    /// Crashes after which no call with the part was answered, with the time at which they
+    /// became known.
+    fn open_crashes(&self) -> impl Iterator<Item = (Crash, ids::Time)> {
+        let is_open = |crash: &Crash| !self.answered.contains(crash);
+        self.crashes
+            .iter()
+            .map(|(crash, at)| (*crash, *at))
+            .filter(move |(crash, _)| is_open(crash))
+    }
+
+    /// The open crashes, if there are enough for blocking and sound calls had the time to
+    /// be answered.
+    fn evidence(&self, now: ids::Time) -> Option<collections::BTreeSet<Crash>> {
+        let mut times: Vec<_> = self.open_crashes().map(|(_, at)| at).collect();
+        times.sort_unstable();
+        let decisive = *times.get(MIN_CRASHES - 1)?;
+        (now.since(decisive) >= SETTLE_TIME)
+            .then(|| self.open_crashes().map(|(crash, _)| crash).collect())
+    }
+
+    fn entry(&self, now: ids::Time, part: u64, is_blocked: bool) -> Entry {
+        Entry {
+            part,
+            crashes: self.crashes.keys().copied().collect(),
+            answered: self.answered.iter().copied().collect(),
+            idle_ms: u64::try_from(now.since(self.seen_at).as_millis()).unwrap_or(u64::MAX),
+            is_blocked,
+        }
+    }
+}
+
+/// Parts of calls that were broken off by crashes.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    rows: collections::BTreeMap<u64, Row>,
+    blocked: collections::BTreeSet<u64>,
+}
+
+/// Parts of a prompt that may crash an engine. The last one belongs to the call itself.
+pub fn shared_parts(prompt: &[envelope::Part]) -> impl Iterator<Item = u64> {
+    let shared = prompt.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|part| part.hash)
+}
+
+impl Ledger {
+    /// Records that a crash broke off calls with these parts.
+    pub fn record_crash(
+        &mut self,
+        now: ids::Time,
+        crash: Crash,
+        parts: impl IntoIterator<Item = u64>,
+    ) {
+        for part in parts {
+            let row = self.rows.entry(part).or_insert_with(|| Row::new(now));
+            if row.crashes.len() < MAX_CRASHES && !row.crashes.contains_key(&crash) {
+                row.crashes.insert(crash, now);
+                (row.changed_at, row.seen_at) = (now, now);
+            }
+        }
+        self.limit();
+    }
+
+    /// Records that a call with these parts was answered.
+    pub fn record_answer(&mut self, now: ids::Time, parts: impl IntoIterator<Item = u64>) {
+        for part in parts {
+            let Some(row) = self.rows.get_mut(&part) else {
+                continue;
+            };
+            if row.open_crashes().next().is_some() {
+                row.answered.extend(row.crashes.keys().copied());
+                row.changed_at = now;
+            }
+        }
+    }
+
+    /// Records that a call with a blocked part has come, so that it stays blocked.
+    pub fn record_call(&mut self, now: ids::Time, part: u64) {
+        if let Some(row) = self.rows.get_mut(&part) {
+            row.seen_at = now;
+        }
+    }
+
+    /// Merges what another VM knows.
+    pub fn merge(&mut self, now: ids::Time, entries: &[Entry]) {
+        for entry in entries {
+            let idle = time::Duration::from_millis(entry.idle_ms);
+            let lifetime = if entry.is_blocked { BLOCK_TIME } else { MEMORY_TIME };
+            if idle >= lifetime {
+                continue;
+            }
+            let row = self.rows.entry(entry.part).or_insert_with(|| Row::new(now));
+            // The sender has waited for answers before it blocked the part.
+            let known_at = if entry.is_blocked { ids::Time::default() } else { now };
+            let before = (row.crashes.len(), row.answered.len());
+            for crash in &entry.crashes {
+                if let Some(at) = row.crashes.get_mut(crash) {
+                    *at = known_at.min(*at);
+                } else if row.crashes.len() < MAX_CRASHES {
+                    row.crashes.insert(*crash, known_at);
+                }
+            }
+            let known = entry.answered.iter().filter(|crash| row.crashes.contains_key(crash));
+            row.answered.extend(known);
+            if before != (row.crashes.len(), row.answered.len()) {
+                row.changed_at = now;
+            }
+            let seen_at = now.as_millis().saturating_sub(entry.idle_ms);
+            row.seen_at = row.seen_at.max(ids::Time::from_millis(seen_at));
+        }
+        self.limit();
+    }
+
+    /// What changed within `max_age`, and all blocked parts.
+    #[must_use]
+    pub fn news(&self, now: ids::Time, max_age: time::Duration) -> Vec<Entry> {
+        let rows = self.rows.iter().map(|(part, row)| (*part, row, self.blocked.contains(part)));
+        rows.filter(|(_, row, is_blocked)| *is_blocked || now.since(row.changed_at) <= max_age)
+            .map(|(part, row, is_blocked)| row.entry(now, part, is_blocked))
+            .collect()
+    }
+
+    /// The parts that are blocked, to be saved.
+    #[must_use]
+    pub fn save(&self, now: ids::Time) -> Vec<Entry> {
+        let blocked = self.blocked.iter().filter_map(|part| Some((*part, self.rows.get(part)?)));
+        blocked.take(MAX_SAVED).map(|(part, row)| row.entry(now, part, true)).collect()
+    }
+
+    /// The first of these parts that is blocked.
+    #[must_use]
+    pub fn blocked_part(&self, parts: impl IntoIterator<Item = u64>) -> Option<u64> {
+        if self.blocked.is_empty() {
+            return None;
+        }
+        parts.into_iter().find(|part| self.blocked.contains(part))
+    }
+
+    /// Decides anew which parts are blocked, and returns what has changed.
+    pub fn update(&mut self, now: ids::Time) -> Vec<Change> {
+        let blocked = &self.blocked;
+        self.rows.retain(|part, row| {
+            let lifetime = if blocked.contains(part) { BLOCK_TIME } else { MEMORY_TIME };
+            now.since(row.seen_at) < lifetime
+        });
+        let suspects = self.rows.iter().filter_map(|(part, row)| Some((*part, row.evidence(now)?)));
+        let suspects: Vec<_> = suspects.collect();
+        // A part all of whose crashes are also those of another part, which has more, was
+        // only hit by them.
+        let is_hit_only = |evidence: &collections::BTreeSet<Crash>| {
+            let causes = |(_, other): &(u64, collections::BTreeSet<Crash>)| {
+                other.len() > evidence.len() && evidence.is_subset(other)
+            };
+            suspects.iter().any(causes)
+        };
+        let is_cause = |(_, evidence): &&(u64, _)| !is_hit_only(evidence);
+        let blocked: collections::BTreeSet<_> =
+            suspects.iter().filter(is_cause).map(|(part, _)| *part).collect();
+        let changed: Vec<_> = blocked.symmetric_difference(&self.blocked).copied().collect();
+        self.blocked = blocked;
+        let change = |part: u64| Change {
+            part,
+            is_blocked: self.blocked.contains(&part),
+            crashes: self.rows.get(&part).map_or(0, |row| row.open_crashes().count()),
+        };
+        changed.into_iter().map(change).collect()
+    }
+
+    /// Forgets the parts that have not changed for the longest time if there are too many.
+    fn limit(&mut self) {
+        while self.rows.len() > MAX_PARTS {
+            let is_free = |part: &u64| !self.blocked.contains(part);
+            let rows = self.rows.iter().filter(|(part, _)| is_free(part));
+            let Some(part) = rows.min_by_key(|(_, row)| row.changed_at).map(|(part, _)| *part)
+            else {
+                return;
+            };
+            self.rows.remove(&part);
+        }
+    }
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Input, Output, Settings, call, centre, config, demand, event, lease, output, pace, peer,
-    planner, quota, system, target, throughput,
+    planner, poison, quota, system, target, throughput,
 };
 
 /// Interval between runs of the systems that scan whole tables.
@@ -72,6 +72,11 @@
     pub(crate) demand: demand::Demand,
     pub(crate) pace: pace::Pace,
     pub(crate) throughput: throughput::Throughput,
+    /// Prompt parts that crash engines.
+    pub(crate) poison: poison::Ledger,
+    /// Shared parts of calls that were broken off, while it is not known whether their
+    /// target, with this start time, has crashed.
+    pub(crate) suspects: collections::BTreeMap<(ids::Target, u64), collections::BTreeSet<u64>>,
     pub(crate) stage: Stage,
     pub(crate) store_down_since: Option<ids::Time>,
     pub(crate) gossip: system::gossip::Schedule,
@@ -122,6 +127,8 @@
             demand: demand::Demand::default(),
             pace: pace::Pace::default(),
             throughput: throughput::Throughput::default(),
+            poison: poison::Ledger::default(),
+            suspects: collections::BTreeMap::new(),
             stage: Stage::Running,
             store_down_since: None,
             gossip: system::gossip::Schedule::default(),
@@ -151,6 +158,7 @@
         system::startup::release(self, now, out);
         if self.next_tick <= now {
             self.next_tick = now + TICK_INTERVAL;
+            system::quarantine::tick(self, now, out);
             system::planning::tick(self, now, out);
             system::gossip::tick(self, now, out);
             system::replication::tick(self, now, out);
@@ -207,6 +215,7 @@
                 system::planning::read_members(self, now, version, members, out);
             }
             Input::Lease { row, clock_ms } => {
+                system::quarantine::restore(self, now, row.as_ref());
                 if let Some(saved) = lease::saved_quota(row.as_ref())
                     && let Some(age) = self.quota.restore(now, &saved, clock_ms)
                 {
@@ -226,6 +235,9 @@
             Input::Reported { target, report } => {
                 system::planning::reported(self, now, &target, report.as_ref(), out);
             }
+            Input::Probed { target, born, probe } => {
+                system::quarantine::probed(self, now, &target, born, probe, out);
+            }
             Input::Peer { from, incarnation, message } => {
                 system::gossip::receive(self, now, &from, incarnation, message, out);
             }
--- a/crates/relay/src/system/admission.rs
+++ b/crates/relay/src/system/admission.rs
@@ -8,7 +8,7 @@
 use crate::{
     Output, call, choice, config, envelope, event,
     relay::{Relay, Stage, line, refusal},
-    system::{dispatch, overlay},
+    system::{dispatch, overlay, quarantine},
 };
 
 /// Retry delay sent to callers while this VM shuts down or has no configuration:
@@ -188,6 +188,10 @@
     if let Some(budget) = relay.retries.get_mut(&row.service) {
         budget.deposit();
     }
+    if let Some(part) = quarantine::blocked_part(relay, now, &row) {
+        quarantine::refuse(relay, call, &row, part, out);
+        return;
+    }
     if let Some(work) = &row.envelope.work {
         let busy_ms = choice::busy_ms(work) * relay.pace_of(&row);
         relay.demand.add(now, &row.service, &work.model, busy_ms);
--- a/crates/relay/src/system/attempt.rs
+++ b/crates/relay/src/system/attempt.rs
@@ -6,7 +6,7 @@
     Output, call, event, health,
     input::{self, Event},
     relay::{Relay, line},
-    system::{admission, dispatch},
+    system::{admission, dispatch, quarantine},
 };
 
 /// Weight of the latest answer in the moving average of a service's answer time.
@@ -60,6 +60,14 @@
     Some(ended)
 }
 
+/// Marks a call as answered; the shell drops its attempt and then closes it.
+pub(crate) fn end(relay: &mut Relay, call: ids::Call) {
+    if let Some(row) = relay.calls.get_mut(call) {
+        row.stage = call::Stage::Ended;
+        row.deadline = ids::Time::from_millis(u64::MAX);
+    }
+}
+
 /// Handles an event of an attempt.
 pub(crate) fn event(
     relay: &mut Relay,
@@ -157,6 +165,7 @@
     let Some((ended, row)) = finish(relay, now, attempt, health::Ending::Answered, out) else {
         return;
     };
+    quarantine::answered(relay, now, &row);
     let took = now.since(ended.sent);
     if row.envelope.work.is_none() {
         let ms = took.as_secs_f64() * 1_000.0;
@@ -255,6 +264,7 @@
     };
     let inputs = format!("{reason}; sent {:?} ago, event {last_event:?}", now.since(ended.sent));
     out.push(line(&row, &ended.target, "broken off by target", inputs));
+    quarantine::broken_off(relay, &ended, &row, out);
     row.may_have_run = true;
     row.resume_after = last_event.or(row.resume_after);
     if row.route.repeat.allows_rerun() && may_retry(relay, now, &row) {
@@ -267,6 +277,9 @@
 
 /// Whether a call may be sent to another target; deducts the retry from the budget.
 fn may_retry(relay: &mut Relay, now: ids::Time, row: &call::Row) -> bool {
+    if quarantine::blocked_part(relay, now, row).is_some() {
+        return false;
+    }
     let attempts = usize::try_from(row.route.attempts).unwrap_or(usize::MAX);
     row.tried.len() < attempts
         && row.remaining(now) > MIN_REMAINING
--- a/crates/relay/src/system/dispatch.rs
+++ b/crates/relay/src/system/dispatch.rs
@@ -302,11 +302,7 @@
                 out.push(Output::Measure(event::Measure::Ended { outcome: "out of time" }));
                 out.push(Output::Fail { call, status: 504, reason: "out of time" });
                 attempt::release_load(relay, now, attempt);
-                if let Some(row) = relay.calls.get_mut(call) {
-                    // The shell drops the attempt and then closes the call.
-                    row.stage = call::Stage::Ended;
-                    row.deadline = ids::Time::from_millis(u64::MAX);
-                }
+                attempt::end(relay, call);
             }
             call::Stage::Ended => {}
         }
--- a/crates/relay/src/system/gossip.rs
+++ b/crates/relay/src/system/gossip.rs
@@ -5,7 +5,7 @@
 use crate::{
     Output, call, centre, event, peer, quota,
     relay::Relay,
-    system::{overlay, planning, replication},
+    system::{overlay, planning, quarantine, replication},
     target,
 };
 
@@ -86,6 +86,7 @@
         demand: Vec::new(),
         adapters: Vec::new(),
         leader_fence: relay.lease.fence(now),
+        poison: quarantine::news(relay, now),
     }
 }
 
@@ -123,7 +124,8 @@
     }
     let loads = merge_loads(relay.centres.sums(now).flat_map(|sums| &sums.loads));
     let usage = relay.quota.elsewhere_usage(now);
-    let sums = centre::Sums { usage, loads, ..centre::Sums::default() };
+    let poison = quarantine::news(relay, now);
+    let sums = centre::Sums { usage, loads, poison, ..centre::Sums::default() };
     let overview = centre::Overview { heads, sums };
     let neighbours = relay.peers.neighbours().map(|row| row.member.vm.clone());
     let (planner, others): (Vec<_>, Vec<_>) =
@@ -174,7 +176,7 @@
     let own: Vec<_> = own.map(|row| (row.entry.target.clone(), row.own)).collect();
     let others = relay.peers.heard_neighbours(now).flat_map(|row| &row.digest.loads);
     let loads = merge_loads(own.iter().chain(others));
-    centre::Sums { usage, loads, ..centre::Sums::default() }
+    centre::Sums { usage, loads, poison: quarantine::news(relay, now), ..centre::Sums::default() }
 }
 
 fn merge_loads<'a>(
@@ -245,6 +247,7 @@
             if is_neighbour && let Some(row) = relay.peers.record_heard(now, from, incarnation) {
                 let granted = digest.granted.clone();
                 row.digest = digest;
+                relay.poison.merge(now, &std::mem::take(&mut row.digest.poison));
                 let view = overlay::view(relay, now);
                 let reporter = quota::Reporter { vm: from.clone(), incarnation };
                 let source = quota::Source::Vm(from.clone());
@@ -301,6 +304,7 @@
         return;
     }
     let centre::Summary { head, sums } = summary;
+    relay.poison.merge(now, &sums.poison);
     relay.peers.record_head(now, time::Duration::ZERO, &head);
     let view = overlay::view(relay, now);
     let source = quota::Source::Centre(head.centre);
@@ -317,6 +321,7 @@
     if overlay::is_aggregator(relay, now) || !relay.centres.accept_overview(now, from, overview) {
         return;
     }
+    relay.poison.merge(now, &overview.sums.poison);
     for (head, age_ms) in &overview.heads {
         relay.peers.record_head(now, time::Duration::from_millis(*age_ms), head);
     }
--- a/crates/relay/src/system/mod.rs
+++ b/crates/relay/src/system/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod gossip;
 pub(crate) mod overlay;
 pub(crate) mod planning;
+pub(crate) mod quarantine;
 pub(crate) mod replication;
 pub(crate) mod shutdown;
 pub(crate) mod startup;
--- a/crates/relay/src/system/planning.rs
+++ b/crates/relay/src/system/planning.rs
@@ -7,7 +7,7 @@
 use crate::{
     Output, event,
     input::{Reply, Report, Written},
-    peer, planner,
+    lease, peer, planner,
     relay::{Relay, Stage},
     system::{gossip, overlay, replication},
 };
@@ -70,9 +70,12 @@
     let rank = u32::try_from(relay.peers.heard(now).filter(precedes).count()).unwrap_or(u32::MAX);
     let is_led = relay.peers.leader(now).is_some();
     let view = overlay::view(relay, now);
-    let Relay { lease, last_op, quota, .. } = relay;
+    let Relay { lease, last_op, quota, poison, .. } = relay;
     let clock_ms = lease.clock_ms(now);
-    let save = || quota.save(now, view, clock_ms?);
+    let save = || {
+        let quota = clock_ms.and_then(|clock_ms| quota.save(now, view, clock_ms));
+        lease::Saved { quota, poison: poison.save(now) }
+    };
     let next_op = || {
         *last_op = last_op.next();
         *last_op
--- /dev/null
+++ b/crates/relay/src/system/quarantine.rs
@@ -0,0 +1,150 @@
+//! Blocks calls whose prompts have a part that crashes engines.
+
+use std::sync;
+
+use crate::{
+    Output, call, event, input, lease, poison,
+    relay::{Relay, line},
+    system::{admission, attempt},
+};
+
+/// Time for which changes of the ledger are sent to other VMs, in digest intervals, so
+/// that a lost message does no harm.
+const NEWS_INTERVALS: u32 = 5;
+/// Reason for refusing or ending a call with a blocked part.
+const REASON: &str = "prompt part blocked";
+
+/// Parts of the prompt of a call that may crash an engine.
+fn shared_parts(row: &call::Row) -> impl Iterator<Item = u64> {
+    let prompt = row.envelope.work.as_ref().map_or(&[][..], |work| &work.prompt);
+    poison::shared_parts(prompt)
+}
+
+/// Handles a call that a target broke off: asks whether the target has crashed.
+pub(crate) fn broken_off(
+    relay: &mut Relay,
+    ended: &call::Attempt,
+    row: &call::Row,
+    out: &mut Vec<Output>,
+) {
+    let Some(target) = relay.targets.get(&ended.target).filter(|row| !row.entry.is_leaving) else {
+        return;
+    };
+    let parts: Vec<_> = shared_parts(row).collect();
+    if parts.is_empty() {
+        return;
+    }
+    let address = sync::Arc::clone(&target.entry.address);
+    let asked = relay.suspects.entry((ended.target.clone(), ended.born)).or_default();
+    if asked.is_empty() {
+        out.push(Output::Probe { target: ended.target.clone(), born: ended.born, address });
+    }
+    asked.extend(parts);
+}
+
+/// Handles the answer whether a target has crashed.
+pub(crate) fn probed(
+    relay: &mut Relay,
+    now: ids::Time,
+    target: &ids::Target,
+    born: u64,
+    probe: input::Probe,
+    out: &mut Vec<Output>,
+) {
+    let Some(parts) = relay.suspects.remove(&(target.clone(), born)) else {
+        return;
+    };
+    let has_crashed = match probe {
+        input::Probe::Refused => true,
+        input::Probe::Runs(now_born) => now_born != born,
+        input::Probe::Unknown => false,
+    };
+    if has_crashed {
+        let line = event::Event::new("target", target, "crashed");
+        out.push(Output::Log(line.with_inputs(format!("{probe:?} shared parts {}", parts.len()))));
+        let crash = route::hash::score(born, target.as_str());
+        relay.poison.record_crash(now, crash, parts);
+    }
+}
+
+/// Handles a call that was answered completely.
+pub(crate) fn answered(relay: &mut Relay, now: ids::Time, row: &call::Row) {
+    relay.poison.record_answer(now, shared_parts(row));
+}
+
+/// What other VMs are told.
+pub(crate) fn news(relay: &Relay, now: ids::Time) -> Vec<poison::Entry> {
+    relay.poison.news(now, relay.peers.digest_interval() * NEWS_INTERVALS)
+}
+
+/// Takes over the blocked parts that are saved in the planner's row.
+pub(crate) fn restore(relay: &mut Relay, now: ids::Time, row: Option<&store::table::Row>) {
+    relay.poison.merge(now, &lease::saved_poison(row));
+}
+
+/// The blocked part of a call, if it has one. The part stays blocked while such calls come.
+pub(crate) fn blocked_part(relay: &mut Relay, now: ids::Time, row: &call::Row) -> Option<u64> {
+    let part = relay.poison.blocked_part(shared_parts(row))?;
+    relay.poison.record_call(now, part);
+    Some(part)
+}
+
+/// Ends a call with a blocked part that no target is running.
+pub(crate) fn refuse(
+    relay: &mut Relay,
+    call: ids::Call,
+    row: &call::Row,
+    part: u64,
+    out: &mut Vec<Output>,
+) {
+    let inputs = format!("part {part:016x}");
+    if row.may_have_run || row.has_begun {
+        out.push(line(row, &row.service, REASON, inputs));
+        out.push(Output::Measure(event::Measure::Ended { outcome: REASON }));
+        out.push(Output::Fail { call, status: 502, reason: REASON });
+        return;
+    }
+    admission::refuse(relay, call, row, REASON, Some(poison::BLOCK_TIME), &inputs, out);
+}
+
+pub(crate) fn tick(relay: &mut Relay, now: ids::Time, out: &mut Vec<Output>) {
+    let changes = relay.poison.update(now);
+    for poison::Change { part, is_blocked, crashes } in &changes {
+        let outcome = if *is_blocked { "blocked" } else { "released" };
+        let line = event::Event::new("prompt", &format!("{part:016x}"), outcome);
+        out.push(Output::Log(line.with_inputs(format!("crashes without an answer {crashes}"))));
+    }
+    if changes.iter().any(|change| change.is_blocked) {
+        end_blocked(relay, now, out);
+    }
+}
+
+/// Ends the open calls with a blocked part: those that wait, and those whose target has
+/// not begun to answer.
+fn end_blocked(relay: &mut Relay, now: ids::Time, out: &mut Vec<Output>) {
+    let blocked = relay.calls.iter().filter(|(_, row)| !row.has_begun);
+    let blocked = blocked
+        .filter_map(|(call, row)| Some((call, relay.poison.blocked_part(shared_parts(row))?)));
+    let blocked: Vec<_> = blocked.collect();
+    for (call, part) in blocked {
+        let Some(row) = relay.calls.get_mut(call) else {
+            continue;
+        };
+        match row.stage {
+            call::Stage::Waiting => {
+                relay.queue.remove(call);
+                if let Some(row) = relay.calls.remove(call) {
+                    refuse(relay, call, &row, part, out);
+                }
+            }
+            call::Stage::Sent(attempt) => {
+                row.may_have_run = true;
+                let row = row.clone();
+                refuse(relay, call, &row, part, out);
+                attempt::release_load(relay, now, attempt);
+                attempt::end(relay, call);
+            }
+            call::Stage::Ended => {}
+        }
+    }
+}
--- a/crates/relay/tests/fleet/mod.rs
+++ b/crates/relay/tests/fleet/mod.rs
@@ -61,6 +61,12 @@
     pub refused: collections::BTreeMap<&'static str, u64>,
     /// Calls sent to each target.
     pub sent: collections::BTreeMap<ids::Target, u64>,
+    /// Whether the test ends the calls that are sent, by their attempts in `begun`.
+    pub keeps_calls: bool,
+    /// Attempts begun since the test took them, with the index of their VM.
+    pub begun: Vec<(usize, output::Begin)>,
+    /// Questions whether a target has crashed, with the index of the VM that asks.
+    pub probes: Vec<(usize, ids::Target, u64)>,
 }
 
 impl Vm {
@@ -110,6 +116,9 @@
             admitted: 0,
             refused: collections::BTreeMap::new(),
             sent: collections::BTreeMap::new(),
+            keeps_calls: false,
+            begun: Vec::new(),
+            probes: Vec::new(),
         };
         (0..size).for_each(|index| fleet.start(index));
         fleet
@@ -174,11 +183,20 @@
         }
     }
 
-    /// A call arrives at a VM. It ends at once if it is sent to a target.
-    pub fn arrive(&mut self, index: usize, envelope: envelope::Envelope) {
+    /// A call arrives at a VM. Unless the test keeps calls, it ends at once if it is sent
+    /// to a target.
+    pub fn arrive(&mut self, index: usize, envelope: envelope::Envelope) -> ids::Call {
         self.last_call += 1;
         let (call, arrived) = (ids::Call::new(self.last_call), self.now);
         self.vms[index].inbox.push(Input::Arrival { call, envelope, arrived });
+        call
+    }
+
+    /// Passes an input to a VM in its next step, if it runs.
+    pub fn input(&mut self, index: usize, input: Input) {
+        if self.vms[index].relay.is_some() {
+            self.vms[index].inbox.push(input);
+        }
     }
 
     /// Advances time; `each` acts on the fleet before each step.
@@ -237,9 +255,14 @@
             Output::Write { op, write } => self.write(index, op, write),
             Output::Begin(begin) => {
                 self.admitted += 1;
-                *self.sent.entry(begin.target).or_default() += 1;
-                self.vms[index].inbox.push(Input::Closed { call: begin.call });
+                *self.sent.entry(begin.target.clone()).or_default() += 1;
+                if self.keeps_calls {
+                    self.begun.push((index, begin));
+                } else {
+                    self.vms[index].inbox.push(Input::Closed { call: begin.call });
+                }
             }
+            Output::Probe { target, born, .. } => self.probes.push((index, target, born)),
             Output::Refuse { reason, .. } => *self.refused.entry(reason).or_default() += 1,
             Output::Decode { .. } => {
                 let config = sync::Arc::clone(&self.config);
--- a/crates/relay/tests/planner.rs
+++ b/crates/relay/tests/planner.rs
@@ -7,7 +7,7 @@
 use relay::{
     Input, config,
     input::{self, Event, Reply, Report, Written},
-    lease::{Holder, Lease},
+    lease::{self, Holder, Lease},
     output::{Order, Verb},
     peer, placement,
 };
@@ -498,7 +498,8 @@
 /// Ticks `lease` once and applies its write, with or without a response. Returns
 /// whether it wrote.
 fn attempt(lease: &mut Lease, row: &mut Row, now: ids::Time, op: u64, answered: bool) -> bool {
-    let Some((op, write)) = lease.tick(now, false, 0, || None, || ids::Op::new(op)) else {
+    let Some((op, write)) = lease.tick(now, false, 0, lease::Saved::default, || ids::Op::new(op))
+    else {
         return false;
     };
     let written = row.write(&write);
@@ -559,8 +560,8 @@
     attempt(&mut first, &mut row, now, 1, true);
     other.observe(now, row.row.as_ref(), 0);
     let later = now + time::Duration::from_secs(20);
-    assert!(other.tick(later, true, 0, || None, || ids::Op::new(2)).is_none());
-    assert!(other.tick(later, false, 0, || None, || ids::Op::new(2)).is_some());
+    assert!(other.tick(later, true, 0, lease::Saved::default, || ids::Op::new(2)).is_none());
+    assert!(other.tick(later, false, 0, lease::Saved::default, || ids::Op::new(2)).is_some());
 }
 
 #[test]
@@ -573,7 +574,8 @@
         value: "nonsense".into(),
     };
     assert!(!own.observe(now, Some(&row), 0), "it is told");
-    let (_, write) = own.tick(now, false, 0, || None, || ids::Op::new(1)).expect("a write");
+    let (_, write) =
+        own.tick(now, false, 0, lease::Saved::default, || ids::Op::new(1)).expect("a write");
     assert_eq!(write.expect, Some(ids::Version::new(70)));
     let holder: Holder = serde_json::from_str(&write.value.expect("a value")).expect("a holder");
     assert!(holder.fence > ids::Fence::new(70), "no token is used twice");
--- /dev/null
+++ b/crates/relay/tests/poison.rs
@@ -0,0 +1,323 @@
+//! Tests of prompt parts that crash engines: what VMs know of them, and what a fleet sends.
+
+mod fleet;
+mod world;
+
+use std::{collections, time};
+
+use fleet::Fleet;
+use relay::{
+    Input, envelope,
+    input::{self, Event},
+    output,
+    poison::{self, Ledger},
+    target,
+};
+use world::{configuration, draft, runner};
+
+const DEADLY: u64 = 0xdead;
+const SHARED: u64 = 1;
+
+fn at(millis: u64) -> ids::Time {
+    ids::Time::from_millis(1_000_000 + millis)
+}
+
+/// A ledger that knows crashes of calls with these parts, one a second.
+fn crashed(parts: &[&[u64]]) -> Ledger {
+    let mut ledger = Ledger::default();
+    for (crash, parts) in (0..).zip(parts) {
+        ledger.record_crash(at(crash * 1_000), crash, parts.iter().copied());
+    }
+    ledger
+}
+
+#[test]
+fn a_part_is_blocked_after_three_crashes_and_time_for_answers() {
+    let mut ledger = crashed(&[&[DEADLY], &[DEADLY], &[DEADLY]]);
+    assert!(ledger.update(at(2_400)).is_empty());
+    let blocked = poison::Change { part: DEADLY, is_blocked: true, crashes: 3 };
+    assert_eq!(ledger.update(at(2_500)), [blocked]);
+    assert_eq!(ledger.blocked_part([SHARED, DEADLY]), Some(DEADLY));
+    // A second crash of the same engine's process is no further evidence.
+    let mut ledger = crashed(&[&[DEADLY], &[DEADLY]]);
+    ledger.record_crash(at(2_000), 1, [DEADLY]);
+    assert!(ledger.update(at(9_000)).is_empty());
+}
+
+#[test]
+fn a_part_of_answered_calls_is_not_blocked() {
+    let mut ledger = crashed(&[&[SHARED], &[SHARED], &[SHARED]]);
+    ledger.record_answer(at(2_100), [SHARED]);
+    ledger.record_crash(at(2_200), 10, [SHARED]);
+    ledger.record_crash(at(2_300), 11, [SHARED]);
+    assert!(ledger.update(at(9_000)).is_empty());
+    // An answer releases a part that was blocked.
+    ledger.record_crash(at(2_400), 12, [SHARED]);
+    assert!(ledger.update(at(9_000))[0].is_blocked);
+    ledger.record_answer(at(9_100), [SHARED]);
+    assert!(!ledger.update(at(9_100))[0].is_blocked);
+}
+
+#[test]
+fn a_part_that_was_only_hit_is_released() {
+    let mut ledger = crashed(&[&[DEADLY, 7], &[DEADLY, 7], &[DEADLY, 7]]);
+    assert_eq!(ledger.update(at(5_000)).len(), 2);
+    ledger.record_crash(at(5_100), 20, [DEADLY]);
+    let released = poison::Change { part: 7, is_blocked: false, crashes: 3 };
+    assert_eq!(ledger.update(at(5_100)), [released]);
+    assert_eq!(ledger.blocked_part([7, DEADLY]), Some(DEADLY));
+}
+
+#[test]
+fn a_block_ends_although_vms_remind_one_another() {
+    let mut first = crashed(&[&[DEADLY], &[DEADLY], &[DEADLY]]);
+    first.update(at(3_000));
+    let mut second = Ledger::default();
+    second.merge(at(3_000), &first.news(at(3_000), time::Duration::ZERO));
+    assert!(second.update(at(3_000))[0].is_blocked, "at once: the first one has waited");
+    let block = u64::try_from(poison::BLOCK_TIME.as_millis()).expect("some minutes");
+    let mut last = None;
+    for millis in (4_000..3 * block).step_by(1_000) {
+        // Calls with the part come for another block time.
+        if millis < block {
+            second.record_call(at(millis), DEADLY);
+        }
+        let news = [&first, &second].map(|ledger| ledger.news(at(millis), time::Duration::ZERO));
+        first.merge(at(millis), &news[1]);
+        second.merge(at(millis), &news[0]);
+        first.update(at(millis));
+        second.update(at(millis));
+        if first.blocked_part([DEADLY]).is_some() || second.blocked_part([DEADLY]).is_some() {
+            last = Some(millis);
+        }
+    }
+    let last = last.expect("blocked for a while");
+    assert!((2 * block - 5_000..=2 * block + 5_000).contains(&last), "until {last} ms");
+}
+
+#[test]
+fn memory_is_bounded() {
+    let mut ledger = Ledger::default();
+    for crash in 0..200 {
+        ledger.record_crash(at(crash), crash, (0..100).map(|part| crash * 100 + part));
+        ledger.record_crash(at(crash), crash, [DEADLY]);
+    }
+    let known = ledger.news(at(200), time::Duration::from_secs(10));
+    assert!(known.len() <= 4_096 && known.iter().all(|entry| entry.crashes.len() <= 32));
+}
+
+#[test]
+fn merging_twice_and_in_any_order_makes_no_difference() {
+    fn property(events: Vec<(u8, u8, bool)>, order: Vec<u8>) -> bool {
+        let mut sources = vec![Ledger::default(); 3];
+        for (index, (part, crash, is_answer)) in events.into_iter().enumerate() {
+            let (ledger, part) = (&mut sources[index % 3], u64::from(part % 4));
+            if is_answer {
+                ledger.record_answer(at(0), [part]);
+            } else {
+                ledger.record_crash(at(0), u64::from(crash % 16), [part]);
+            }
+        }
+        let news: Vec<_> =
+            sources.iter().map(|ledger| ledger.news(at(1), time::Duration::from_secs(1))).collect();
+        let merged = |order: &mut dyn Iterator<Item = usize>| {
+            let mut ledger = Ledger::default();
+            order.for_each(|index| ledger.merge(at(1), &news[index]));
+            ledger.news(at(1), time::Duration::from_secs(1))
+        };
+        let mut mixed = order.into_iter().map(|index| usize::from(index % 3)).chain([2, 0, 1]);
+        merged(&mut (0..3)) == merged(&mut mixed)
+    }
+    let mut check = quickcheck::QuickCheck::new().tests(300);
+    check.quickcheck(property as fn(Vec<(u8, u8, bool)>, Vec<u8>) -> bool);
+}
+
+/// Time that an engine needs for an answer, in ms.
+const ANSWER_MS: u64 = 400;
+/// Time for which a crashed engine is away, in ms.
+const DOWN_MS: u64 = 3_000;
+
+/// Engines in front of a fleet, which crash on the deadly part.
+struct Engines {
+    entries: Vec<target::Entry>,
+    /// Time at which each crashed engine is back.
+    down_until: collections::BTreeMap<ids::Target, ids::Time>,
+    /// Running attempts: when they end, the VM, and the attempt.
+    running: Vec<(ids::Time, usize, output::Begin)>,
+    /// Calls with the deadly part.
+    deadly: collections::BTreeSet<ids::Call>,
+    crashes: Vec<ids::Time>,
+    /// Times at which calls with the deadly part reached an engine.
+    reached: Vec<ids::Time>,
+    /// Numbers of sound calls that arrived and that were sent.
+    sound: (usize, usize),
+    sequence: u64,
+}
+
+impl Engines {
+    fn new(count: usize) -> Self {
+        let entry = |number| target::Entry {
+            slots: 32,
+            address: format!("10.9.0.{number}:8000").into(),
+            ..runner(&format!("r-{number}"), &["alpha"])
+        };
+        Self {
+            entries: (0..count).map(entry).collect(),
+            down_until: collections::BTreeMap::new(),
+            running: Vec::new(),
+            deadly: collections::BTreeSet::new(),
+            crashes: Vec::new(),
+            reached: Vec::new(),
+            sound: (0, 0),
+            sequence: 0,
+        }
+    }
+
+    /// One step of 20 ms: some calls arrive, and the engines work.
+    fn step(&mut self, fleet: &mut Fleet) {
+        self.sequence += 1;
+        let vm = usize::try_from(self.sequence).expect("few steps") % fleet.vms.len();
+        self.arrive(fleet, vm, SHARED, false);
+        if self.sequence.is_multiple_of(25) {
+            self.arrive(fleet, (vm + 3) % fleet.vms.len(), DEADLY, true);
+        }
+        for (vm, begin) in std::mem::take(&mut fleet.begun) {
+            self.begin(fleet, vm, begin);
+        }
+        let now = fleet.now;
+        let (due, running): (Vec<_>, _) =
+            std::mem::take(&mut self.running).into_iter().partition(|(at, _, _)| *at <= now);
+        self.running = running;
+        for (_, vm, begin) in due {
+            if self.deadly.contains(&begin.call) {
+                let target = begin.target.clone();
+                self.running.push((now, vm, begin));
+                self.crash(fleet, &target);
+            } else {
+                let event = Event::Ended(input::Summary::default());
+                fleet.input(vm, Input::Attempt { attempt: begin.attempt, event });
+                fleet.input(vm, Input::Closed { call: begin.call });
+            }
+        }
+        for (vm, target, born) in std::mem::take(&mut fleet.probes) {
+            let is_down = self.down_until.get(&target).is_some_and(|until| *until > now);
+            let probe = if is_down { input::Probe::Refused } else { input::Probe::Runs(born) };
+            fleet.input(vm, Input::Probed { target, born, probe });
+        }
+        for entry in &mut self.entries {
+            if self.down_until.get(&entry.target).is_some_and(|until| *until <= now) {
+                self.down_until.remove(&entry.target);
+                entry.born += 1;
+                fleet.change(entry.clone());
+            }
+        }
+    }
+
+    fn arrive(&mut self, fleet: &mut Fleet, vm: usize, middle: u64, is_deadly: bool) {
+        let part = |hash| envelope::Part { hash, tokens: 20 };
+        let mut envelope = draft("draft", "alpha", 60);
+        if let Some(work) = &mut envelope.work {
+            work.prompt = vec![part(SHARED), part(middle), part(1_000_000 + self.sequence)];
+        }
+        if fleet.vms[vm].relay.is_none() {
+            return;
+        }
+        let call = fleet.arrive(vm, envelope);
+        if is_deadly {
+            self.deadly.insert(call);
+        } else {
+            self.sound.0 += 1;
+        }
+    }
+
+    fn begin(&mut self, fleet: &mut Fleet, vm: usize, begin: output::Begin) {
+        let is_deadly = self.deadly.contains(&begin.call);
+        if self.down_until.contains_key(&begin.target) {
+            let event = Event::Unsent { reason: "refused".into() };
+            fleet.input(vm, Input::Attempt { attempt: begin.attempt, event });
+            return;
+        }
+        if is_deadly {
+            self.reached.push(fleet.now);
+        } else {
+            self.sound.1 += 1;
+        }
+        fleet.input(vm, Input::Attempt { attempt: begin.attempt, event: Event::Began });
+        let millis = if is_deadly { 40 } else { ANSWER_MS };
+        self.running.push((fleet.now + time::Duration::from_millis(millis), vm, begin));
+    }
+
+    /// Breaks off all calls of an engine.
+    fn crash(&mut self, fleet: &mut Fleet, target: &ids::Target) {
+        if !self.down_until.contains_key(target) {
+            self.crashes.push(fleet.now);
+            let until = fleet.now + time::Duration::from_millis(DOWN_MS);
+            self.down_until.insert(target.clone(), until);
+        }
+        let (hit, running): (Vec<_>, _) = std::mem::take(&mut self.running)
+            .into_iter()
+            .partition(|(_, _, begin)| begin.target == *target);
+        self.running = running;
+        for (_, vm, begin) in hit {
+            let event = Event::Broken { reason: "reset".into(), last_event: None };
+            fleet.input(vm, Input::Attempt { attempt: begin.attempt, event });
+            fleet.input(vm, Input::Closed { call: begin.call });
+        }
+    }
+
+    /// Calls with the deadly part that reached engines later than three seconds after the
+    /// fifth crash.
+    fn reached_late(&self) -> usize {
+        let Some(fifth) = self.crashes.get(4) else {
+            return 0;
+        };
+        let limit = *fifth + time::Duration::from_secs(3);
+        self.reached.iter().filter(|at| **at > limit).count()
+    }
+}
+
+/// Plays a fleet for `seconds`; after half of the time, `interrupt` acts on it.
+fn play(size: usize, centres: usize, interrupt: impl Fn(&mut Fleet)) -> Engines {
+    let mut engines = Engines::new(12);
+    let mut fleet = Fleet::new(size, centres, configuration(1), engines.entries.clone());
+    fleet.keeps_calls = true;
+    fleet.run(3_000, |_| {});
+    fleet.run(12_000, |fleet| engines.step(fleet));
+    interrupt(&mut fleet);
+    fleet.run(12_000, |fleet| engines.step(fleet));
+    engines
+}
+
+/// Checks that the deadly part is stopped and that sound calls are served.
+fn check(engines: &Engines, served: f64, max_crashes: usize) {
+    let (arrived, sent) = engines.sound;
+    let crashes = engines.crashes.len();
+    assert!((3..=max_crashes).contains(&crashes), "{:?}", engines.crashes);
+    assert!(
+        engines.reached_late() <= 3,
+        "{} late of {:?}",
+        engines.reached_late(),
+        engines.crashes
+    );
+    assert!(sent as f64 >= arrived as f64 * served, "{sent} of {arrived} sound calls were sent");
+}
+
+#[test]
+fn a_small_fleet_stops_sending_a_deadly_part() {
+    check(&play(5, 4, |_| {}), 0.98, 5);
+}
+
+#[test]
+fn a_large_fleet_stops_sending_a_deadly_part() {
+    check(&play(36, 4, |_| {}), 0.98, 6);
+}
+
+#[test]
+fn a_deadly_part_stays_blocked_when_all_vms_restart() {
+    let engines = play(5, 4, |fleet| {
+        (0..fleet.vms.len()).for_each(|index| fleet.kill(index));
+        fleet.run(1_000, |_| {});
+        (0..fleet.vms.len()).for_each(|index| fleet.start(index));
+    });
+    check(&engines, 0.9, 5);
+}
