relay: a block of a prompt part ends ten minutes after its last crash

A block was prolonged by each call with the part, so a part that a new release of the engine can bear stayed blocked as long as callers asked for it, and Retry-After named a time at which it would be refused again.

It ends ten minutes after the last crash now, and Retry-After is what is left. The crashes are remembered for an hour: one more blocks the part at once.

Test: a_block_ends_although_vms_remind_one_another_and_one_more_crash_renews_it.

--- a/crates/relay/src/poison.rs
+++ b/crates/relay/src/poison.rs
@@ -18,10 +18,14 @@
 /// Time from the last of these crashes until the part is blocked, within which answers
 /// to sound calls become known to all VMs.
 pub const SETTLE_TIME: time::Duration = time::Duration::from_millis(500);
-/// Time after its last crash in which a part is remembered, unless it is blocked.
-const MEMORY_TIME: time::Duration = time::Duration::from_mins(2);
-/// Time after the last call with it, or its last crash, for which a part stays blocked.
+/// Time after its last crash for which a part is blocked. Calls with it are then sent
+/// again, as a new release of the engine may no longer crash.
 pub const BLOCK_TIME: time::Duration = time::Duration::from_mins(10);
+/// Time after its last crash for which a part with enough crashes is remembered, so that
+/// one more blocks it again.
+const PROVEN_TIME: time::Duration = time::Duration::from_hours(1);
+/// Time after its last crash for which any other part is remembered.
+const SUSPECT_TIME: time::Duration = time::Duration::from_mins(2);
 /// Largest number of parts remembered, and of crashes per part.
 const MAX_PARTS: usize = 4_096;
 const MAX_CRASHES: usize = 32;
@@ -44,7 +48,7 @@
     /// Those of them after which a call with it was answered.
     #[serde(rename = "a")]
     pub answered: Vec<Crash>,
-    /// Time since its last crash, or since the last call that was blocked, in ms.
+    /// Time since its last crash, in ms.
     #[serde(rename = "i")]
     pub idle_ms: u64,
     /// Whether the sender blocks it.
@@ -63,6 +67,15 @@
     pub crashes: usize,
 }
 
+/// A block of a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Block {
+    /// Hash of the part's name.
+    pub part: u64,
+    /// When the block ends if there is no further crash.
+    pub until: ids::Time,
+}
+
 /// What is known of one part.
 #[derive(Clone, Debug)]
 struct Row {
@@ -70,8 +83,8 @@
     crashes: collections::BTreeMap<Crash, ids::Time>,
     answered: collections::BTreeSet<Crash>,
     changed_at: ids::Time,
-    /// Time of the last crash, or of the last call that was blocked.
-    seen_at: ids::Time,
+    /// Time of the last crash.
+    crashed_at: ids::Time,
 }
 
 impl Row {
@@ -80,7 +93,7 @@
             crashes: collections::BTreeMap::new(),
             answered: collections::BTreeSet::new(),
             changed_at: now,
-            seen_at: ids::Time::default(),
+            crashed_at: ids::Time::default(),
         }
     }
 
@@ -94,9 +107,18 @@
             .filter(move |(crash, _)| is_open(crash))
     }
 
-    /// The open crashes, if there are enough for blocking and sound calls had the time to
-    /// be answered.
+    /// Whether nothing has happened for so long that the part is forgotten.
+    fn is_outdated(&self, now: ids::Time) -> bool {
+        let is_proven = self.open_crashes().count() >= MIN_CRASHES;
+        now.since(self.crashed_at) >= if is_proven { PROVEN_TIME } else { SUSPECT_TIME }
+    }
+
+    /// The open crashes, if the part is to be blocked on their account: there are enough,
+    /// sound calls had the time to be answered, and the last one is recent.
     fn evidence(&self, now: ids::Time) -> Option<collections::BTreeSet<Crash>> {
+        if now.since(self.crashed_at) >= BLOCK_TIME {
+            return None;
+        }
         let mut times: Vec<_> = self.open_crashes().map(|(_, at)| at).collect();
         times.sort_unstable();
         let decisive = *times.get(MIN_CRASHES - 1)?;
@@ -109,7 +131,7 @@
             part,
             crashes: self.crashes.keys().copied().collect(),
             answered: self.answered.iter().copied().collect(),
-            idle_ms: u64::try_from(now.since(self.seen_at).as_millis()).unwrap_or(u64::MAX),
+            idle_ms: u64::try_from(now.since(self.crashed_at).as_millis()).unwrap_or(u64::MAX),
             is_blocked,
         }
     }
@@ -140,7 +162,7 @@
             let row = self.rows.entry(part).or_insert_with(|| Row::new(now));
             if row.crashes.len() < MAX_CRASHES && !row.crashes.contains_key(&crash) {
                 row.crashes.insert(crash, now);
-                (row.changed_at, row.seen_at) = (now, now);
+                (row.changed_at, row.crashed_at) = (now, now);
             }
         }
         self.limit();
@@ -159,21 +181,9 @@
         }
     }
 
-    /// Records that a call with a blocked part has come, so that it stays blocked.
-    pub fn record_call(&mut self, now: ids::Time, part: u64) {
-        if let Some(row) = self.rows.get_mut(&part) {
-            row.seen_at = now;
-        }
-    }
-
     /// Merges what another VM knows.
     pub fn merge(&mut self, now: ids::Time, entries: &[Entry]) {
         for entry in entries {
-            let idle = time::Duration::from_millis(entry.idle_ms);
-            let lifetime = if entry.is_blocked { BLOCK_TIME } else { MEMORY_TIME };
-            if idle >= lifetime {
-                continue;
-            }
             let row = self.rows.entry(entry.part).or_insert_with(|| Row::new(now));
             // The sender has waited for answers before it blocked the part.
             let known_at = if entry.is_blocked { ids::Time::default() } else { now };
@@ -190,8 +200,8 @@
             if before != (row.crashes.len(), row.answered.len()) {
                 row.changed_at = now;
             }
-            let seen_at = now.as_millis().saturating_sub(entry.idle_ms);
-            row.seen_at = row.seen_at.max(ids::Time::from_millis(seen_at));
+            let crashed_at = now.as_millis().saturating_sub(entry.idle_ms);
+            row.crashed_at = row.crashed_at.max(ids::Time::from_millis(crashed_at));
         }
         self.limit();
     }
@@ -212,22 +222,19 @@
         blocked.take(MAX_SAVED).map(|(part, row)| row.entry(now, part, true)).collect()
     }
 
-    /// The first of these parts that is blocked.
+    /// The block of the first of these parts that is blocked.
     #[must_use]
-    pub fn blocked_part(&self, parts: impl IntoIterator<Item = u64>) -> Option<u64> {
+    pub fn block(&self, parts: impl IntoIterator<Item = u64>) -> Option<Block> {
         if self.blocked.is_empty() {
             return None;
         }
-        parts.into_iter().find(|part| self.blocked.contains(part))
+        let part = parts.into_iter().find(|part| self.blocked.contains(part))?;
+        Some(Block { part, until: self.rows.get(&part)?.crashed_at + BLOCK_TIME })
     }
 
     /// Decides anew which parts are blocked, and returns what has changed.
     pub fn update(&mut self, now: ids::Time) -> Vec<Change> {
-        let blocked = &self.blocked;
-        self.rows.retain(|part, row| {
-            let lifetime = if blocked.contains(part) { BLOCK_TIME } else { MEMORY_TIME };
-            now.since(row.seen_at) < lifetime
-        });
+        self.rows.retain(|_, row| !row.is_outdated(now));
         let suspects = self.rows.iter().filter_map(|(part, row)| Some((*part, row.evidence(now)?)));
         let suspects: Vec<_> = suspects.collect();
         // A part all of whose crashes are also those of another part, which has more, was
--- a/crates/relay/src/system/admission.rs
+++ b/crates/relay/src/system/admission.rs
@@ -188,8 +188,8 @@
     if let Some(budget) = relay.retries.get_mut(&row.service) {
         budget.deposit();
     }
-    if let Some(part) = quarantine::blocked_part(relay, now, &row) {
-        quarantine::refuse(relay, call, &row, part, out);
+    if let Some(block) = quarantine::block(relay, &row) {
+        quarantine::refuse(relay, now, call, &row, block, out);
         return;
     }
     if let Some(work) = &row.envelope.work {
--- a/crates/relay/src/system/attempt.rs
+++ b/crates/relay/src/system/attempt.rs
@@ -277,7 +277,7 @@
 
 /// Whether a call may be sent to another target; deducts the retry from the budget.
 fn may_retry(relay: &mut Relay, now: ids::Time, row: &call::Row) -> bool {
-    if quarantine::blocked_part(relay, now, row).is_some() {
+    if quarantine::block(relay, row).is_some() {
         return false;
     }
     let attempts = usize::try_from(row.route.attempts).unwrap_or(usize::MAX);
--- a/crates/relay/src/system/quarantine.rs
+++ b/crates/relay/src/system/quarantine.rs
@@ -82,29 +82,28 @@
     relay.poison.merge(now, &lease::saved_poison(row));
 }
 
-/// The blocked part of a call, if it has one. The part stays blocked while such calls come.
-pub(crate) fn blocked_part(relay: &mut Relay, now: ids::Time, row: &call::Row) -> Option<u64> {
-    let part = relay.poison.blocked_part(shared_parts(row))?;
-    relay.poison.record_call(now, part);
-    Some(part)
+/// The block of a part of a call's prompt, if there is one.
+pub(crate) fn block(relay: &Relay, row: &call::Row) -> Option<poison::Block> {
+    relay.poison.block(shared_parts(row))
 }
 
 /// Ends a call with a blocked part that no target is running.
 pub(crate) fn refuse(
     relay: &mut Relay,
+    now: ids::Time,
     call: ids::Call,
     row: &call::Row,
-    part: u64,
+    block: poison::Block,
     out: &mut Vec<Output>,
 ) {
-    let inputs = format!("part {part:016x}");
+    let inputs = format!("part {:016x}", block.part);
     if row.may_have_run || row.has_begun {
         out.push(line(row, &row.service, REASON, inputs));
         out.push(Output::Measure(event::Measure::Ended { outcome: REASON }));
         out.push(Output::Fail { call, status: 502, reason: REASON });
         return;
     }
-    admission::refuse(relay, call, row, REASON, Some(poison::BLOCK_TIME), &inputs, out);
+    admission::refuse(relay, call, row, REASON, Some(block.until.since(now)), &inputs, out);
 }
 
 pub(crate) fn tick(relay: &mut Relay, now: ids::Time, out: &mut Vec<Output>) {
@@ -123,10 +122,9 @@
 /// not begun to answer.
 fn end_blocked(relay: &mut Relay, now: ids::Time, out: &mut Vec<Output>) {
     let blocked = relay.calls.iter().filter(|(_, row)| !row.has_begun);
-    let blocked = blocked
-        .filter_map(|(call, row)| Some((call, relay.poison.blocked_part(shared_parts(row))?)));
+    let blocked = blocked.filter_map(|(call, row)| Some((call, block(relay, row)?)));
     let blocked: Vec<_> = blocked.collect();
-    for (call, part) in blocked {
+    for (call, block) in blocked {
         let Some(row) = relay.calls.get_mut(call) else {
             continue;
         };
@@ -134,13 +132,13 @@
             call::Stage::Waiting => {
                 relay.queue.remove(call);
                 if let Some(row) = relay.calls.remove(call) {
-                    refuse(relay, call, &row, part, out);
+                    refuse(relay, now, call, &row, block, out);
                 }
             }
             call::Stage::Sent(attempt) => {
                 row.may_have_run = true;
                 let row = row.clone();
-                refuse(relay, call, &row, part, out);
+                refuse(relay, now, call, &row, block, out);
                 attempt::release_load(relay, now, attempt);
                 attempt::end(relay, call);
             }
--- a/crates/relay/tests/poison.rs
+++ b/crates/relay/tests/poison.rs
@@ -37,7 +37,7 @@
     assert!(ledger.update(at(2_400)).is_empty());
     let blocked = poison::Change { part: DEADLY, is_blocked: true, crashes: 3 };
     assert_eq!(ledger.update(at(2_500)), [blocked]);
-    assert_eq!(ledger.blocked_part([SHARED, DEADLY]), Some(DEADLY));
+    assert_eq!(ledger.block([SHARED, DEADLY]).map(|block| block.part), Some(DEADLY));
     // A second crash of the same engine's process is no further evidence.
     let mut ledger = crashed(&[&[DEADLY], &[DEADLY]]);
     ledger.record_crash(at(2_000), 1, [DEADLY]);
@@ -65,34 +65,33 @@
     ledger.record_crash(at(5_100), 20, [DEADLY]);
     let released = poison::Change { part: 7, is_blocked: false, crashes: 3 };
     assert_eq!(ledger.update(at(5_100)), [released]);
-    assert_eq!(ledger.blocked_part([7, DEADLY]), Some(DEADLY));
+    assert_eq!(ledger.block([7, DEADLY]).map(|block| block.part), Some(DEADLY));
 }
 
 #[test]
-fn a_block_ends_although_vms_remind_one_another() {
+fn a_block_ends_although_vms_remind_one_another_and_one_more_crash_renews_it() {
     let mut first = crashed(&[&[DEADLY], &[DEADLY], &[DEADLY]]);
     first.update(at(3_000));
     let mut second = Ledger::default();
     second.merge(at(3_000), &first.news(at(3_000), time::Duration::ZERO));
     assert!(second.update(at(3_000))[0].is_blocked, "at once: the first one has waited");
     let block = u64::try_from(poison::BLOCK_TIME.as_millis()).expect("some minutes");
-    let mut last = None;
-    for millis in (4_000..3 * block).step_by(1_000) {
-        // Calls with the part come for another block time.
-        if millis < block {
-            second.record_call(at(millis), DEADLY);
-        }
-        let news = [&first, &second].map(|ledger| ledger.news(at(millis), time::Duration::ZERO));
-        first.merge(at(millis), &news[1]);
-        second.merge(at(millis), &news[0]);
-        first.update(at(millis));
-        second.update(at(millis));
-        if first.blocked_part([DEADLY]).is_some() || second.blocked_part([DEADLY]).is_some() {
-            last = Some(millis);
+    let mut ends = Vec::new();
+    for millis in (3_000..3 * block).step_by(500) {
+        let now = at(millis);
+        if millis == 2 * block {
+            first.record_crash(now, 20, [DEADLY]);
         }
+        let news = [&first, &second].map(|ledger| ledger.news(now, time::Duration::ZERO));
+        first.merge(now, &news[1]);
+        second.merge(now, &news[0]);
+        let changes = [first.update(now), second.update(now)].concat();
+        ends.extend(changes.iter().map(|change| (millis, change.is_blocked)));
     }
-    let last = last.expect("blocked for a while");
-    assert!((2 * block - 5_000..=2 * block + 5_000).contains(&last), "until {last} ms");
+    let is_blocked = |ledger: &Ledger| ledger.block([DEADLY]).is_some();
+    assert!(is_blocked(&first) && is_blocked(&second));
+    let (end, again) = (2_000 + block, 2 * block);
+    assert_eq!(ends, [(end, false), (end, false), (again, true), (again, true)]);
 }
 
 #[test]
