--- a/crates/daemon/src/relay/metric.rs
+++ b/crates/daemon/src/relay/metric.rs
@@ -30,6 +30,8 @@
 pub const STORE_REQUESTS: &str = "primroseplank_relay_store_requests_total";
 /// Gauge of the age of the oldest report about reachable VMs, in seconds.
 pub const VIEW_AGE: &str = "primroseplank_relay_view_age_seconds";
+/// Gauge of prompt parts that are blocked because they crash engines.
+pub const BLOCKED_PARTS: &str = "primroseplank_relay_blocked_prompt_parts";
 /// Gauge of open calls.
 pub const OPEN_CALLS: &str = "primroseplank_relay_open_calls";
 /// Gauge of the version of the configuration in force.
@@ -60,6 +62,7 @@
         Unit::Seconds,
         "Age of the oldest report about reachable VMs."
     );
+    metrics::describe_gauge!(BLOCKED_PARTS, Unit::Count, "Prompt parts that are blocked.");
     metrics::describe_gauge!(OPEN_CALLS, Unit::Count, "Calls that are open.");
     metrics::describe_gauge!(CONFIG_VERSION, Unit::Count, "Version of the configuration in force.");
     Ok(handle)
--- a/crates/relay/src/poison.rs
+++ b/crates/relay/src/poison.rs
@@ -222,6 +222,12 @@
         blocked.take(MAX_SAVED).map(|(part, row)| row.entry(now, part, true)).collect()
     }
 
+    /// Number of blocked parts.
+    #[must_use]
+    pub fn blocked_count(&self) -> usize {
+        self.blocked.len()
+    }
+
     /// The block of the first of these parts that is blocked.
     #[must_use]
     pub fn block(&self, parts: impl IntoIterator<Item = u64>) -> Option<Block> {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -190,6 +190,12 @@
         system::overlay::view(self, now)
     }
 
+    /// Number of prompt parts that are blocked because they crash engines.
+    #[must_use]
+    pub fn blocked_parts(&self) -> usize {
+        self.poison.blocked_count()
+    }
+
     /// Number of open calls.
     #[must_use]
     pub fn open_calls(&self) -> usize {
