relay: crashes that were followed by an answer make room for new ones

A part remembers 32 crashes. With as many crashes that its calls had only been hit by, a later one was not recorded, and a part that turned deadly was never blocked. Crashes that were followed by an answer are dropped now if there is no room. A VM that cleared a part late forgot it before it told the others.

A runner whose row names no start time counted as crashed if its report did name one; a missing time is no evidence now.

Test: a_part_that_turns_deadly_after_many_crashes_of_others_is_blocked, red before (no change).

--- a/crates/relay/src/input.rs
+++ b/crates/relay/src/input.rs
@@ -85,7 +85,7 @@
     Probed {
         /// The target.
         target: ids::Target,
-        /// Start time of the process that is asked about.
+        /// Start time of the process that is asked about; 0 if unknown.
         born: u64,
         /// The outcome.
         probe: Probe,
--- a/crates/relay/src/poison.rs
+++ b/crates/relay/src/poison.rs
@@ -107,10 +107,29 @@
             .filter(move |(crash, _)| is_open(crash))
     }
 
+    /// Records a crash. Returns whether it is a new one.
+    fn add_crash(&mut self, crash: Crash, known_at: ids::Time) -> bool {
+        if let Some(at) = self.crashes.get_mut(&crash) {
+            *at = known_at.min(*at);
+            return false;
+        }
+        if self.crashes.len() >= MAX_CRASHES {
+            // Crashes that were followed by an answer are of no further use.
+            let Some(answered) = self.answered.pop_first() else {
+                return false;
+            };
+            self.crashes.remove(&answered);
+        }
+        self.crashes.insert(crash, known_at);
+        true
+    }
+
     /// Whether nothing has happened for so long that the part is forgotten.
     fn is_outdated(&self, now: ids::Time) -> bool {
-        let is_proven = self.open_crashes().count() >= MIN_CRASHES;
-        now.since(self.crashed_at) >= if is_proven { PROVEN_TIME } else { SUSPECT_TIME }
+        if self.open_crashes().count() >= MIN_CRASHES {
+            return now.since(self.crashed_at) >= PROVEN_TIME;
+        }
+        now.since(self.crashed_at.max(self.changed_at)) >= SUSPECT_TIME
     }
 
     /// The open crashes, if the part is to be blocked on their account: there are enough,
@@ -160,8 +179,7 @@
     ) {
         for part in parts {
             let row = self.rows.entry(part).or_insert_with(|| Row::new(now));
-            if row.crashes.len() < MAX_CRASHES && !row.crashes.contains_key(&crash) {
-                row.crashes.insert(crash, now);
+            if row.add_crash(crash, now) {
                 (row.changed_at, row.crashed_at) = (now, now);
             }
         }
@@ -187,17 +205,14 @@
             let row = self.rows.entry(entry.part).or_insert_with(|| Row::new(now));
             // The sender has waited for answers before it blocked the part.
             let known_at = if entry.is_blocked { ids::Time::default() } else { now };
-            let before = (row.crashes.len(), row.answered.len());
+            let mut is_news = false;
             for crash in &entry.crashes {
-                if let Some(at) = row.crashes.get_mut(crash) {
-                    *at = known_at.min(*at);
-                } else if row.crashes.len() < MAX_CRASHES {
-                    row.crashes.insert(*crash, known_at);
-                }
+                is_news |= row.add_crash(*crash, known_at);
+            }
+            for crash in entry.answered.iter().filter(|crash| row.crashes.contains_key(crash)) {
+                is_news |= row.answered.insert(*crash);
             }
-            let known = entry.answered.iter().filter(|crash| row.crashes.contains_key(crash));
-            row.answered.extend(known);
-            if before != (row.crashes.len(), row.answered.len()) {
+            if is_news {
                 row.changed_at = now;
             }
             let crashed_at = now.as_millis().saturating_sub(entry.idle_ms);
--- a/crates/relay/src/system/quarantine.rs
+++ b/crates/relay/src/system/quarantine.rs
@@ -56,7 +56,7 @@
     };
     let has_crashed = match probe {
         input::Probe::Refused => true,
-        input::Probe::Runs(now_born) => now_born != born,
+        input::Probe::Runs(now_born) => born != 0 && now_born != born,
         input::Probe::Unknown => false,
     };
     if has_crashed {
--- a/crates/relay/tests/poison.rs
+++ b/crates/relay/tests/poison.rs
@@ -58,6 +58,19 @@
     assert!(!ledger.update(at(9_100))[0].is_blocked);
 }
 
+#[test]
+fn a_part_that_turns_deadly_after_many_crashes_of_others_is_blocked() {
+    let mut ledger = Ledger::default();
+    for crash in 0..100 {
+        ledger.record_crash(at(crash), crash, [SHARED]);
+        ledger.record_answer(at(crash), [SHARED]);
+    }
+    for crash in 100..103 {
+        ledger.record_crash(at(crash), crash, [SHARED]);
+    }
+    assert!(ledger.update(at(1_000))[0].is_blocked);
+}
+
 #[test]
 fn a_part_that_was_only_hit_is_released() {
     let mut ledger = crashed(&[&[DEADLY, 7], &[DEADLY, 7], &[DEADLY, 7]]);
