relay: engines that crash at one moment block no sound prompt part

Cause: a part counted as suspect wherever a call with it was broken off, and engines that fail together made up three crashes at once.

Only calls that had just begun, or not yet, are suspects now: a prompt whose answer has been written for half a second does not crash the engine, and clears its parts. Crashes within 200 ms count as one moment, and three moments are needed. Crashes travel with their age, so that all VMs see the same moments.

Tests: engines_that_crash_at_the_same_moment_block_no_part (red without moments) and a_call_that_was_written_before_the_crash_clears_its_parts (red if written calls do not count).

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -71,8 +71,8 @@
     pub expected_ms: f64,
     /// Whether no other prompt was known to be unread at the target when it was sent.
     pub had_no_backlog: bool,
-    /// Whether the first byte or event has arrived.
-    pub has_first_byte: bool,
+    /// When the first byte or event arrived; `None` before that.
+    pub first_byte_at: Option<ids::Time>,
 }
 
 /// All open calls and attempts.
--- a/crates/relay/src/poison.rs
+++ b/crates/relay/src/poison.rs
@@ -3,8 +3,9 @@
 //! A part of a prompt may crash each engine that begins to write an answer on it. The
 //! crash also breaks off the sound calls of that engine, so a single one does not tell
 //! which call caused it. All VMs together count the crashes by the parts of the calls
-//! that were broken off. A part is blocked once several engines have crashed and no call
-//! with it has been answered since: parts of sound calls are answered elsewhere.
+//! that were broken off as they began. A part is blocked once engines have crashed at
+//! several moments and no call with it has been written since: sound calls are, elsewhere.
+//! Engines that fail at the same moment have another cause.
 //!
 //! The ledger of a VM merges those of the others. Merging in any order, and more than
 //! once, has the same result, so lost and repeated messages do no harm.
@@ -13,10 +14,12 @@
 
 use crate::envelope;
 
-/// Crashes without an answer since, after which a part is blocked.
-pub const MIN_CRASHES: usize = 3;
-/// Time from the last of these crashes until the part is blocked, within which answers
-/// to sound calls become known to all VMs.
+/// Moments with crashes, without a sound call since, after which a part is blocked.
+pub const MIN_MOMENTS: usize = 3;
+/// Crashes within this time count as one moment.
+pub const MOMENT: time::Duration = time::Duration::from_millis(200);
+/// Time from the last of these moments until the part is blocked, within which sound calls
+/// become known to all VMs.
 pub const SETTLE_TIME: time::Duration = time::Duration::from_millis(500);
 /// Time after its last crash for which a part is blocked. Calls with it are then sent
 /// again, as a new release of the engine may no longer crash.
@@ -42,18 +45,12 @@
     /// Hash of the part's name.
     #[serde(rename = "p")]
     pub part: u64,
-    /// Crashes that broke off a call with it.
+    /// Crashes that broke off a call with it, each with its age in ms.
     #[serde(rename = "c")]
-    pub crashes: Vec<Crash>,
-    /// Those of them after which a call with it was answered.
-    #[serde(rename = "a")]
-    pub answered: Vec<Crash>,
-    /// Time since its last crash, in ms.
-    #[serde(rename = "i")]
-    pub idle_ms: u64,
-    /// Whether the sender blocks it.
-    #[serde(rename = "b")]
-    pub is_blocked: bool,
+    pub crashes: Vec<(Crash, u64)>,
+    /// Those of them after which a call with it was sound.
+    #[serde(rename = "s")]
+    pub sound: Vec<Crash>,
 }
 
 /// A part that was blocked or released.
@@ -63,7 +60,7 @@
     pub part: u64,
     /// Whether it is blocked now.
     pub is_blocked: bool,
-    /// Number of crashes without an answer since.
+    /// Number of crashes without a sound call since.
     pub crashes: usize,
 }
 
@@ -79,80 +76,83 @@
 /// What is known of one part.
 #[derive(Clone, Debug)]
 struct Row {
-    /// Crashes and when they became known.
+    /// Crashes and their times.
     crashes: collections::BTreeMap<Crash, ids::Time>,
-    answered: collections::BTreeSet<Crash>,
+    sound: collections::BTreeSet<Crash>,
     changed_at: ids::Time,
-    /// Time of the last crash.
-    crashed_at: ids::Time,
 }
 
 impl Row {
     fn new(now: ids::Time) -> Self {
         Self {
             crashes: collections::BTreeMap::new(),
-            answered: collections::BTreeSet::new(),
+            sound: collections::BTreeSet::new(),
             changed_at: now,
-            crashed_at: ids::Time::default(),
         }
     }
 
-    /// Crashes after which no call with the part was answered, with the time at which they
-    /// became known.
+    /// Crashes after which no call with the part was sound, with their times.
     fn open_crashes(&self) -> impl Iterator<Item = (Crash, ids::Time)> {
-        let is_open = |crash: &Crash| !self.answered.contains(crash);
-        self.crashes
-            .iter()
-            .map(|(crash, at)| (*crash, *at))
-            .filter(move |(crash, _)| is_open(crash))
+        let crashes = self.crashes.iter().map(|(crash, at)| (*crash, *at));
+        crashes.filter(|(crash, _)| !self.sound.contains(crash))
+    }
+
+    /// Moments of the open crashes.
+    fn moments(&self) -> Vec<ids::Time> {
+        let mut times: Vec<_> = self.open_crashes().map(|(_, at)| at).collect();
+        times.sort_unstable();
+        let mut moments = Vec::<ids::Time>::new();
+        for at in times {
+            if moments.last().is_none_or(|last| at.since(*last) >= MOMENT) {
+                moments.push(at);
+            }
+        }
+        moments
+    }
+
+    /// Time of the last crash.
+    fn crashed_at(&self) -> ids::Time {
+        self.crashes.values().max().copied().unwrap_or_default()
     }
 
     /// Records a crash. Returns whether it is a new one.
-    fn add_crash(&mut self, crash: Crash, known_at: ids::Time) -> bool {
+    fn add_crash(&mut self, crash: Crash, crashed_at: ids::Time) -> bool {
         if let Some(at) = self.crashes.get_mut(&crash) {
-            *at = known_at.min(*at);
+            *at = crashed_at.min(*at);
             return false;
         }
         if self.crashes.len() >= MAX_CRASHES {
-            // Crashes that were followed by an answer are of no further use.
-            let Some(answered) = self.answered.pop_first() else {
+            // Crashes that were followed by a sound call are of no further use.
+            let Some(sound) = self.sound.pop_first() else {
                 return false;
             };
-            self.crashes.remove(&answered);
+            self.crashes.remove(&sound);
         }
-        self.crashes.insert(crash, known_at);
+        self.crashes.insert(crash, crashed_at);
         true
     }
 
     /// Whether nothing has happened for so long that the part is forgotten.
     fn is_outdated(&self, now: ids::Time) -> bool {
-        if self.open_crashes().count() >= MIN_CRASHES {
-            return now.since(self.crashed_at) >= PROVEN_TIME;
+        if self.moments().len() >= MIN_MOMENTS {
+            return now.since(self.crashed_at()) >= PROVEN_TIME;
         }
-        now.since(self.crashed_at.max(self.changed_at)) >= SUSPECT_TIME
+        now.since(self.crashed_at().max(self.changed_at)) >= SUSPECT_TIME
     }
 
     /// The open crashes, if the part is to be blocked on their account: there are enough,
-    /// sound calls had the time to be answered, and the last one is recent.
+    /// sound calls had the time to show, and the last one is recent.
     fn evidence(&self, now: ids::Time) -> Option<collections::BTreeSet<Crash>> {
-        if now.since(self.crashed_at) >= BLOCK_TIME {
-            return None;
-        }
-        let mut times: Vec<_> = self.open_crashes().map(|(_, at)| at).collect();
-        times.sort_unstable();
-        let decisive = *times.get(MIN_CRASHES - 1)?;
-        (now.since(decisive) >= SETTLE_TIME)
-            .then(|| self.open_crashes().map(|(crash, _)| crash).collect())
+        let decisive = *self.moments().get(MIN_MOMENTS - 1)?;
+        let is_settled = now.since(decisive) >= SETTLE_TIME;
+        let is_recent = now.since(self.crashed_at()) < BLOCK_TIME;
+        (is_settled && is_recent).then(|| self.open_crashes().map(|(crash, _)| crash).collect())
     }
 
-    fn entry(&self, now: ids::Time, part: u64, is_blocked: bool) -> Entry {
-        Entry {
-            part,
-            crashes: self.crashes.keys().copied().collect(),
-            answered: self.answered.iter().copied().collect(),
-            idle_ms: u64::try_from(now.since(self.crashed_at).as_millis()).unwrap_or(u64::MAX),
-            is_blocked,
-        }
+    fn entry(&self, now: ids::Time, part: u64) -> Entry {
+        let age_ms = |at| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
+        let crashes = self.crashes.iter().map(|(crash, at)| (*crash, age_ms(*at)));
+        Entry { part, crashes: crashes.collect(), sound: self.sound.iter().copied().collect() }
     }
 }
 
@@ -180,20 +180,23 @@
         for part in parts {
             let row = self.rows.entry(part).or_insert_with(|| Row::new(now));
             if row.add_crash(crash, now) {
-                (row.changed_at, row.crashed_at) = (now, now);
+                row.changed_at = now;
             }
         }
         self.limit();
     }
 
-    /// Records that a call with these parts was answered.
-    pub fn record_answer(&mut self, now: ids::Time, parts: impl IntoIterator<Item = u64>) {
+    /// Records that a call with these parts is or was written without a crash.
+    pub fn record_sound(&mut self, now: ids::Time, parts: impl IntoIterator<Item = u64>) {
+        if self.rows.is_empty() {
+            return;
+        }
         for part in parts {
             let Some(row) = self.rows.get_mut(&part) else {
                 continue;
             };
             if row.open_crashes().next().is_some() {
-                row.answered.extend(row.crashes.keys().copied());
+                row.sound.extend(row.crashes.keys().copied());
                 row.changed_at = now;
             }
         }
@@ -203,20 +206,17 @@
     pub fn merge(&mut self, now: ids::Time, entries: &[Entry]) {
         for entry in entries {
             let row = self.rows.entry(entry.part).or_insert_with(|| Row::new(now));
-            // The sender has waited for answers before it blocked the part.
-            let known_at = if entry.is_blocked { ids::Time::default() } else { now };
             let mut is_news = false;
-            for crash in &entry.crashes {
-                is_news |= row.add_crash(*crash, known_at);
+            for (crash, age_ms) in &entry.crashes {
+                let at = ids::Time::from_millis(now.as_millis().saturating_sub(*age_ms));
+                is_news |= row.add_crash(*crash, at);
             }
-            for crash in entry.answered.iter().filter(|crash| row.crashes.contains_key(crash)) {
-                is_news |= row.answered.insert(*crash);
+            for crash in entry.sound.iter().filter(|crash| row.crashes.contains_key(crash)) {
+                is_news |= row.sound.insert(*crash);
             }
             if is_news {
                 row.changed_at = now;
             }
-            let crashed_at = now.as_millis().saturating_sub(entry.idle_ms);
-            row.crashed_at = row.crashed_at.max(ids::Time::from_millis(crashed_at));
         }
         self.limit();
     }
@@ -224,17 +224,17 @@
     /// What changed within `max_age`, and all blocked parts.
     #[must_use]
     pub fn news(&self, now: ids::Time, max_age: time::Duration) -> Vec<Entry> {
-        let rows = self.rows.iter().map(|(part, row)| (*part, row, self.blocked.contains(part)));
-        rows.filter(|(_, row, is_blocked)| *is_blocked || now.since(row.changed_at) <= max_age)
-            .map(|(part, row, is_blocked)| row.entry(now, part, is_blocked))
-            .collect()
+        let is_news = |(part, row): &(&u64, &Row)| {
+            self.blocked.contains(part) || now.since(row.changed_at) <= max_age
+        };
+        self.rows.iter().filter(is_news).map(|(part, row)| row.entry(now, *part)).collect()
     }
 
     /// The parts that are blocked, to be saved.
     #[must_use]
     pub fn save(&self, now: ids::Time) -> Vec<Entry> {
         let blocked = self.blocked.iter().filter_map(|part| Some((*part, self.rows.get(part)?)));
-        blocked.take(MAX_SAVED).map(|(part, row)| row.entry(now, part, true)).collect()
+        blocked.take(MAX_SAVED).map(|(part, row)| row.entry(now, part)).collect()
     }
 
     /// Number of blocked parts.
@@ -250,7 +250,7 @@
             return None;
         }
         let part = parts.into_iter().find(|part| self.blocked.contains(part))?;
-        Some(Block { part, until: self.rows.get(&part)?.crashed_at + BLOCK_TIME })
+        Some(Block { part, until: self.rows.get(&part)?.crashed_at() + BLOCK_TIME })
     }
 
     /// Decides anew which parts are blocked, and returns what has changed.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -74,9 +74,9 @@
     pub(crate) throughput: throughput::Throughput,
     /// Prompt parts that crash engines.
     pub(crate) poison: poison::Ledger,
-    /// Shared parts of calls that were broken off, while it is not known whether their
-    /// target, with this start time, has crashed.
-    pub(crate) suspects: collections::BTreeMap<(ids::Target, u64), collections::BTreeSet<u64>>,
+    /// Calls that were broken off, while it is not known whether their target, with this
+    /// start time, has crashed.
+    pub(crate) suspects: collections::BTreeMap<(ids::Target, u64), system::quarantine::Suspects>,
     pub(crate) stage: Stage,
     pub(crate) store_down_since: Option<ids::Time>,
     pub(crate) gossip: system::gossip::Schedule,
--- a/crates/relay/src/system/attempt.rs
+++ b/crates/relay/src/system/attempt.rs
@@ -110,7 +110,7 @@
     let Some(row) = relay.calls.attempt(attempt) else {
         return;
     };
-    let is_first = !row.has_first_byte && !matches!(event, Event::Progress);
+    let is_first = row.first_byte_at.is_none() && !matches!(event, Event::Progress);
     let (call, target) = (row.call, row.target.clone());
     let took = now.since(row.sent);
     let expected_ms = row.expected_ms;
@@ -118,7 +118,7 @@
     // The head of a stream may arrive before the prefill; only the first event counts.
     let is_first_token = is_first && matches!(event, Event::First);
     if is_first_token {
-        row.has_first_byte = true;
+        row.first_byte_at = Some(now);
         row.load.prefill = 0;
     }
     if let Some(target) = relay.targets.get_mut(&target) {
@@ -131,6 +131,7 @@
     if is_first_token && had_no_backlog && prompt_tokens >= MIN_SAMPLE_TOKENS {
         record_pace(relay, call, took, expected_ms);
     }
+    quarantine::progress(relay, now, attempt);
     if let Some(row) = relay.calls.get_mut(call) {
         row.has_begun = true;
         if is_first_token {
@@ -264,7 +265,7 @@
     };
     let inputs = format!("{reason}; sent {:?} ago, event {last_event:?}", now.since(ended.sent));
     out.push(line(&row, &ended.target, "broken off by target", inputs));
-    quarantine::broken_off(relay, &ended, &row, out);
+    quarantine::broken_off(relay, now, &ended, &row, out);
     row.may_have_run = true;
     row.resume_after = last_event.or(row.resume_after);
     if row.route.repeat.allows_rerun() && may_retry(relay, now, &row) {
--- a/crates/relay/src/system/dispatch.rs
+++ b/crates/relay/src/system/dispatch.rs
@@ -151,7 +151,7 @@
         sent: now,
         expected_ms: chosen.expected_ms,
         had_no_backlog,
-        has_first_byte: false,
+        first_byte_at: None,
     });
     let Some(row) = relay.calls.get_mut(call) else {
         return true;
--- a/crates/relay/src/system/quarantine.rs
+++ b/crates/relay/src/system/quarantine.rs
@@ -1,6 +1,6 @@
 //! Blocks calls whose prompts have a part that crashes engines.
 
-use std::sync;
+use std::{collections, sync, time};
 
 use crate::{
     Output, call, event, input, lease, poison,
@@ -13,6 +13,9 @@
 const NEWS_INTERVALS: u32 = 5;
 /// Reason for refusing or ending a call with a blocked part.
 const REASON: &str = "prompt part blocked";
+/// Time of writing after which a call shows that its prompt does not crash the engine: many
+/// times the time between two tokens.
+const WRITING_TIME: time::Duration = time::Duration::from_millis(500);
 
 /// Parts of the prompt of a call that may crash an engine.
 fn shared_parts(row: &call::Row) -> impl Iterator<Item = u64> {
@@ -20,9 +23,37 @@
     poison::shared_parts(prompt)
 }
 
+/// Shared parts of the calls that one target broke off.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Suspects {
+    /// Parts of calls that had just begun, or not yet.
+    begun: collections::BTreeSet<u64>,
+    /// Parts of calls that had been written for some time.
+    written: collections::BTreeSet<u64>,
+}
+
+/// Whether an answer has been written for long enough to show that its prompt does not crash
+/// the engine.
+fn is_written(now: ids::Time, attempt: &call::Attempt) -> bool {
+    attempt.first_byte_at.is_some_and(|first| now.since(first) >= WRITING_TIME)
+}
+
+/// Handles the progress of an attempt.
+pub(crate) fn progress(relay: &mut Relay, now: ids::Time, attempt: ids::Attempt) {
+    let Relay { calls, poison, .. } = relay;
+    let call = calls.attempt(attempt).filter(|attempt| is_written(now, attempt));
+    let Some(call) = call.map(|attempt| attempt.call) else {
+        return;
+    };
+    if let Some(row) = calls.get(call) {
+        poison.record_sound(now, shared_parts(row));
+    }
+}
+
 /// Handles a call that a target broke off: asks whether the target has crashed.
 pub(crate) fn broken_off(
     relay: &mut Relay,
+    now: ids::Time,
     ended: &call::Attempt,
     row: &call::Row,
     out: &mut Vec<Output>,
@@ -34,12 +65,17 @@
     if parts.is_empty() {
         return;
     }
+    if is_written(now, ended) {
+        relay.poison.record_sound(now, parts.iter().copied());
+    }
     let address = sync::Arc::clone(&target.entry.address);
-    let asked = relay.suspects.entry((ended.target.clone(), ended.born)).or_default();
-    if asked.is_empty() {
+    let key = (ended.target.clone(), ended.born);
+    let suspects = relay.suspects.entry(key).or_insert_with(|| {
         out.push(Output::Probe { target: ended.target.clone(), born: ended.born, address });
-    }
-    asked.extend(parts);
+        Suspects::default()
+    });
+    let list = if is_written(now, ended) { &mut suspects.written } else { &mut suspects.begun };
+    list.extend(parts);
 }
 
 /// Handles the answer whether a target has crashed.
@@ -51,7 +87,7 @@
     probe: input::Probe,
     out: &mut Vec<Output>,
 ) {
-    let Some(parts) = relay.suspects.remove(&(target.clone(), born)) else {
+    let Some(Suspects { begun, written }) = relay.suspects.remove(&(target.clone(), born)) else {
         return;
     };
     let has_crashed = match probe {
@@ -60,8 +96,9 @@
         input::Probe::Unknown => false,
     };
     if has_crashed {
+        let parts: Vec<_> = begun.difference(&written).copied().collect();
         let line = event::Event::new("target", target, "crashed");
-        out.push(Output::Log(line.with_inputs(format!("{probe:?} shared parts {}", parts.len()))));
+        out.push(Output::Log(line.with_inputs(format!("{probe:?} suspect parts {}", parts.len()))));
         let crash = route::hash::score(born, target.as_str());
         relay.poison.record_crash(now, crash, parts);
     }
@@ -69,7 +106,7 @@
 
 /// Handles a call that was answered completely.
 pub(crate) fn answered(relay: &mut Relay, now: ids::Time, row: &call::Row) {
-    relay.poison.record_answer(now, shared_parts(row));
+    relay.poison.record_sound(now, shared_parts(row));
 }
 
 /// What other VMs are told.
@@ -111,7 +148,7 @@
     for poison::Change { part, is_blocked, crashes } in &changes {
         let outcome = if *is_blocked { "blocked" } else { "released" };
         let line = event::Event::new("prompt", &format!("{part:016x}"), outcome);
-        out.push(Output::Log(line.with_inputs(format!("crashes without an answer {crashes}"))));
+        out.push(Output::Log(line.with_inputs(format!("crashes without a sound call {crashes}"))));
     }
     if changes.iter().any(|change| change.is_blocked) {
         end_blocked(relay, now, out);
