relay: saved prompt parts fit the store's row, and rows of few crashes cost nothing

Up to 64 blocked parts with 32 crashes each were saved in the planner's row, 70 KB where 64 KiB fit; the 16 with the latest crashes are saved now. Each tick collected the crashes of every known part; those with too few are skipped.

Test: memory_is_bounded checks the size of what is saved, with 100 blocked parts.

--- a/crates/relay/src/poison.rs
+++ b/crates/relay/src/poison.rs
@@ -32,8 +32,8 @@
 /// Largest number of parts remembered, and of crashes per part.
 const MAX_PARTS: usize = 4_096;
 const MAX_CRASHES: usize = 32;
-/// Largest number of blocked parts that are saved.
-const MAX_SAVED: usize = 64;
+/// Largest number of blocked parts that are saved: rows of the store are limited.
+const MAX_SAVED: usize = 16;
 
 /// Identifies a crash of an engine: a hash of its name and start time.
 pub type Crash = u64;
@@ -97,8 +97,11 @@
         crashes.filter(|(crash, _)| !self.sound.contains(crash))
     }
 
-    /// Moments of the open crashes.
+    /// Moments of the open crashes; none if there are too few crashes for a block.
     fn moments(&self) -> Vec<ids::Time> {
+        if self.crashes.len() < MIN_MOMENTS + self.sound.len() {
+            return Vec::new();
+        }
         let mut times: Vec<_> = self.open_crashes().map(|(_, at)| at).collect();
         times.sort_unstable();
         let mut moments = Vec::<ids::Time>::new();
@@ -230,11 +233,13 @@
         self.rows.iter().filter(is_news).map(|(part, row)| row.entry(now, *part)).collect()
     }
 
-    /// The parts that are blocked, to be saved.
+    /// The blocked parts with the latest crashes, to be saved.
     #[must_use]
     pub fn save(&self, now: ids::Time) -> Vec<Entry> {
         let blocked = self.blocked.iter().filter_map(|part| Some((*part, self.rows.get(part)?)));
-        blocked.take(MAX_SAVED).map(|(part, row)| row.entry(now, part)).collect()
+        let mut blocked: Vec<_> = blocked.collect();
+        blocked.sort_by_key(|(_, row)| std::cmp::Reverse(row.crashed_at()));
+        blocked.into_iter().take(MAX_SAVED).map(|(part, row)| row.entry(now, part)).collect()
     }
 
     /// Number of blocked parts.
--- a/crates/relay/tests/poison.rs
+++ b/crates/relay/tests/poison.rs
@@ -150,6 +150,13 @@
     }
     let known = ledger.news(at(200), time::Duration::from_secs(10));
     assert!(known.len() <= 4_096 && known.iter().all(|entry| entry.crashes.len() <= 32));
+    // All blocked parts are saved in one row of the store, of at most 64 KiB.
+    for crash in 1_000..1_050 {
+        ledger.record_crash(at(crash * 1_000), u64::MAX - crash, 0..100);
+    }
+    assert!(ledger.update(at(1_060_000)).len() >= 100);
+    let saved = serde_json::to_string(&ledger.save(at(1_060_000))).expect("a JSON form");
+    assert!(saved.len() < 32 * 1_024, "{} bytes", saved.len());
 }
 
 #[test]
