--- a/crates/relay/tests/poison.rs
+++ b/crates/relay/tests/poison.rs
@@ -329,7 +329,7 @@
     }
 }
 
-/// Plays a fleet for `seconds`; after half of the time, `interrupt` acts on it.
+/// Plays a fleet for 24 s; after half of that time, `interrupt` acts on it.
 fn play(size: usize, centres: usize, interrupt: impl Fn(&mut Fleet)) -> Engines {
     let mut engines = Engines::new(12);
     let mut fleet = Fleet::new(size, centres, configuration(1), engines.entries.clone());
