relay: aggregators pass on removals that come without a newer version (DRAIN)

Cause, first part: a VM that has lost the store keeps absent targets for 2.5 s after its return, and tells the others of the removal then, with the version that they know already. An aggregator applied it, but passed on only what had a newer version, so the other VMs of its data centre went on calling the target.

Changes of targets are passed on if they are newer or changed anything. This ends, for what is known changes nothing.

Test: a_target_that_stays_away_after_all_readers_lost_the_store_gets_no_calls, red before (196 calls in three seconds).

--- a/crates/relay/src/system/replication.rs
+++ b/crates/relay/src/system/replication.rs
@@ -200,14 +200,16 @@
     {
         return;
     }
-    let is_news = news.since.is_some() && news.version > relay.targets_version;
-    if is_news {
-        overlay::forward(relay, now, from, peer::Message::Targets(news.clone()), out);
-    }
+    let is_newer = news.version > relay.targets_version;
     relay.targets_version = news.version;
-    let peer::Targets { since, version, changes } = news;
     note_targets(relay, now);
-    apply_all(relay, now, input::Targets { is_full: since.is_none(), version, changes }, out);
+    let peer::Targets { since, version, changes } = news.clone();
+    let targets = input::Targets { is_full: since.is_none(), version, changes };
+    let applied = apply_all(relay, now, targets, out);
+    // Removals after the grace period come without a newer version.
+    if since.is_some() && (is_newer || !applied.is_empty()) {
+        overlay::forward(relay, now, from, peer::Message::Targets(news), out);
+    }
 }
 
 /// Records that the current version of the targets is known now.
--- a/crates/relay/tests/fleet/mod.rs
+++ b/crates/relay/tests/fleet/mod.rs
@@ -183,6 +183,22 @@
         }
     }
 
+    /// Removes the entry of a target.
+    pub fn remove(&mut self, name: &str) {
+        self.version += 1;
+        let target = ids::Target::from(name);
+        self.targets.retain(|known| known.target != target);
+        let version = ids::Version::new(self.version);
+        let change = target::Change { target, version, entry: None };
+        for index in 0..self.vms.len() {
+            if self.vms[index].follow.is_reader {
+                let changes = vec![change.clone()];
+                let targets = input::Targets { is_full: false, version, changes };
+                self.deliver(index, Input::Targets(targets));
+            }
+        }
+    }
+
     /// A call arrives at a VM. Unless the test keeps calls, it ends at once if it is sent
     /// to a target.
     pub fn arrive(&mut self, index: usize, envelope: envelope::Envelope) -> ids::Call {
--- a/crates/relay/tests/large.rs
+++ b/crates/relay/tests/large.rs
@@ -25,7 +25,12 @@
 
 /// A fleet with 160 runners that has just started, and its traffic from then on.
 fn started(size: usize) -> Fleet {
-    let runners = (0..160).map(|index| relay::target::Entry {
+    started_with(size, 160)
+}
+
+/// A fleet with some runners that has just started.
+fn started_with(size: usize, runners: usize) -> Fleet {
+    let runners = (0..runners).map(|index| relay::target::Entry {
         slots: 64,
         ..runner(&format!("i-{index:08}"), &["alpha", "beta"])
     });
@@ -176,6 +181,41 @@
     assert_eq!(fleet.sent.get(&ids::Target::from("i-00000003")), None);
 }
 
+/// Lets VMs lose the store and regain it.
+fn interrupt_store(fleet: &mut Fleet, vms: &[usize]) {
+    for is_up in [false, true] {
+        for vm in vms {
+            fleet.input(*vm, relay::Input::Store { is_up });
+        }
+        fleet.run(100, |_| {});
+    }
+}
+
+/// Removes the target that gets most calls, and changes another one. Returns its name.
+fn remove_busiest(fleet: &mut Fleet) -> ids::Target {
+    fleet.sent.clear();
+    fleet.run(200, arrivals(0.5));
+    let busiest = fleet.sent.iter().max_by_key(|(_, calls)| **calls);
+    let busiest = busiest.expect("a target that gets calls").0.clone();
+    fleet.remove(busiest.as_str());
+    let others = ["i-00000000", "i-00000001"];
+    let other = others.into_iter().find(|name| *name != busiest.as_str()).expect("one of two");
+    fleet.change(relay::target::Entry { slots: 32, ..runner(other, &["alpha"]) });
+    busiest
+}
+
+#[test]
+fn a_target_that_stays_away_after_all_readers_lost_the_store_gets_no_calls() {
+    let mut fleet = started_with(36, 4);
+    let readers = ["vm-0-0", "vm-0-1"].map(|name| fleet.index_of(name));
+    interrupt_store(&mut fleet, &readers);
+    let left = remove_busiest(&mut fleet);
+    fleet.run(3_000, arrivals(0.5));
+    fleet.sent.clear();
+    fleet.run(3_000, arrivals(0.5));
+    assert_eq!(fleet.sent.get(&left), None);
+}
+
 #[test]
 fn calls_within_the_rate_are_not_refused() {
     let mut fleet = started(118);
