--- a/crates/relay/src/system/replication.rs
+++ b/crates/relay/src/system/replication.rs
@@ -195,19 +195,26 @@
     out: &mut Vec<Output>,
 ) {
     // Changes relative to an unknown version would leave a gap; a complete copy follows.
-    if news.version < relay.targets_version
-        || news.since.is_some_and(|since| since > relay.targets_version)
-    {
+    let is_usable = match news.since {
+        Some(since) => since <= relay.targets_version,
+        None => news.version >= relay.targets_version,
+    };
+    if !is_usable {
         return;
     }
     let is_newer = news.version > relay.targets_version;
-    relay.targets_version = news.version;
+    relay.targets_version = relay.targets_version.max(news.version);
     note_targets(relay, now);
     let peer::Targets { since, version, changes } = news.clone();
     let targets = input::Targets { is_full: since.is_none(), version, changes };
     let applied = apply_all(relay, now, targets, out);
+    if since.is_none() {
+        return;
+    }
+    // The sender has not lost the store, or its grace period is over.
+    news.changes.iter().for_each(|change| relay.targets.confirm_absence(now, change));
     // Removals after the grace period come without a newer version.
-    if since.is_some() && (is_newer || !applied.is_empty()) {
+    if is_newer || !applied.is_empty() {
         overlay::forward(relay, now, from, peer::Message::Targets(news), out);
     }
 }
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -249,6 +249,16 @@
         }
     }
 
+    /// Ends the grace period of an absent target whose removal another VM tells of.
+    pub fn confirm_absence(&mut self, now: ids::Time, change: &Change) {
+        let row = self.rows.get_mut(&change.target).filter(|_| change.entry.is_none());
+        if let Some(absence) = row.and_then(|row| row.absence.as_mut())
+            && absence.version <= change.version
+        {
+            absence.until = absence.until.min(now);
+        }
+    }
+
     /// Store version of the last known change of a target.
     fn version(&self, target: &ids::Target) -> Option<ids::Version> {
         match self.rows.get(target) {
--- a/crates/relay/tests/large.rs
+++ b/crates/relay/tests/large.rs
@@ -204,6 +204,20 @@
     busiest
 }
 
+#[test]
+fn a_target_that_leaves_after_the_aggregator_lost_the_store_gets_no_calls() {
+    let mut fleet = started_with(36, 4);
+    // It reads the store, as the second VM does, and is the aggregator of its data centre.
+    let aggregator = fleet.index_of("vm-0-0");
+    fleet.run(3_000, |_| {});
+    interrupt_store(&mut fleet, &[aggregator]);
+    let left = remove_busiest(&mut fleet);
+    fleet.run(500, arrivals(0.5));
+    fleet.sent.clear();
+    fleet.run(1_500, arrivals(0.5));
+    assert_eq!(fleet.sent.get(&left), None);
+}
+
 #[test]
 fn a_target_that_stays_away_after_all_readers_lost_the_store_gets_no_calls() {
     let mut fleet = started_with(36, 4);
