--- a/crates/relay/src/poison.rs
+++ b/crates/relay/src/poison.rs
@@ -5,7 +5,9 @@
 //! which call caused it. All VMs together count the crashes by the parts of the calls
 //! that were broken off as they began. A part is blocked once engines have crashed at
 //! several moments and no call with it has been written since: sound calls are, elsewhere.
-//! Engines that fail at the same moment have another cause.
+//! Engines that fail at the same moment may have another cause. A part that has more crashes
+//! than that, at however few moments, is blocked once other calls that they broke off have
+//! been written elsewhere for some time, and calls with it have not.
 //!
 //! The ledger of a VM merges those of the others. Merging in any order, and more than
 //! once, has the same result, so lost and repeated messages do no harm.
@@ -21,6 +23,13 @@
 /// Time from the last of these moments until the part is blocked, within which sound calls
 /// become known to all VMs.
 pub const SETTLE_TIME: time::Duration = time::Duration::from_millis(500);
+/// Crashes without a sound call since, at however few moments, after which a part is blocked.
+/// One less than callers are promised, as one of them may go unnoticed.
+pub const MIN_CRASHES: usize = 4;
+/// Time for which other calls that a crash broke off have to be served elsewhere before it
+/// counts against a part without sound calls. After a failure of all engines at once, popular
+/// parts are served again within this time.
+pub const SERVED_TIME: time::Duration = time::Duration::from_millis(1_500);
 /// Time after its last crash for which a part is blocked. Calls with it are then sent
 /// again, as a new release of the engine may no longer crash.
 pub const BLOCK_TIME: time::Duration = time::Duration::from_mins(10);
@@ -29,9 +38,10 @@
 const PROVEN_TIME: time::Duration = time::Duration::from_hours(1);
 /// Time after its last crash for which any other part is remembered.
 const SUSPECT_TIME: time::Duration = time::Duration::from_mins(2);
-/// Largest number of parts remembered, and of crashes per part.
+/// Largest number of parts remembered, of crashes per part, and of crashes with sound calls.
 const MAX_PARTS: usize = 4_096;
 const MAX_CRASHES: usize = 32;
+const MAX_WITNESSED: usize = 4_096;
 /// Largest number of blocked parts that are saved: rows of the store are limited.
 const MAX_SAVED: usize = 16;
 
@@ -51,6 +61,9 @@
     /// Those of them after which a call with it was sound.
     #[serde(rename = "s")]
     pub sound: Vec<Crash>,
+    /// Those of them after which other calls were served for [`SERVED_TIME`], but none with it.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub served: Vec<Crash>,
 }
 
 /// A part that was blocked or released.
@@ -79,6 +92,7 @@
     /// Crashes and their times.
     crashes: collections::BTreeMap<Crash, ids::Time>,
     sound: collections::BTreeSet<Crash>,
+    served: collections::BTreeSet<Crash>,
     changed_at: ids::Time,
 }
 
@@ -87,6 +101,7 @@
         Self {
             crashes: collections::BTreeMap::new(),
             sound: collections::BTreeSet::new(),
+            served: collections::BTreeSet::new(),
             changed_at: now,
         }
     }
@@ -113,6 +128,16 @@
         moments
     }
 
+    /// Whether enough open crashes were followed by calls with other parts only.
+    fn is_alone(&self) -> bool {
+        self.served.difference(&self.sound).count() >= MIN_CRASHES
+    }
+
+    /// Whether there are enough open crashes for a block.
+    fn is_proven(&self) -> bool {
+        self.moments().len() >= MIN_MOMENTS || self.is_alone()
+    }
+
     /// Time of the last crash.
     fn crashed_at(&self) -> ids::Time {
         self.crashes.values().max().copied().unwrap_or_default()
@@ -130,6 +155,7 @@
                 return false;
             };
             self.crashes.remove(&sound);
+            self.served.remove(&sound);
         }
         self.crashes.insert(crash, crashed_at);
         true
@@ -137,7 +163,7 @@
 
     /// Whether nothing has happened for so long that the part is forgotten.
     fn is_outdated(&self, now: ids::Time) -> bool {
-        if self.moments().len() >= MIN_MOMENTS {
+        if self.is_proven() {
             return now.since(self.crashed_at()) >= PROVEN_TIME;
         }
         now.since(self.crashed_at().max(self.changed_at)) >= SUSPECT_TIME
@@ -146,16 +172,23 @@
     /// The open crashes, if the part is to be blocked on their account: there are enough,
     /// sound calls had the time to show, and the last one is recent.
     fn evidence(&self, now: ids::Time) -> Option<collections::BTreeSet<Crash>> {
-        let decisive = *self.moments().get(MIN_MOMENTS - 1)?;
-        let is_settled = now.since(decisive) >= SETTLE_TIME;
+        let moments = self.moments();
+        let decisive = moments.get(MIN_MOMENTS - 1);
+        let is_settled = decisive.is_some_and(|at| now.since(*at) >= SETTLE_TIME);
         let is_recent = now.since(self.crashed_at()) < BLOCK_TIME;
-        (is_settled && is_recent).then(|| self.open_crashes().map(|(crash, _)| crash).collect())
+        ((is_settled || self.is_alone()) && is_recent)
+            .then(|| self.open_crashes().map(|(crash, _)| crash).collect())
     }
 
     fn entry(&self, now: ids::Time, part: u64) -> Entry {
         let age_ms = |at| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
         let crashes = self.crashes.iter().map(|(crash, at)| (*crash, age_ms(*at)));
-        Entry { part, crashes: crashes.collect(), sound: self.sound.iter().copied().collect() }
+        Entry {
+            part,
+            crashes: crashes.collect(),
+            sound: self.sound.iter().copied().collect(),
+            served: self.served.iter().copied().collect(),
+        }
     }
 }
 
@@ -164,6 +197,9 @@
 pub struct Ledger {
     rows: collections::BTreeMap<u64, Row>,
     blocked: collections::BTreeSet<u64>,
+    /// Crashes after which a call with a part of one that they broke off was sound, with the
+    /// times at which this was known here.
+    witnessed: collections::BTreeMap<Crash, ids::Time>,
 }
 
 /// Parts of a prompt that may crash an engine. The last one belongs to the call itself.
@@ -199,7 +235,10 @@
                 continue;
             };
             if row.open_crashes().next().is_some() {
-                row.sound.extend(row.crashes.keys().copied());
+                for crash in row.crashes.keys() {
+                    row.sound.insert(*crash);
+                    self.witnessed.entry(*crash).or_insert(now);
+                }
                 row.changed_at = now;
             }
         }
@@ -216,6 +255,10 @@
             }
             for crash in entry.sound.iter().filter(|crash| row.crashes.contains_key(crash)) {
                 is_news |= row.sound.insert(*crash);
+                self.witnessed.entry(*crash).or_insert(now);
+            }
+            for crash in entry.served.iter().filter(|crash| row.crashes.contains_key(crash)) {
+                is_news |= row.served.insert(*crash);
             }
             if is_news {
                 row.changed_at = now;
@@ -260,6 +303,7 @@
 
     /// Decides anew which parts are blocked, and returns what has changed.
     pub fn update(&mut self, now: ids::Time) -> Vec<Change> {
+        self.mark_served(now);
         self.rows.retain(|_, row| !row.is_outdated(now));
         let suspects = self.rows.iter().filter_map(|(part, row)| Some((*part, row.evidence(now)?)));
         let suspects: Vec<_> = suspects.collect();
@@ -284,8 +328,36 @@
         changed.into_iter().map(change).collect()
     }
 
+    /// Marks the open crashes of suspect parts after which other calls were served for long
+    /// enough.
+    fn mark_served(&mut self, now: ids::Time) {
+        self.witnessed.retain(|_, at| now.since(*at) < SUSPECT_TIME);
+        let Self { rows, witnessed, .. } = self;
+        let is_served =
+            |crash: &Crash| witnessed.get(crash).is_some_and(|at| now.since(*at) >= SERVED_TIME);
+        for row in rows.values_mut() {
+            if row.crashes.len() < MIN_CRASHES + row.sound.len() {
+                continue;
+            }
+            let open = row.open_crashes().map(|(crash, _)| crash);
+            let served: Vec<_> = open.filter(is_served).collect();
+            for crash in served {
+                if row.served.insert(crash) {
+                    row.changed_at = now;
+                }
+            }
+        }
+    }
+
     /// Forgets the parts that have not changed for the longest time if there are too many.
     fn limit(&mut self) {
+        while self.witnessed.len() > MAX_WITNESSED {
+            let Some((crash, _)) = self.witnessed.iter().min_by_key(|(_, at)| **at) else {
+                break;
+            };
+            let crash = *crash;
+            self.witnessed.remove(&crash);
+        }
         while self.rows.len() > MAX_PARTS {
             let is_free = |part: &u64| !self.blocked.contains(part);
             let rows = self.rows.iter().filter(|(part, _)| is_free(part));
--- a/crates/relay/tests/poison.rs
+++ b/crates/relay/tests/poison.rs
@@ -7,7 +7,7 @@
 
 use fleet::Fleet;
 use relay::{
-    Input, envelope,
+    Input, Relay, envelope,
     input::{self, Event},
     output,
     poison::{self, Ledger},
@@ -54,6 +54,37 @@
     assert!(ledger.update(at(9_000)).is_empty());
 }
 
+#[test]
+fn a_part_that_alone_is_not_served_after_crashes_at_one_moment_is_blocked() {
+    let mut ledger = Ledger::default();
+    for crash in 0..4 {
+        ledger.record_crash(at(crash * 30), crash, [SHARED, DEADLY]);
+    }
+    assert!(ledger.update(at(5_000)).is_empty(), "nothing is served");
+    ledger.record_sound(at(5_000), [SHARED]);
+    assert!(ledger.update(at(6_400)).is_empty());
+    let blocked = poison::Change { part: DEADLY, is_blocked: true, crashes: 4 };
+    assert_eq!(ledger.update(at(6_500)), [blocked]);
+    // A VM that hears of the block only later has not seen that other calls were served.
+    let mut other = Ledger::default();
+    other.merge(at(6_600), &ledger.save(at(6_600)));
+    assert_eq!(other.update(at(6_600)), [blocked]);
+    ledger.record_sound(at(6_700), [DEADLY]);
+    assert!(!ledger.update(at(6_700))[0].is_blocked);
+}
+
+#[test]
+fn a_part_that_is_served_soon_after_crashes_at_one_moment_is_not_blocked() {
+    let mut ledger = Ledger::default();
+    for crash in 0..20 {
+        ledger.record_crash(at(crash), crash, [SHARED, DEADLY]);
+    }
+    ledger.record_sound(at(3_000), [SHARED]);
+    assert!(ledger.update(at(4_400)).is_empty());
+    ledger.record_sound(at(4_400), [DEADLY]);
+    assert!(ledger.update(at(9_000)).is_empty());
+}
+
 #[test]
 fn a_call_that_was_written_before_the_crash_clears_its_parts() {
     let mut world = World::new(vec![runner("r-1", &["alpha"])]);
@@ -205,6 +236,10 @@
     /// Numbers of sound calls that arrived and that were sent.
     sound: (usize, usize),
     sequence: u64,
+    /// Number of calls with the deadly part that arrive in a step.
+    deadly_arrivals: fn(u64) -> u64,
+    /// Middle parts that sound calls use in turn.
+    middles: u64,
 }
 
 impl Engines {
@@ -223,6 +258,8 @@
             reached: Vec::new(),
             sound: (0, 0),
             sequence: 0,
+            deadly_arrivals: |step| u64::from(step.is_multiple_of(25)),
+            middles: 1,
         }
     }
 
@@ -230,9 +267,10 @@
     fn step(&mut self, fleet: &mut Fleet) {
         self.sequence += 1;
         let vm = usize::try_from(self.sequence).expect("few steps") % fleet.vms.len();
-        self.arrive(fleet, vm, SHARED, false);
-        if self.sequence.is_multiple_of(25) {
-            self.arrive(fleet, (vm + 3) % fleet.vms.len(), DEADLY, true);
+        self.arrive(fleet, vm, SHARED + self.sequence % self.middles, false);
+        for number in 0..(self.deadly_arrivals)(self.sequence) {
+            let step = usize::try_from(number).expect("few calls");
+            self.arrive(fleet, (vm + 3 + step) % fleet.vms.len(), DEADLY, true);
         }
         for (vm, begin) in std::mem::take(&mut fleet.begun) {
             self.begin(fleet, vm, begin);
@@ -331,7 +369,16 @@
 
 /// Plays a fleet for 24 s; after half of that time, `interrupt` acts on it.
 fn play(size: usize, centres: usize, interrupt: impl Fn(&mut Fleet)) -> Engines {
-    let mut engines = Engines::new(12);
+    play_with(Engines::new(12), size, centres, interrupt)
+}
+
+/// Plays a fleet in front of these engines, as [`play`] does.
+fn play_with(
+    mut engines: Engines,
+    size: usize,
+    centres: usize,
+    interrupt: impl Fn(&mut Fleet),
+) -> Engines {
     let mut fleet = Fleet::new(size, centres, configuration(1), engines.entries.clone());
     fleet.keeps_calls = true;
     fleet.run(3_000, |_| {});
@@ -374,3 +421,46 @@
     });
     check(&engines, 0.9, 5);
 }
+
+#[test]
+fn a_deadly_part_is_stopped_after_a_burst_of_crashes_and_a_pause() {
+    for (size, centres) in [(5, 4), (36, 4)] {
+        // The crashes of the burst are too close together for three moments.
+        let deadly_arrivals = |step| match step {
+            100 => 12,
+            110 => 8,
+            290.. if step % 3 == 0 => 2,
+            _ => 0,
+        };
+        let engines = Engines { deadly_arrivals, ..Engines::new(12) };
+        let engines = play_with(engines, size, centres, |_| {});
+        let pause = engines.crashes[0] + time::Duration::from_secs(1);
+        let burst = engines.crashes.iter().filter(|at| **at < pause).count();
+        assert!(burst >= 5, "{burst} crashes before the pause");
+        check(&engines, 0.95, 10);
+    }
+}
+
+#[test]
+fn a_failure_of_all_engines_at_once_blocks_no_part() {
+    for (size, centres) in [(5, 4), (36, 4)] {
+        let engines = Engines { deadly_arrivals: |_| 0, middles: 10, ..Engines::new(12) };
+        let mut fleet = Fleet::new(size, centres, configuration(1), engines.entries.clone());
+        let mut engines = engines;
+        fleet.keeps_calls = true;
+        fleet.run(3_000, |_| {});
+        for _failure in 0..3 {
+            fleet.run(3_000, |fleet| engines.step(fleet));
+            for entry in engines.entries.clone() {
+                engines.crash(&mut fleet, &entry.target);
+            }
+            fleet.run(9_000, |fleet| {
+                engines.step(fleet);
+                let blocked = fleet.running().filter_map(|vm| vm.relay.as_ref());
+                assert_eq!(blocked.map(Relay::blocked_parts).max(), Some(0));
+            });
+        }
+        let (arrived, sent) = engines.sound;
+        assert!(sent * 10 >= arrived * 6, "{sent} of {arrived} sound calls were sent");
+    }
+}
