--- a/crates/relay/src/output.rs
+++ b/crates/relay/src/output.rs
@@ -78,7 +78,7 @@
         /// Its address.
         address: sync::Arc<str>,
     },
-    /// Ask whether a target has crashed, over a new connection.
+    /// Ask whether a target has crashed: refuses a new connection, or reports another start.
     Probe {
         /// The target.
         target: ids::Target,
