--- a/crates/relay/src/poison.rs
+++ b/crates/relay/src/poison.rs
@@ -31,7 +31,8 @@
 /// crashes become known.
 pub const KNOWN_SETTLE_TIME: time::Duration = time::Duration::from_millis(1_500);
 /// Crashes without a sound call since, at however few moments, after which a part is blocked.
-/// One less than callers are promised, as one of them may go unnoticed.
+/// One less than the five after which the platform wants calls to stop, as one crash may go
+/// unnoticed.
 pub const MIN_CRASHES: usize = 4;
 /// Time for which other calls that a crash broke off have to be served elsewhere before it
 /// counts against a part without sound calls. After a failure of all engines at once, popular
@@ -250,6 +251,7 @@
     /// Crashes after which a call with a part of one that they broke off was sound, with the
     /// times at which this was known here.
     witnessed: collections::BTreeMap<Crash, ids::Time>,
+    /// Parts that were sound lately, whether engines crashed on calls with them or not.
     sound: Memory,
 }
 
