--- a/crates/daemon/src/relay/settings.rs
+++ b/crates/daemon/src/relay/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a relay VM, read from one YAML file for each VM.
 
-use std::{fmt, fs, net, path, time};
+use std::{fmt, fs, net, path};
 
 use crate::{
     error,
@@ -35,48 +35,27 @@
     pub log: Log,
 }
 
-/// Limits that the platform sets.
-#[derive(Clone, Copy, Debug)]
+/// Limits that the platform sets. One that is missing or has no value keeps its default.
+#[derive(Clone, Copy, Debug, Default)]
 #[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Bounds {
     /// Handover time: least time between the last order of one planner and the first of
     /// the next, in ms.
-    pub turn_ms: Bounded<0, 600_000>,
+    pub turn_ms: Option<settings::Span<1, 600_000>>,
     /// Grace period from SIGTERM to SIGKILL, in s.
-    pub grace_s: Bounded<1, 3_600>,
+    pub grace_s: Option<settings::Span<1_000, 3_600>>,
     /// Retry budget of all VMs together, as a share of the calls.
-    pub retry_share: f64,
+    pub retry_share: Option<settings::Amount>,
     /// Retries of all VMs together that are allowed in addition to the share.
-    pub retry_slack: f64,
+    pub retry_slack: Option<settings::Amount>,
     /// Window over which the platform counts an account's units, in s.
-    pub quota_window_s: Bounded<1, 3_600>,
+    pub quota_window_s: Option<settings::Span<1_000, 3_600>>,
     /// Units that an account may use in the window beyond its rate and burst, as a
     /// fraction of them.
-    pub quota_overage: f64,
+    pub quota_overage: Option<settings::Amount>,
     /// Units that an account may use in the window in addition to that.
-    pub quota_slack: f64,
-}
-
-impl Default for Bounds {
-    fn default() -> Self {
-        let core = relay::Settings::new("", "", 0);
-        Self {
-            turn_ms: bounded(core.handover.as_millis()),
-            grace_s: bounded(core.grace.as_secs().into()),
-            retry_share: core.retry_share,
-            retry_slack: core.retry_slack,
-            quota_window_s: bounded(core.quota.window.as_secs().into()),
-            quota_overage: core.quota.overage,
-            quota_slack: core.quota.slack,
-        }
-    }
-}
-
-/// Converts a default of the core, which lies within the bounds of the setting.
-fn bounded<const MIN: u64, const MAX: u64>(number: u128) -> Bounded<MIN, MAX> {
-    let number = u64::try_from(number).unwrap_or(MAX);
-    Bounded::clamped(number)
+    pub quota_slack: Option<settings::Amount>,
 }
 
 /// Settings of the log.
@@ -112,16 +91,25 @@
     #[must_use]
     pub fn core_settings(&self, incarnation: u64, peer: net::SocketAddr) -> relay::Settings {
         let bounds = &self.bounds;
-        relay::Settings::new(self.vm.as_str(), self.centre.as_str(), incarnation)
+        let default = relay::Settings::new(self.vm.as_str(), self.centre.as_str(), incarnation);
+        let amount =
+            |bound: Option<settings::Amount>, default| bound.map_or(default, settings::Amount::get);
+        let window = bounds.quota_window_s.map_or(default.quota.window, settings::Span::get);
+        let tolerance = relay::quota::Tolerance {
+            window,
+            overage: amount(bounds.quota_overage, default.quota.overage),
+            slack: amount(bounds.quota_slack, default.quota.slack),
+        };
+        let handover = bounds.turn_ms.map_or(default.handover, settings::Span::get);
+        let grace = bounds.grace_s.map_or(default.grace, settings::Span::get);
+        let retry_share = amount(bounds.retry_share, default.retry_share);
+        let retry_slack = amount(bounds.retry_slack, default.retry_slack);
+        default
             .with_peer(&peer.to_string())
-            .with_handover(bounds.turn_ms.millis())
-            .with_grace(time::Duration::from_secs(bounds.grace_s.get()))
-            .with_retries(bounds.retry_share, bounds.retry_slack)
-            .with_quota(relay::quota::Tolerance {
-                window: time::Duration::from_secs(bounds.quota_window_s.get()),
-                overage: bounds.quota_overage,
-                slack: bounds.quota_slack,
-            })
+            .with_handover(handover)
+            .with_grace(grace)
+            .with_retries(retry_share, retry_slack)
+            .with_quota(tolerance)
     }
 }
 
@@ -136,20 +124,5 @@
         error::Error::new(error::Kind::Settings, "reading", &file.display(), &reason)
     };
     let text = fs::read_to_string(file).map_err(|cause| fault(&cause))?;
-    let settings: Settings = serde_saphyr::from_str(&text)
-        .map_err(|cause| fault(&settings::describe_error(&text, &cause)))?;
-    let bounds = &settings.bounds;
-    for (field, number) in [
-        ("retry_share", bounds.retry_share),
-        ("retry_slack", bounds.retry_slack),
-        ("quota_overage", bounds.quota_overage),
-        ("quota_slack", bounds.quota_slack),
-    ] {
-        if !number.is_finite() || number < 0.0 {
-            return Err(fault(&format!(
-                "field {field} of bounds: {number} is negative or not finite"
-            )));
-        }
-    }
-    Ok(settings)
+    serde_saphyr::from_str(&text).map_err(|cause| fault(&settings::describe_error(&text, &cause)))
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -276,6 +276,57 @@
     }
 }
 
+/// A duration from 0 to `MAX` units of `UNIT_MS` ms, given as a whole number or a fraction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
+#[serde(try_from = "f64")]
+pub struct Span<const UNIT_MS: u64, const MAX: u64>(time::Duration);
+
+impl<const UNIT_MS: u64, const MAX: u64> Span<UNIT_MS, MAX> {
+    /// Returns the duration.
+    #[must_use]
+    pub const fn get(self) -> time::Duration {
+        self.0
+    }
+}
+
+impl<const UNIT_MS: u64, const MAX: u64> TryFrom<f64> for Span<UNIT_MS, MAX> {
+    type Error = String;
+
+    fn try_from(number: f64) -> Result<Self, String> {
+        // A range does not contain NaN.
+        if (0.0..=MAX as f64).contains(&number) {
+            return Ok(Self(time::Duration::from_secs_f64(number * UNIT_MS as f64 / 1_000.0)));
+        }
+        Err(format!("{number} is out of range, allowed is 0 to {MAX}"))
+    }
+}
+
+/// A nonnegative number, whole or a fraction.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(serde::Deserialize)]
+#[serde(try_from = "f64")]
+pub struct Amount(f64);
+
+impl Amount {
+    /// Returns the number.
+    #[must_use]
+    pub const fn get(self) -> f64 {
+        self.0
+    }
+}
+
+impl TryFrom<f64> for Amount {
+    type Error = String;
+
+    fn try_from(number: f64) -> Result<Self, String> {
+        if number.is_finite() && number >= 0.0 {
+            return Ok(Self(number));
+        }
+        Err(format!("{number} is negative or not finite"))
+    }
+}
+
 /// A name: 1 to 64 letters, digits, `-`, `_` and `.`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Deserialize)]
