--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -99,11 +99,13 @@
         .header_read_timeout(limits.idle_time + IDLE_SLACK)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES));
     let mut connection = builder.serve_connection(rt::TokioIo::new(stream), service);
+    // A connection that comes after the others were closed gets a refusal rather than no answer.
+    let is_late = *stop.borrow() == Stage::Closed;
     // Drops the guard that `wait_for` returns: it must not be held while the connection closes.
     let closed = async { stop.wait_for(|stage| *stage == Stage::Closed).await.is_ok() };
     let result = tokio::select! {
         result = &mut connection => result,
-        _ = closed => {
+        _ = closed, if !is_late => {
             pin::Pin::new(&mut connection).graceful_shutdown();
             (&mut connection).await
         }
--- a/crates/daemon/src/relay/process.rs
+++ b/crates/daemon/src/relay/process.rs
@@ -14,11 +14,6 @@
 /// Longest time for which a caller may read nothing of its answer, in ms: longer
 /// than any caller waits.
 const WRITE_STALL_MS: u64 = 15_000;
-/// Delay from the stop signal until idle connections are closed. By then the
-/// balancer has taken the VM out of rotation.
-const IDLE_CLOSE_DELAY: time::Duration = time::Duration::from_secs(3);
-/// Time for sending the last bytes of answers before the process exits.
-const FLUSH_TIME: time::Duration = time::Duration::from_millis(200);
 /// Interval at which the count of dropped log lines is published.
 const DROPPED_LINES_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
@@ -114,14 +109,16 @@
         store = %address,
     );
     wait_for_stop_signal(file).await?;
-    inbox.send(Input::Stop);
+    // The grace period may have changed since the start.
+    let shutdown = reload(file).as_ref().unwrap_or(settings).shutdown();
+    inbox.send(Input::Stop(shutdown));
     stop.send_replace(front::Stage::Closing);
-    tokio::time::sleep(IDLE_CLOSE_DELAY).await;
+    tokio::time::sleep(shutdown.drained_after).await;
     stop.send_replace(front::Stage::Closed);
     if has_stopped.wait_for(|stopped| *stopped).await.is_err() {
         return Err(error::Error::system("stop", &"core", &"it ended before its calls"));
     }
-    tokio::time::sleep(FLUSH_TIME).await;
+    tokio::time::sleep(shutdown.flush).await;
     Ok(())
 }
 
@@ -147,21 +144,30 @@
         tokio::select! {
             _ = terminate.recv() => return Ok(()),
             _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => reload(file),
+            _ = hangup.recv() => {
+                let _checked = reload(file);
+            }
         }
     }
 }
 
-/// Checks the settings file without applying it. Addresses and names are fixed
-/// until the next start; everything else that may change is in the configuration.
-fn reload(file: &path::Path) {
+/// Reads the settings file again; `None` if it is invalid. Only the grace period is
+/// applied, at the stop: addresses and names are fixed until the next start, and
+/// everything else that may change is in the configuration.
+fn reload(file: &path::Path) -> Option<settings::Settings> {
     match settings::load(file) {
-        Ok(settings) => tracing::info!(
-            step = "reload",
-            peer = settings.vm.as_str(),
-            outcome = "checked",
-            store = %settings.store.address,
-        ),
-        Err(cause) => tracing::warn!(step = "reload", outcome = "kept as before", %cause),
+        Ok(settings) => {
+            tracing::info!(
+                step = "reload",
+                peer = settings.vm.as_str(),
+                outcome = "checked",
+                store = %settings.store.address,
+            );
+            Some(settings)
+        }
+        Err(cause) => {
+            tracing::warn!(step = "reload", outcome = "kept as before", %cause);
+            None
+        }
     }
 }
--- a/crates/daemon/src/relay/settings.rs
+++ b/crates/daemon/src/relay/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a relay VM, read from one YAML file for each VM.
 
-use std::{fmt, fs, net, path};
+use std::{fmt, fs, net, path, time};
 
 use crate::{
     error,
@@ -82,10 +82,19 @@
     }
 }
 
+/// Default grace period: the value that the platform has used so far.
+const DEFAULT_GRACE: time::Duration = time::Duration::from_secs(8);
 /// Default of [`Lines`]: one second of the heaviest load, about 2 MB.
 const DEFAULT_LINES: u64 = 8_192;
 
 impl Settings {
+    /// Returns the times of a graceful shutdown.
+    #[must_use]
+    pub fn shutdown(&self) -> relay::shutdown::Schedule {
+        let grace = self.bounds.grace_s.map_or(DEFAULT_GRACE, settings::Span::get);
+        relay::shutdown::Schedule::new(grace)
+    }
+
     /// Returns the settings of the decision core. `peer` is the address at which
     /// other VMs reach this one.
     #[must_use]
@@ -101,13 +110,11 @@
             slack: amount(bounds.quota_slack, default.quota.slack),
         };
         let handover = bounds.turn_ms.map_or(default.handover, settings::Span::get);
-        let grace = bounds.grace_s.map_or(default.grace, settings::Span::get);
         let retry_share = amount(bounds.retry_share, default.retry_share);
         let retry_slack = amount(bounds.retry_slack, default.retry_slack);
         default
             .with_peer(&peer.to_string())
             .with_handover(handover)
-            .with_grace(grace)
             .with_retries(retry_share, retry_slack)
             .with_quota(tolerance)
     }
--- a/crates/relay/src/input.rs
+++ b/crates/relay/src/input.rs
@@ -4,7 +4,7 @@
 
 use store::table;
 
-use crate::{config, envelope, peer, target};
+use crate::{config, envelope, peer, shutdown, target};
 
 /// An event.
 #[derive(Clone, Debug)]
@@ -99,8 +99,8 @@
         /// The message.
         message: peer::Message,
     },
-    /// A graceful shutdown was requested.
-    Stop,
+    /// A graceful shutdown was requested, with these times.
+    Stop(shutdown::Schedule),
 }
 
 /// Result of reading the targets from the store.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 //!   relative speed of models; [`choice`] selects the target with the lowest expected latency;
 //! - [`demand`] and [`placement`] decide which model to load where; the [`planner`] sends
 //!   the orders while this VM holds the [`lease`];
+//! - [`shutdown`] has the times of a graceful shutdown;
 //! - [`peer`] defines the messages between VMs, [`centre`] those between data centres of a
 //!   large fleet.
 //!
@@ -47,6 +48,7 @@
 pub mod quota;
 mod relay;
 pub mod settings;
+pub mod shutdown;
 mod system;
 pub mod target;
 pub mod throughput;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Input, Output, Settings, call, centre, config, demand, event, lease, output, pace, peer,
-    planner, poison, quota, system, target, throughput,
+    planner, poison, quota, shutdown, system, target, throughput,
 };
 
 /// Interval between runs of the systems that scan whole tables.
@@ -27,7 +27,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Stage {
     Running,
-    Draining { since: ids::Time },
+    Draining { since: ids::Time, schedule: shutdown::Schedule },
     Stopped,
 }
 
@@ -247,7 +247,7 @@
             Input::Peer { from, incarnation, message } => {
                 system::gossip::receive(self, now, &from, incarnation, message, out);
             }
-            Input::Stop => system::shutdown::begin(self, now, out),
+            Input::Stop(schedule) => system::shutdown::begin(self, now, schedule, out),
         }
     }
 
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -21,8 +21,6 @@
     pub seed: u64,
     /// Minimum time between the last order of one planner and the first of the next.
     pub handover: time::Duration,
-    /// Time from the stop signal until the process is killed.
-    pub grace: time::Duration,
     /// Retries allowed to all VMs together, as a fraction of the calls.
     pub retry_share: f64,
     /// Burst of retries allowed to all VMs together beyond that.
@@ -37,8 +35,6 @@
 
 /// Default handover time between planners: the value that the platform has used so far.
 const TURN: time::Duration = time::Duration::from_secs(3);
-/// Default time from the stop signal until the kill, likewise.
-const GRACE: time::Duration = time::Duration::from_secs(8);
 /// Default retries as a fraction of the calls, likewise.
 const RETRY_SHARE: f64 = 0.2;
 /// Default burst of retries, likewise.
@@ -59,7 +55,6 @@
             peer: "".into(),
             seed: incarnation,
             handover: TURN,
-            grace: GRACE,
             retry_share: RETRY_SHARE,
             retry_slack: RETRY_SLACK,
             quota: QUOTA,
@@ -82,13 +77,6 @@
         self
     }
 
-    /// Sets the time from the stop signal until the kill.
-    #[must_use]
-    pub const fn with_grace(mut self, grace: time::Duration) -> Self {
-        self.grace = grace;
-        self
-    }
-
     /// Sets the rules for selecting targets and ordering queued calls, for experiments.
     #[must_use]
     pub const fn with_rules(mut self, rule: choice::Rule, discipline: policy::Discipline) -> Self {
--- a/crates/relay/src/system/admission.rs
+++ b/crates/relay/src/system/admission.rs
@@ -14,9 +14,6 @@
 /// Retry delay sent to callers while this VM shuts down or has no configuration:
 /// by then, another VM, or this one after its startup, can serve them.
 const RETRY_ELSEWHERE: time::Duration = time::Duration::from_millis(200);
-/// Time after the stop signal in which new calls are still accepted: the load balancer
-/// checks once a second and removes a VM after two failed checks.
-pub(crate) const DRAIN_PERIOD: time::Duration = time::Duration::from_secs(3);
 /// Number of ranks per account priority.
 const RANKS_PER_PRIORITY: u32 = 3;
 /// Lowest rank that targets support.
@@ -79,7 +76,7 @@
 ) -> Result<call::Row> {
     let accepts_calls = match relay.stage {
         Stage::Running => true,
-        Stage::Draining { since } => now.since(since) < DRAIN_PERIOD,
+        Stage::Draining { since, schedule } => now.since(since) < schedule.drained_after,
         // Open connections may deliver calls until the process exits.
         Stage::Stopped => false,
     };
--- a/crates/relay/src/system/shutdown.rs
+++ b/crates/relay/src/system/shutdown.rs
@@ -1,22 +1,22 @@
 //! Graceful shutdown: new calls go to other VMs, open ones are finished.
 
-use std::time;
-
 use crate::{
     Output, call, event,
     relay::{Relay, Stage},
-    system::{admission, dispatch, planning},
+    shutdown::Schedule,
+    system::{dispatch, planning},
 };
 
-/// Time before the kill at which the remaining calls are ended.
-const KILL_MARGIN: time::Duration = time::Duration::from_millis(700);
-
-pub(crate) fn begin(relay: &mut Relay, now: ids::Time, out: &mut Vec<Output>) {
+pub(crate) fn begin(relay: &mut Relay, now: ids::Time, schedule: Schedule, out: &mut Vec<Output>) {
     if relay.stage != Stage::Running {
         return;
     }
-    relay.stage = Stage::Draining { since: now };
-    let inputs = format!("open calls {} grace {:?}", relay.calls.len(), relay.settings.grace);
+    relay.stage = Stage::Draining { since: now, schedule };
+    let Schedule { drained_after, ended_after, .. } = schedule;
+    let inputs = format!(
+        "open calls {} accepts calls for {drained_after:?} ends them after {ended_after:?}",
+        relay.calls.len()
+    );
     let line = event::Event::new("stop", &relay.settings.vm, "draining").with_inputs(inputs);
     out.push(Output::Log(line));
     let vm = relay.settings.vm.clone();
@@ -24,14 +24,14 @@
 }
 
 pub(crate) fn tick(relay: &mut Relay, now: ids::Time, out: &mut Vec<Output>) {
-    let Stage::Draining { since } = relay.stage else {
+    let Stage::Draining { since, schedule } = relay.stage else {
         return;
     };
     let elapsed = now.since(since);
-    if elapsed >= relay.settings.grace.saturating_sub(KILL_MARGIN) {
+    if elapsed >= schedule.ended_after {
         end_calls(relay, now, out);
     }
-    if relay.calls.is_empty() && elapsed >= admission::DRAIN_PERIOD {
+    if relay.calls.is_empty() && elapsed >= schedule.drained_after {
         relay.stage = Stage::Stopped;
         out.push(Output::Log(event::Event::new("stop", &relay.settings.vm, "stopped")));
         out.push(Output::Stopped);
--- a/crates/relay/tests/calls.rs
+++ b/crates/relay/tests/calls.rs
@@ -7,9 +7,13 @@
 use relay::{
     Input, config,
     input::{self, Event},
+    shutdown,
 };
 use world::{World, configuration, desk, draft, envelope, runner};
 
+/// Time from the stop signal until the platform kills the VM.
+const GRACE: time::Duration = time::Duration::from_secs(8);
+
 fn connection_reset() -> Event {
     Event::Broken { reason: "reset".into(), last_event: None }
 }
@@ -359,7 +363,7 @@
 fn shutdown_finishes_open_calls_and_refuses_late_ones() {
     let mut world = World::new(vec![desk("d-1")]);
     let (_, open) = world.arrive(envelope("book", Some("key-2")));
-    let seen = world.step([Input::Stop]);
+    let seen = world.step([Input::Stop(shutdown::Schedule::new(GRACE))]);
     assert_eq!(seen.ready, [false]);
     // The load balancer takes two seconds to notice, so calls are still served.
     world.wait(1_000);
@@ -384,7 +388,7 @@
     let mut request = draft("draft", "alpha", 100);
     request.timeout = None;
     let (call, _) = world.arrive(request);
-    world.step([Input::Stop]);
+    world.step([Input::Stop(shutdown::Schedule::new(GRACE))]);
     let seen = world.wait(7_500);
     assert_eq!(seen.failed, [(call, 502, "stopping")]);
     assert!(seen.stopped);
@@ -459,7 +463,7 @@
 #[test]
 fn a_stopped_vm_refuses_calls() {
     let mut world = World::new(vec![desk("d-1")]);
-    world.step([Input::Stop]);
+    world.step([Input::Stop(shutdown::Schedule::new(GRACE))]);
     let mut stopped = false;
     for _ in 0..250 {
         stopped |= world.wait(20).stopped;
