relay: a stopping VM keeps its row while it accepts calls (QUOTA)

Cause: on SIGTERM a VM removed its row at once but accepted calls for three more seconds. The others divided the account's rate and level by one VM less and no longer heard its digests, while it went on using its share; for the first second, until it noticed the silence, it used the level as if it heard all.

Shares of retries and of connections to targets follow from the same rows.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -27,10 +27,29 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Stage {
     Running,
-    Draining { since: ids::Time, schedule: shutdown::Schedule },
+    /// New calls are still accepted, until the load balancer has noticed. The VM keeps its
+    /// row, so that the others go on sharing quotas, retries and connections with it.
+    Draining {
+        since: ids::Time,
+        schedule: shutdown::Schedule,
+    },
+    /// New calls are refused and open ones finished. The VM's row is removed; `removal` is
+    /// the write that is not answered yet.
+    Finishing {
+        since: ids::Time,
+        schedule: shutdown::Schedule,
+        removal: Option<ids::Op>,
+    },
     Stopped,
 }
 
+impl Stage {
+    /// Whether new calls are accepted.
+    pub(crate) const fn accepts_calls(self) -> bool {
+        matches!(self, Self::Running | Self::Draining { .. })
+    }
+}
+
 /// When recent versions became known on this VM.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Progress {
--- a/crates/relay/src/system/admission.rs
+++ b/crates/relay/src/system/admission.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Output, call, choice, config, envelope, event,
-    relay::{Relay, Stage, line, refusal},
+    relay::{Relay, line, refusal},
     system::{dispatch, overlay, quarantine},
 };
 
@@ -74,13 +74,8 @@
     envelope: &envelope::Envelope,
     arrived: ids::Time,
 ) -> Result<call::Row> {
-    let accepts_calls = match relay.stage {
-        Stage::Running => true,
-        Stage::Draining { since, schedule } => now.since(since) < schedule.drained_after,
-        // Open connections may deliver calls until the process exits.
-        Stage::Stopped => false,
-    };
-    if !accepts_calls {
+    // Open connections may deliver calls until the process exits.
+    if !relay.stage.accepts_calls() {
         return Err(Rejection::new(503, "stopping").with_wait(RETRY_ELSEWHERE));
     }
     let Some(config) = relay.config.clone() else {
--- a/crates/relay/src/system/overlay.rs
+++ b/crates/relay/src/system/overlay.rs
@@ -3,10 +3,7 @@
 
 use std::{collections, time};
 
-use crate::{
-    Output, event, peer, quota,
-    relay::{Relay, Stage},
-};
+use crate::{Output, event, peer, quota, relay::Relay};
 
 /// How long a VM that has not been heard yet counts as a candidate for the aggregator,
 /// so that starting VMs do not all take themselves for it.
@@ -29,8 +26,8 @@
     let is_candidate =
         |row: &&peer::Row| row.is_heard(now) || now.since(row.known_since) < ELECTION_GRACE;
     let first = relay.peers.neighbours().find(is_candidate).map(|row| &row.member.vm);
-    // A VM that is stopping has no row any more, so the others elect another one.
-    let may_be_own = relay.stage == Stage::Running;
+    // A VM that no longer accepts calls has removed its row, so the others elect another one.
+    let may_be_own = relay.stage.accepts_calls();
     Some(first.filter(|first| *first < own || !may_be_own).unwrap_or(own).clone())
 }
 
--- a/crates/relay/src/system/planning.rs
+++ b/crates/relay/src/system/planning.rs
@@ -9,7 +9,7 @@
     input::{Reply, Report, Written},
     lease, peer, planner,
     relay::{Relay, Stage},
-    system::{gossip, overlay, replication},
+    system::{gossip, overlay, replication, shutdown},
 };
 
 /// Silence after which the planner removes a VM's membership row: longer than any
@@ -226,11 +226,17 @@
 const OVERLAY_HOPS: u32 = 3;
 
 /// Writes or removes the row of a VM unconditionally.
-pub(crate) fn write(relay: &mut Relay, vm: &ids::Vm, value: Option<String>, out: &mut Vec<Output>) {
+pub(crate) fn write(
+    relay: &mut Relay,
+    vm: &ids::Vm,
+    value: Option<String>,
+    out: &mut Vec<Output>,
+) -> ids::Op {
     let op = relay.next_op();
     let value = value.map(std::sync::Arc::from);
     let write = table::Write { key: member_key(vm), expect: None, value };
     out.push(Output::Write { op, write });
+    op
 }
 
 /// Key of a VM's row.
@@ -251,6 +257,7 @@
             .with_inputs(fault.to_string());
         out.push(Output::Log(line));
     }
+    shutdown::written(relay, op);
     if relay.lease.written(now, op, result) {
         let fence = relay.lease.fence(now);
         let line = event::Event::new("lease", &relay.settings.vm, "taken")
--- a/crates/relay/tests/fleet/mod.rs
+++ b/crates/relay/tests/fleet/mod.rs
@@ -65,6 +65,8 @@
     pub keeps_calls: bool,
     /// Attempts begun since the test took them, with the index of their VM.
     pub begun: Vec<(usize, output::Begin)>,
+    /// VMs that have finished a graceful shutdown.
+    pub stopped: Vec<usize>,
     /// Questions whether a target has crashed, with the index of the VM that asks.
     pub probes: Vec<(usize, ids::Target, u64)>,
 }
@@ -118,6 +120,7 @@
             sent: collections::BTreeMap::new(),
             keeps_calls: false,
             begun: Vec::new(),
+            stopped: Vec::new(),
             probes: Vec::new(),
         };
         (0..size).for_each(|index| fleet.start(index));
@@ -278,6 +281,7 @@
                     self.vms[index].inbox.push(Input::Closed { call: begin.call });
                 }
             }
+            Output::Stopped => self.stopped.push(index),
             Output::Probe { target, born, .. } => self.probes.push((index, target, born)),
             Output::Refuse { reason, .. } => *self.refused.entry(reason).or_default() += 1,
             Output::Decode { .. } => {
