daemon: a repeated refusal is no answer to a later attempt or order (REFUSED, TWICE)

Other operators told of clients that got "not run" for requests that a runner had run, after the runner had written an earlier refusal once more on a kept connection. Here a caller got 503 for a booking that ran when its target was known by an outdated name too: refused by that name, the booking was sent to the same address, and over the same connection, by the new one, and the late copy of the refusal echoes its id. Replies to orders carry no id, so a copy of one passed for the reply to the next.

A call that goes to an address again now uses a new connection, and a connection on which an order or a report was refused is not used again.

--- a/crates/daemon/src/relay/exchange.rs
+++ b/crates/daemon/src/relay/exchange.rs
@@ -32,6 +32,26 @@
     pub body: bytes::Bytes,
     /// The caller's id of the call, which the target echoes.
     pub id: sync::Arc<str>,
+    /// Addresses to which the request was sent, or was to be sent.
+    visited: sync::Mutex<Vec<sync::Arc<str>>>,
+}
+
+impl Request {
+    /// Creates a request that has not been sent anywhere.
+    #[must_use]
+    pub const fn new(head: http::request::Parts, body: bytes::Bytes, id: sync::Arc<str>) -> Self {
+        Self { head, body, id, visited: sync::Mutex::new(Vec::new()) }
+    }
+
+    /// Records that the request is sent to `address`. Returns whether it was before.
+    fn visit(&self, address: &sync::Arc<str>) -> bool {
+        let mut visited = self.visited.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let was_visited = visited.contains(address);
+        if !was_visited {
+            visited.push(sync::Arc::clone(address));
+        }
+        was_visited
+    }
 }
 
 /// A completely buffered answer.
@@ -191,8 +211,11 @@
     request: &Request,
     begin: &output::Begin,
 ) -> Result<(pool::Connection, http::Response<Incoming>), Event> {
+    // A target that is known by two names may be sent the call twice. On a connection that has
+    // carried the call before, a late copy of the first answer would echo the same id.
+    let is_repeated = request.visit(&begin.address);
     for retries in 0..=MAX_STALE_CONNECTIONS {
-        let may_reuse = retries < MAX_STALE_CONNECTIONS;
+        let may_reuse = retries < MAX_STALE_CONNECTIONS && !is_repeated;
         let acquired = pool.acquire(&begin.address, begin.connections, may_reuse).await;
         let mut connection = acquired.map_err(|reason| Event::Unsent { reason: reason.into() })?;
         if connection.sender.ready().await.is_err() {
@@ -240,7 +263,10 @@
             return Err("the answer belongs to another request".to_owned());
         }
         let bytes = read_body(pool, body).await?;
-        release(pool, connection, keep_alive);
+        // Replies carry no id: a late copy of a refusal would pass for the next reply.
+        if head.status.is_success() {
+            release(pool, connection, keep_alive);
+        }
         Ok((head.status, bytes))
     };
     tokio::time::timeout(timeout, exchange)
--- a/crates/daemon/src/relay/handler.rs
+++ b/crates/daemon/src/relay/handler.rs
@@ -38,7 +38,7 @@
         Ok(Err(body::Error::Broken)) => return Err(front::Abort),
         Err(_elapsed) => return Ok(unread_answer(408, &id)),
     };
-    let request = exchange::Request { head, body, id };
+    let request = exchange::Request::new(head, body, id);
     let call = state.calls.open(&state.inbox);
     state.inbox.send(relay::Input::Arrival { call: call.id, envelope, arrived });
     serve(&state, request, call).await
