--- a/crates/daemon/src/relay/events.rs
+++ b/crates/daemon/src/relay/events.rs
@@ -1,12 +1,9 @@
-//! Splits a server-sent event stream so that only complete events are forwarded.
+//! Splits a server-sent event stream so that only complete, valid events are forwarded.
 
 /// Largest event in bytes.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
-/// Result of splitting a stream.
-pub type Result<T, E = Error> = std::result::Result<T, E>;
-
-/// Why a stream is not a series of complete events.
+/// Why a stream is not a series of complete events with increasing ids.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(displaydoc::Display)]
 pub enum Error {
@@ -14,45 +11,87 @@
     TooLong,
     /// the stream ended within an event, after {0} bytes of it
     Incomplete(usize),
+    /// an event has no numeric id
+    NoId,
+    /// an event has the id {id}, but the one before has {before}
+    NotIncreasing {
+        /// Id of the event.
+        id: u64,
+        /// Id of the event before.
+        before: u64,
+    },
 }
 
 impl std::error::Error for Error {}
 
-/// Bytes of complete events, with the id of the most recent one.
+/// Bytes of complete and valid events, with the id of the most recent one.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Batch {
     /// Raw bytes of the events; empty if no event is complete.
     pub bytes: bytes::Bytes,
-    /// Numeric id of the most recent event that carries one.
+    /// Id of the most recent event; `None` if there is none.
     pub last_id: Option<u64>,
+    /// What is wrong with the bytes after these events. Nothing more can be forwarded.
+    pub error: Option<Error>,
 }
 
 /// Buffers the bytes of a stream until an event is complete.
 #[derive(Debug, Default)]
 pub struct Splitter {
     buffer: bytes::BytesMut,
+    last_id: Option<u64>,
 }
 
 impl Splitter {
+    /// Creates a splitter of a stream that continues after the event `last_id`, or of a whole
+    /// one.
+    #[must_use]
+    pub fn new(last_id: Option<u64>) -> Self {
+        Self { buffer: bytes::BytesMut::new(), last_id }
+    }
+
     /// Appends bytes and returns the events that are complete now.
     ///
-    /// # Errors
-    ///
-    /// [`Error::TooLong`] if the bytes after the last complete event exceed the largest event;
-    /// a target in trouble may send bytes without end.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Batch> {
+    /// A target in trouble may send bytes without end, or that are no events, such as an error
+    /// with its head. [`Batch::error`] says so.
+    pub fn push(&mut self, bytes: &[u8]) -> Batch {
         // Only the end of what was searched before can be part of a blank line.
         let searched = self.buffer.len().saturating_sub(BLANK_LINE_BYTES - 1);
         self.buffer.extend_from_slice(bytes);
         let Some(end) = complete_length(&self.buffer[searched..]) else {
-            return if self.buffer.len() > MAX_EVENT_BYTES {
-                Err(Error::TooLong)
-            } else {
-                Ok(Batch::default())
-            };
+            let error = (self.buffer.len() > MAX_EVENT_BYTES).then_some(Error::TooLong);
+            return Batch { error, ..Batch::default() };
         };
-        let bytes = self.buffer.split_to(searched + end).freeze();
-        Ok(Batch { last_id: last_event_id(&bytes), bytes })
+        let mut complete = self.buffer.split_to(searched + end).freeze();
+        let mut valid_length = 0;
+        let mut error = None;
+        while let Some(length) = first_length(&complete[valid_length..]) {
+            let event = &complete[valid_length..valid_length + length];
+            if let Err(cause) = self.check(event) {
+                error = Some(cause);
+                break;
+            }
+            valid_length += length;
+        }
+        complete.truncate(valid_length);
+        let last_id = self.last_id.filter(|_| valid_length > 0);
+        Batch { bytes: complete, last_id, error }
+    }
+
+    /// Checks that an event is a comment, or has an id that is higher than the one before.
+    fn check(&mut self, event: &[u8]) -> Result<(), Error> {
+        let mut lines = event.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii_end);
+        if lines.clone().all(|line| line.is_empty() || line.starts_with(b":")) {
+            return Ok(());
+        }
+        let id = lines.find_map(|line| line.strip_prefix(b"id:")).ok_or(Error::NoId)?;
+        let id = str::from_utf8(id).ok().and_then(|id| id.trim().parse().ok());
+        let id: u64 = id.ok_or(Error::NoId)?;
+        if let Some(before) = self.last_id.filter(|before| id <= *before) {
+            return Err(Error::NotIncreasing { id, before });
+        }
+        self.last_id = Some(id);
+        Ok(())
     }
 
     /// Checks that the stream has ended after a complete event.
@@ -61,7 +100,7 @@
     ///
     /// [`Error::Incomplete`] if it ended within an event: it was broken off, even if its
     /// framing is complete.
-    pub fn finish(&self) -> Result<()> {
+    pub fn finish(&self) -> Result<(), Error> {
         match self.buffer.len() {
             0 => Ok(()),
             length => Err(Error::Incomplete(length)),
@@ -80,9 +119,12 @@
     lf.max(crlf)
 }
 
-fn last_event_id(bytes: &[u8]) -> Option<u64> {
-    let lines = bytes.split(|byte| *byte == b'\n').rev();
-    lines
-        .filter_map(|line| line.strip_prefix(b"id:"))
-        .find_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok())
+/// Returns the length of the first event in `bytes`; `None` if none is complete.
+fn first_length(bytes: &[u8]) -> Option<usize> {
+    let lf = bytes.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
+    let crlf = bytes.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
+    match (lf, crlf) {
+        (Some(lf), Some(crlf)) => Some(lf.min(crlf)),
+        (lf, crlf) => lf.or(crlf),
+    }
 }
--- a/crates/daemon/src/relay/exchange.rs
+++ b/crates/daemon/src/relay/exchange.rs
@@ -136,6 +136,9 @@
         return broken("the answer is not signed or is content-encoded");
     }
     if head.status.is_success() && begin.is_stream {
+        if !platform::answer::may_be_events(&head.headers) {
+            return broken("the answer to a streaming call is not a stream of events");
+        }
         connection.is_fresh = false;
         let framing = framing(&head.headers);
         return Outcome::Stream(Box::new(Stream { head, body, framing, connection, keep_alive }));
--- a/crates/daemon/src/relay/pump.rs
+++ b/crates/daemon/src/relay/pump.rs
@@ -40,7 +40,7 @@
 
 impl Forwarded {
     fn new(last_id: Option<u64>, has_sent_first: bool) -> Self {
-        let splitter = events::Splitter::default();
+        let splitter = events::Splitter::new(last_id);
         Self { splitter, last_id, has_sent_first, reported_at: time::Instant::now() }
     }
 }
@@ -157,10 +157,7 @@
     let mut data = first;
     loop {
         if let Some(bytes) = data.take() {
-            let events = match forwarded.splitter.push(&bytes) {
-                Ok(events) => events,
-                Err(cause) => return End::Broken(cause.to_string()),
-            };
+            let events = forwarded.splitter.push(&bytes);
             forwarded.last_id = events.last_id.or(forwarded.last_id);
             if !events.bytes.is_empty() {
                 tokio::select! {
@@ -171,6 +168,9 @@
                 }
                 report_progress(forwarded, send_event);
             }
+            if let Some(cause) = events.error {
+                return End::Broken(cause.to_string());
+            }
         }
         tokio::select! {
             frame = stream.body.frame() => match frame {
