--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -60,10 +60,10 @@
 }
 
 fn run_relay(arguments: &Arguments) -> daemon::Result<()> {
-    let settings = daemon::relay::settings::load(&arguments.settings)?;
     if arguments.check_settings {
+        let _valid = daemon::relay::settings::load(&arguments.settings)?;
         println!("{}: settings are valid", arguments.settings.display());
         return Ok(());
     }
-    daemon::relay::process::run(&settings, &arguments.settings)
+    daemon::relay::process::run(&arguments.settings)
 }
--- a/crates/daemon/src/relay/process.rs
+++ b/crates/daemon/src/relay/process.rs
@@ -17,20 +17,24 @@
 /// Interval at which the count of dropped log lines is published.
 const DROPPED_LINES_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
-/// Runs a relay VM until SIGTERM or SIGINT stops it and every open call has
-/// ended.
+/// Runs a relay VM with the settings in `file` until SIGTERM or SIGINT stops it and
+/// every open call has ended.
 ///
 /// # Errors
 ///
-/// [`error::Kind::System`] if the runtime, the metrics, a listener or the signal
-/// handlers cannot be set up, or if the core ends before its calls.
-pub fn run(settings: &settings::Settings, file: &path::Path) -> error::Result<()> {
-    let log_lines = log::start_bounded(settings.log.level, settings.log.lines.0.count());
+/// [`error::Kind::Settings`] if the settings are invalid; [`error::Kind::System`] if the
+/// runtime, the metrics, a listener or the signal handlers cannot be set up, or if the
+/// core ends before its calls.
+pub fn run(file: &path::Path) -> error::Result<()> {
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|cause| error::Error::system("start", &"runtime", &cause))?;
-    runtime.block_on(run_until_stopped(settings, file, &log_lines))?;
+    // Signals may come before the settings are read; SIGHUP would end the process.
+    let signals = runtime.block_on(async { Signals::register() })?;
+    let settings = settings::load(file)?;
+    let log_lines = log::start_bounded(settings.log.level, settings.log.lines.0.count());
+    runtime.block_on(run_until_stopped(&settings, file, signals, &log_lines))?;
     tracing::info!(step = "stop", peer = settings.vm.as_str(), outcome = "ended");
     Ok(())
 }
@@ -38,6 +42,7 @@
 async fn run_until_stopped(
     settings: &settings::Settings,
     file: &path::Path,
+    mut signals: Signals,
     log_lines: &log::Writer,
 ) -> error::Result<()> {
     let metrics = metric::start()?;
@@ -108,7 +113,7 @@
         incarnation,
         store = %address,
     );
-    wait_for_stop_signal(file).await?;
+    signals.wait_for_stop(file).await;
     // The grace period may have changed since the start.
     let shutdown = reload(file).as_ref().unwrap_or(settings).shutdown();
     inbox.send(Input::Stop(shutdown));
@@ -134,18 +139,35 @@
         .map_err(|cause| error::Error::system("listen", &address, &cause))
 }
 
-/// Waits for SIGTERM or SIGINT. Each SIGHUP checks the settings file again.
-async fn wait_for_stop_signal(file: &path::Path) -> error::Result<()> {
-    let to_error = |cause: std::io::Error| error::Error::system("wait", &"signals", &cause);
-    let mut terminate = unix::signal(unix::SignalKind::terminate()).map_err(to_error)?;
-    let mut interrupt = unix::signal(unix::SignalKind::interrupt()).map_err(to_error)?;
-    let mut hangup = unix::signal(unix::SignalKind::hangup()).map_err(to_error)?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => {
-                let _checked = reload(file);
+/// The signals that the process handles.
+#[derive(Debug)]
+struct Signals {
+    terminate: unix::Signal,
+    interrupt: unix::Signal,
+    hangup: unix::Signal,
+}
+
+impl Signals {
+    fn register() -> error::Result<Self> {
+        let register = |kind| {
+            unix::signal(kind).map_err(|cause| error::Error::system("wait", &"signals", &cause))
+        };
+        Ok(Self {
+            terminate: register(unix::SignalKind::terminate())?,
+            interrupt: register(unix::SignalKind::interrupt())?,
+            hangup: register(unix::SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for SIGTERM or SIGINT. Each SIGHUP checks the settings file again.
+    async fn wait_for_stop(&mut self, file: &path::Path) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hangup.recv() => {
+                    let _checked = reload(file);
+                }
             }
         }
     }
