--- a/crates/relay/src/lease.rs
+++ b/crates/relay/src/lease.rs
@@ -37,7 +37,7 @@
     pub incarnation: ids::Incarnation,
     /// Its fencing token, higher than those of all previous holders.
     pub fence: ids::Fence,
-    /// Number of renewals, so that each renewal changes the row.
+    /// Number of renewals since another VM held the lease; each renewal changes the row.
     pub renewals: u64,
     /// Saved quota buckets, restored by VMs after a restart.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -211,7 +211,8 @@
                 if !is_available {
                     return None;
                 }
-                self.claim(holder.fence.next())
+                let renewals = if holder.vm == self.vm { holder.renewals } else { 0 };
+                Holder { renewals, ..self.claim(holder.fence.next()) }
             }
             None => self.claim(ids::Fence::new(seen.version.get() + 1)),
         };
@@ -273,13 +274,17 @@
 
     /// Called when this VM becomes the holder. The last renewal of another previous
     /// holder is the one observed here, as no other write came in between; it may
-    /// have sent orders until the end of its order period.
+    /// have sent orders until the end of its order period. An earlier incarnation of this
+    /// VM may have been waiting for that itself.
     fn become_holder(&mut self) {
         let Some(Seen { holder: Some(holder), since, .. }) = &self.seen else {
             return;
         };
-        if holder.vm != self.vm {
-            self.orders_from = *since + ORDER_PERIOD + self.handover;
+        let wait = ORDER_PERIOD + self.handover;
+        let renewals = u32::try_from(holder.renewals).unwrap_or(u32::MAX);
+        let has_waited = RENEWAL_INTERVAL.saturating_mul(renewals) >= wait;
+        if !self.is_own(holder) && (holder.vm != self.vm || !has_waited) {
+            self.orders_from = *since + wait;
         }
     }
 }
--- a/crates/relay/tests/planner.rs
+++ b/crates/relay/tests/planner.rs
@@ -550,6 +550,40 @@
     assert!(now >= 4_500, "it ordered at {now}");
 }
 
+/// Earliest time, in ms, at which a restarted planner sends orders: its first process ran from
+/// `taken` to `killed`, and the planner before it had its last renewal at 0.
+fn restarted_planner_orders_at(taken: u64, killed: u64) -> u64 {
+    let (mut first, mut second) = (lease("vm-1"), lease("vm-2"));
+    let mut row = Row::default();
+    let at = |millis| ids::Time::from_millis(10_000 + millis);
+    first.observe(at(0), None, 0);
+    attempt(&mut first, &mut row, at(0), 1, true);
+    second.observe(at(0), row.row.as_ref(), 0);
+    for now in (taken..=killed).step_by(20) {
+        attempt(&mut second, &mut row, at(now), now, true);
+    }
+    assert_eq!(row.holder().vm.as_str(), "vm-2");
+    let mut restarted = Lease::new("vm-2".into(), ids::Incarnation::new(2), HANDOVER);
+    restarted.observe(at(killed), row.row.as_ref(), 0);
+    let mut now = killed;
+    while restarted.may_order(at(now)).is_none() && now < 30_000 {
+        now += 20;
+        attempt(&mut restarted, &mut row, at(now), now, true);
+    }
+    now
+}
+
+/// Guards against orders of two planners within the handover time (ONE): a planner that was
+/// killed just after it took the lease sent orders as soon as it was back.
+#[test]
+fn a_planner_that_restarts_before_its_first_order_waits_for_the_handover_time() {
+    let orders_at = restarted_planner_orders_at(2_100, 2_200);
+    // The first planner may have sent orders until 1,500.
+    assert!(orders_at >= 4_500, "it ordered at {orders_at}");
+    let orders_at = restarted_planner_orders_at(2_100, 9_000);
+    assert!(orders_at <= 9_200, "it had sent orders before, but waited until {orders_at}");
+}
+
 #[test]
 fn the_lease_of_a_planner_that_is_heard_is_not_taken_over() {
     let mut other = lease("vm-2");
