--- a/crates/daemon/src/relay/events.rs
+++ b/crates/daemon/src/relay/events.rs
@@ -3,6 +3,9 @@
 /// Largest event in bytes.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// Result of checking a stream.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
 /// Why a stream is not a series of complete events with increasing ids.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(displaydoc::Display)]
@@ -43,8 +46,8 @@
 }
 
 impl Splitter {
-    /// Creates a splitter of a stream that continues after the event `last_id`, or of a whole
-    /// one.
+    /// Creates a splitter of a stream that continues after the event `last_id`; `None` for a
+    /// stream from its beginning.
     #[must_use]
     pub fn new(last_id: Option<u64>) -> Self {
         Self { buffer: bytes::BytesMut::new(), last_id }
@@ -79,7 +82,7 @@
     }
 
     /// Checks that an event is a comment, or has an id that is higher than the one before.
-    fn check(&mut self, event: &[u8]) -> Result<(), Error> {
+    fn check(&mut self, event: &[u8]) -> Result<()> {
         let mut lines = event.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii_end);
         if lines.clone().all(|line| line.is_empty() || line.starts_with(b":")) {
             return Ok(());
@@ -100,7 +103,7 @@
     ///
     /// [`Error::Incomplete`] if it ended within an event: it was broken off, even if its
     /// framing is complete.
-    pub fn finish(&self) -> Result<(), Error> {
+    pub fn finish(&self) -> Result<()> {
         match self.buffer.len() {
             0 => Ok(()),
             length => Err(Error::Incomplete(length)),
--- a/crates/relay/src/system/shutdown.rs
+++ b/crates/relay/src/system/shutdown.rs
@@ -5,19 +5,24 @@
 use crate::{
     Output, call, event,
     relay::{Relay, Stage},
-    shutdown::Schedule,
+    shutdown,
     system::{dispatch, planning},
 };
 
 /// Longest wait for the store's answer to the removal of the VM's row.
 const MAX_REMOVAL_TIME: time::Duration = time::Duration::from_millis(500);
 
-pub(crate) fn begin(relay: &mut Relay, now: ids::Time, schedule: Schedule, out: &mut Vec<Output>) {
+pub(crate) fn begin(
+    relay: &mut Relay,
+    now: ids::Time,
+    schedule: shutdown::Schedule,
+    out: &mut Vec<Output>,
+) {
     if relay.stage != Stage::Running {
         return;
     }
     relay.stage = Stage::Draining { since: now, schedule };
-    let Schedule { drained_after, ended_after, .. } = schedule;
+    let shutdown::Schedule { drained_after, ended_after, .. } = schedule;
     let inputs = format!(
         "open calls {} accepts calls for {drained_after:?} ends them after {ended_after:?}",
         relay.calls.len()
