--- a/crates/proofs/tests/stop.rs
+++ b/crates/proofs/tests/stop.rs
@@ -22,7 +22,8 @@
     fleet.wait_not_ready(0).await?;
     assert!(fleet.vms[0].is_running(), "the VM must wait for the stream");
     let transcript = stream.read_to_end().await?;
-    assert!(transcript.is_done, "{:?}", transcript.error);
+    let log = || fleet.vms[0].log();
+    assert!(transcript.is_done, "{:?} {:?} {}", transcript.error, begun.elapsed(), log());
     assert!(begun.elapsed() > MIN_STREAM_TIME, "{:?}", begun.elapsed());
     let text = format!("{}{}", first.text(), transcript.text);
     assert_eq!(text, fleet::expected_answer(LONG_STREAM_TOKENS, "a long draft"));
