--- a/crates/daemon/src/relay/settings.rs
+++ b/crates/daemon/src/relay/settings.rs
@@ -30,6 +30,21 @@
     /// Limits that the platform sets.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Comma-separated names of the platform's contracts that are in force.
+    #[serde(default)]
+    pub contracts: String,
+    /// Memory limit of the process, in MB; `None` if the platform states none.
+    #[serde(default)]
+    pub memory_mb: settings::Filled,
+    /// Settings of admission.
+    #[serde(default)]
+    pub admission: Admission,
+    /// Settings of the choice of targets.
+    #[serde(default)]
+    pub routing: Routing,
+    /// Settings of hedged requests.
+    #[serde(default)]
+    pub hedge: Hedge,
     /// Settings of the log.
     #[serde(default)]
     pub log: Log,
@@ -56,6 +71,41 @@
     pub quota_overage: Option<settings::Amount>,
     /// Units that an account may use in the window in addition to that.
     pub quota_slack: Option<settings::Amount>,
+    /// Requests per second that a cold target tolerates, as a multiple of its stated rate.
+    pub cold_overage: settings::Filled,
+    /// Requests that a cold target tolerates in any second in addition to that.
+    pub cold_slack: settings::Filled,
+}
+
+/// Settings of admission.
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Admission {
+    /// Whether an account that exceeds its rate spends its units by urgency rather than in
+    /// order of arrival; by default, where the platform's contracts ask for it.
+    pub by_urgency: Option<bool>,
+}
+
+/// Settings of the choice of targets.
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Routing {
+    /// Whether the speed of each engine is learned; by default, where the platform's
+    /// contracts ask for it.
+    pub learned_speed: Option<bool>,
+}
+
+/// Limits of hedged requests; 0 turns them off.
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Hedge {
+    /// Maximum number of hedged requests, as a fraction of the calls of their service.
+    pub share: Option<settings::Amount>,
+    /// Maximum work of hedged requests, as a fraction of all work of their service.
+    pub work_share: Option<settings::Amount>,
 }
 
 /// Settings of the log.
@@ -112,7 +162,10 @@
         let handover = bounds.turn_ms.map_or(default.handover, settings::Span::get);
         let retry_share = amount(bounds.retry_share, default.retry_share);
         let retry_slack = amount(bounds.retry_slack, default.retry_slack);
+        let has_pressure = platform::contract::has_pressure(&self.contracts);
         default
+            .with_urgency(self.admission.by_urgency.unwrap_or(has_pressure))
+            .with_learned_speed(self.routing.learned_speed.unwrap_or(has_pressure))
             .with_peer(&peer.to_string())
             .with_handover(handover)
             .with_retries(retry_share, retry_slack)
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -327,6 +327,34 @@
     }
 }
 
+/// A number of 0 or more in quotes, which a template fills in: `None` if the text is empty
+/// or still holds its placeholder.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(serde::Deserialize)]
+#[serde(try_from = "String")]
+pub struct Filled(Option<f64>);
+
+impl Filled {
+    /// Returns the number, if one is stated.
+    #[must_use]
+    pub const fn get(self) -> Option<f64> {
+        self.0
+    }
+}
+
+impl TryFrom<String> for Filled {
+    type Error = String;
+
+    fn try_from(text: String) -> Result<Self, String> {
+        let text = text.trim();
+        if text.is_empty() || text.starts_with("{{") {
+            return Ok(Self(None));
+        }
+        let number = text.parse::<f64>().map_err(|_cause| format!("{text:?} is not a number"))?;
+        Amount::try_from(number).map(|amount| Self(Some(amount.get())))
+    }
+}
+
 /// A name: 1 to 64 letters, digits, `-`, `_` and `.`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Deserialize)]
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -31,6 +31,10 @@
     pub rule: choice::Rule,
     /// Order in which queued calls are served.
     pub discipline: policy::Discipline,
+    /// Whether an account that exceeds its rate spends its units by urgency.
+    pub by_urgency: bool,
+    /// Whether the speed of each engine is learned.
+    pub learns_speed: bool,
 }
 
 /// Default handover time between planners: the value that the platform has used so far.
@@ -60,6 +64,8 @@
             quota: QUOTA,
             rule: choice::Rule::default(),
             discipline: policy::Discipline::default(),
+            by_urgency: false,
+            learns_speed: false,
         }
     }
 
@@ -99,6 +105,20 @@
         self
     }
 
+    /// Sets whether an account that exceeds its rate spends its units by urgency.
+    #[must_use]
+    pub const fn with_urgency(mut self, by_urgency: bool) -> Self {
+        self.by_urgency = by_urgency;
+        self
+    }
+
+    /// Sets whether the speed of each engine is learned.
+    #[must_use]
+    pub const fn with_learned_speed(mut self, learns_speed: bool) -> Self {
+        self.learns_speed = learns_speed;
+        self
+    }
+
     /// The membership entry of this VM.
     #[must_use]
     pub fn member(&self) -> member::Member {
