quota: units by urgency while an account asks for more than its rate

Less urgent calls leave a reserve for the more urgent ones, each class has a minimum, short shortages are waited out on the VM, and refused calls are told return times from a ledger. Digests carry the demand by class only while an account is crowded.

Before, units went in order of arrival, so that one digest call took what twelve bookings need.

--- a/crates/daemon/src/relay/metric.rs
+++ b/crates/daemon/src/relay/metric.rs
@@ -34,6 +34,15 @@
 pub const BLOCKED_PARTS: &str = "primroseplank_relay_blocked_prompt_parts";
 /// Gauge of open calls.
 pub const OPEN_CALLS: &str = "primroseplank_relay_open_calls";
+/// Counter of calls charged to accounts with a limit, labelled by priority and outcome.
+pub const CHARGED_CALLS: &str = "primroseplank_relay_quota_calls_total";
+/// Counter of quota units asked for, labelled by priority and outcome.
+pub const CHARGED_UNITS: &str = "primroseplank_relay_quota_units_total";
+/// Gauge of calls that wait for quota units.
+pub const WAITING_FOR_UNITS: &str = "primroseplank_relay_quota_waiting_calls";
+/// Gauge of the fraction of its rate that all VMs grant the account that gets least of it,
+/// among those that ask for more than their rate; 1 if there is none.
+pub const GRANTED_RATIO: &str = "primroseplank_relay_quota_granted_ratio";
 /// Gauge of the version of the configuration in force.
 pub const CONFIG_VERSION: &str = "primroseplank_relay_config_version";
 
@@ -64,6 +73,10 @@
     );
     metrics::describe_gauge!(BLOCKED_PARTS, Unit::Count, "Prompt parts that are blocked.");
     metrics::describe_gauge!(OPEN_CALLS, Unit::Count, "Calls that are open.");
+    metrics::describe_counter!(CHARGED_CALLS, Unit::Count, "Calls charged to quotas.");
+    metrics::describe_counter!(CHARGED_UNITS, Unit::Count, "Quota units asked for.");
+    metrics::describe_gauge!(WAITING_FOR_UNITS, Unit::Count, "Calls that wait for units.");
+    metrics::describe_gauge!(GRANTED_RATIO, Unit::Count, "Units granted of what the rate allows.");
     metrics::describe_gauge!(CONFIG_VERSION, Unit::Count, "Version of the configuration in force.");
     Ok(handle)
 }
@@ -81,6 +94,16 @@
     metrics::counter!(STORE_REQUESTS, "table" => table, "kind" => kind).increment(1);
 }
 
+/// Rounds units of a quota for a counter.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the conversion saturates"
+)]
+fn whole(units: f64) -> u64 {
+    units.round() as u64
+}
+
 /// Records a measurement emitted by the decision core.
 pub fn record(measure: &event::Measure) {
     match measure {
@@ -89,6 +112,11 @@
         event::Measure::Ended { outcome } => {
             metrics::counter!(ENDED_CALLS, "outcome" => *outcome).increment(1);
         }
+        event::Measure::Charged { priority, units, outcome } => {
+            let labels = [("priority", priority.to_string()), ("outcome", (*outcome).to_owned())];
+            metrics::counter!(CHARGED_CALLS, &labels).increment(1);
+            metrics::counter!(CHARGED_UNITS, &labels).increment(whole(*units));
+        }
         event::Measure::Ordered => metrics::counter!(RUNNER_ORDERS).increment(1),
     }
 }
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -51,6 +51,15 @@
         /// Short description of the outcome.
         outcome: &'static str,
     },
+    /// A call of an account with a limit was granted its quota units, or refused.
+    Charged {
+        /// Priority of its route.
+        priority: u32,
+        /// Its units.
+        units: f64,
+        /// `granted` or `refused`.
+        outcome: &'static str,
+    },
     /// An order was sent to a runner.
     Ordered,
 }
--- a/crates/relay/src/quota.rs
+++ b/crates/relay/src/quota.rs
@@ -12,12 +12,16 @@
 //! demand that it sees. Otherwise all VMs of a large fleet would spend the same
 //! level at once.
 
+pub mod allocation;
 mod bucket;
+mod crowded;
 
 use std::{collections, time};
 
 use crate::{config, decay};
 
+pub use crowded::Shortage;
+
 /// Minimum burst, in units, so that a single call can be granted.
 const MIN_BURST: f64 = 1.0;
 /// Fraction of the slack that the buckets of all VMs together start with. The rest
@@ -52,6 +56,10 @@
     /// Recent demand in units per second, granted or not.
     #[serde(rename = "w", default, skip_serializing_if = "is_zero")]
     pub asked: f64,
+    /// Recent demand by class, while the account asks for more than its rate and units are
+    /// granted by urgency.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    pub classes: Vec<(allocation::Class, f64)>,
 }
 
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes fields by reference")]
@@ -188,6 +196,9 @@
     buckets: collections::BTreeMap<ids::Account, bucket::Bucket>,
     /// Snapshot from before the start, with the time of the read and its age then.
     saved: Option<(ids::Time, time::Duration, Saved)>,
+    /// Whether units are granted by urgency; if so, the fraction of a call's units with which
+    /// the minimum of a class starts in debt. It differs between VMs.
+    by_urgency: Option<f64>,
 }
 
 impl Table {
@@ -197,6 +208,14 @@
         Self { tolerance, hops: 1, ..Self::default() }
     }
 
+    /// Grants units by urgency while an account asks for more than its rate. `phase`, from 0
+    /// to 1, should differ between VMs.
+    #[must_use]
+    pub const fn with_urgency(mut self, phase: f64) -> Self {
+        self.by_urgency = Some(phase);
+        self
+    }
+
     /// Sets the number of digest intervals after which all VMs know a usage: one if all
     /// exchange digests.
     pub const fn set_hops(&mut self, hops: u32) {
@@ -224,6 +243,7 @@
                 asked: decay::Sum::new(bucket::ASKED_HALF_LIFE_MS),
                 portion: 0.0,
                 portion_grown_at: now,
+                crowd: crowded::Crowd::default(),
             });
             let burst = account.burst.max(MIN_BURST);
             let level = bucket.level.min(burst);
@@ -298,14 +318,119 @@
         account: &ids::Account,
         units: f64,
     ) -> Result<()> {
+        if let Some(bucket) = self.buckets.get_mut(account) {
+            bucket.asked.add(now, units);
+        }
+        self.take_in_turn(now, view, account, units)
+    }
+
+    /// Records a call that asks for units, for [`Self::take_by_urgency`].
+    pub fn ask(
+        &mut self,
+        now: ids::Time,
+        view: View,
+        account: &ids::Account,
+        request: allocation::Request,
+    ) {
+        let lag = self.lag();
+        if let Some(bucket) = self.buckets.get_mut(account) {
+            bucket.asked.add(now, request.units);
+            bucket.crowd.demand.add(now, request);
+            bucket.refill(now, view);
+            bucket.update_plan(now, view, lag);
+        }
+    }
+
+    /// Whether the account asks for more than its rate, so that units are granted by urgency.
+    #[must_use]
+    pub fn is_crowded(&self, account: &ids::Account) -> bool {
+        self.buckets.get(account).is_some_and(bucket::Bucket::is_crowded)
+    }
+
+    /// Takes units for a call that has asked for them; `ahead` units are waited for by calls
+    /// that go before it.
+    ///
+    /// # Errors
+    ///
+    /// [`Shortage`] if units are short, or kept for more urgent calls.
+    pub fn take_by_urgency(
+        &mut self,
+        now: ids::Time,
+        view: View,
+        account: &ids::Account,
+        request: allocation::Request,
+        ahead: f64,
+    ) -> Result<(), Shortage> {
+        let debt = self.by_urgency.unwrap_or_default();
+        let lag = self.lag();
+        let plain = |short| Shortage {
+            short,
+            rule: "level",
+            portion: 0.0,
+            reserved: 0.0,
+            asked: 0.0,
+            granted: 0.0,
+            available: short.rate,
+        };
+        if let Some(bucket) = self.buckets.get_mut(account) {
+            bucket.refill(now, view);
+            bucket.update_plan(now, view, lag);
+            if bucket.is_crowded() {
+                bucket.grow_portion(now, view);
+                let margin = UNHEARD_FRACTION * self.tolerance.units(bucket.rate, bucket.burst);
+                let debts = (ahead, debt);
+                if let Some(shortage) = bucket.shortage(now, view, (lag, margin), request, debts) {
+                    return Err(shortage);
+                }
+                bucket.spend_minimum(request);
+            }
+        }
+        self.take_in_turn(now, view, account, request.units).map_err(plain)
+    }
+
+    /// When a call that got no units should return; `honoured` is the longest time that its
+    /// caller waits.
+    #[must_use]
+    pub fn promise(
+        &mut self,
+        now: ids::Time,
+        account: &ids::Account,
+        request: allocation::Request,
+        shortage: &Shortage,
+        honoured: time::Duration,
+    ) -> time::Duration {
+        let bucket = self.buckets.get_mut(account).filter(|bucket| bucket.is_crowded());
+        let promise =
+            |bucket: &mut bucket::Bucket| bucket.promise(now, request, shortage, honoured);
+        bucket.map_or(shortage.short.wait, promise)
+    }
+
+    /// Lowest fraction of their rate that crowded accounts were granted at all VMs since the
+    /// last call; `None` if no account is crowded.
+    pub fn granted_ratio(&mut self, now: ids::Time) -> Option<f64> {
+        let ratios = self.buckets.values_mut().filter_map(|bucket| bucket.granted_ratio(now));
+        ratios.min_by(f64::total_cmp)
+    }
+
+    /// Time until all VMs know a usage.
+    fn lag(&self) -> time::Duration {
+        let sent = |(_, interval)| interval * self.hops + DIGEST_DELAY;
+        self.last_digest.map_or(time::Duration::ZERO, sent)
+    }
+
+    /// Takes units in order of arrival.
+    fn take_in_turn(
+        &mut self,
+        now: ids::Time,
+        view: View,
+        account: &ids::Account,
+        units: f64,
+    ) -> Result<()> {
+        let lag = self.lag();
         let Some(bucket) = self.buckets.get_mut(account) else {
             return Ok(());
         };
-        let lag = self
-            .last_digest
-            .map_or(time::Duration::ZERO, |(_, interval)| interval * self.hops + DIGEST_DELAY);
         let margin = UNHEARD_FRACTION * self.tolerance.units(bucket.rate, bucket.burst);
-        bucket.asked.add(now, units);
         bucket.refill(now, view);
         bucket.grow_portion(now, view);
         let bucket::Bucket { level, rate, burst, .. } = *bucket;
@@ -315,7 +440,8 @@
         }
         // A call larger than the burst is granted when the bucket is full.
         let needed = units.min(bucket.burst * view.share());
-        if let Some(wait) = bucket.wait(now, view, lag, margin, needed) {
+        let reserve = allocation::Reserve::default();
+        if let Some(wait) = bucket.wait(now, view, lag, margin, needed, reserve) {
             return Err(short(time::Duration::from_secs_f64(wait.min(MAX_WAIT_S))));
         }
         bucket.spend(units);
@@ -345,6 +471,7 @@
                 granted: bucket.granted,
                 level: bucket.level,
                 asked: bucket.asked.per_second(now).round(),
+                classes: bucket.own_classes(now),
             })
             .collect()
     }
@@ -355,7 +482,8 @@
     pub fn centre_usage(&self, now: ids::Time) -> Vec<Usage> {
         self.sums(|bucket| {
             let asked = bucket.asked.per_second(now) + bucket.asked_by(now, bucket::is_vm);
-            (bucket.granted + bucket.observed.in_centre, asked)
+            let classes = bucket.sum_classes(now, true, bucket::is_vm);
+            (bucket.granted + bucket.observed.in_centre, asked, classes)
         })
     }
 
@@ -365,14 +493,18 @@
     pub fn elsewhere_usage(&self, now: ids::Time) -> Vec<Usage> {
         self.sums(|bucket| {
             let asked = bucket.asked_by(now, |source| !bucket::is_vm(source));
-            (bucket.observed.elsewhere, asked)
+            let classes = bucket.sum_classes(now, false, |source| !bucket::is_vm(source));
+            (bucket.observed.elsewhere, asked, classes)
         })
     }
 
     /// Units granted and asked for, of the accounts for which there were any.
-    fn sums(&self, units: impl Fn(&bucket::Bucket) -> (f64, f64)) -> Vec<Usage> {
+    fn sums(
+        &self,
+        units: impl Fn(&bucket::Bucket) -> (f64, f64, Vec<(allocation::Class, f64)>),
+    ) -> Vec<Usage> {
         let usage = |(account, bucket): (&ids::Account, &bucket::Bucket)| {
-            let (granted, asked) = units(bucket);
+            let (granted, asked, classes) = units(bucket);
             let asked = asked.round();
             let level = bucket.level.round();
             (granted > 0.0 || asked > 0.0).then(|| Usage {
@@ -380,6 +512,7 @@
                 granted,
                 level,
                 asked,
+                classes,
             })
         };
         self.buckets.iter().filter_map(usage).collect()
@@ -394,11 +527,15 @@
         reporter: &Reporter,
         usages: &[Usage],
     ) {
+        let lag = self.lag();
         for usage in usages {
             let Some(bucket) = self.buckets.get_mut(&usage.account) else {
                 continue;
             };
             bucket.refill(now, view);
+            if bucket.is_crowded() {
+                bucket.update_plan(now, view, lag);
+            }
             let Some(granted) = bucket.record_report(now, source, reporter, usage) else {
                 // On first contact, the peer's level is better than that of an unused bucket.
                 if matches!(view, View::Together { .. }) && bucket.granted == 0.0 {
--- a/crates/relay/src/quota/bucket.rs
+++ b/crates/relay/src/quota/bucket.rs
@@ -2,7 +2,10 @@
 
 use std::{collections, time};
 
-use crate::{decay, quota};
+use crate::{
+    decay,
+    quota::{self, allocation, crowded},
+};
 
 /// Maximum debt, as a multiple of the burst; any excess is forgiven.
 const MAX_DEBT_BURSTS: f64 = 1.0;
@@ -10,7 +13,7 @@
 /// that a sudden demand shows in the second digest.
 pub(super) const ASKED_HALF_LIFE_MS: f64 = 500.0;
 /// Maximum age of a reported demand: several digest intervals of a large fleet.
-const ASKED_MAX_AGE: time::Duration = time::Duration::from_millis(1_500);
+pub(super) const ASKED_MAX_AGE: time::Duration = time::Duration::from_millis(1_500);
 /// Level at which portions grow at the account's rate, as a fraction of the burst: it
 /// absorbs the unevenness of the VMs' portions.
 const BASE_LEVEL: f64 = 0.1;
@@ -36,6 +39,8 @@
     pub(super) reporter: quota::Reporter,
     pub(super) granted: f64,
     pub(super) asked: f64,
+    /// Demand by class, while the account asks for more than its rate.
+    pub(super) classes: Vec<(allocation::Class, f64)>,
     pub(super) at: ids::Time,
 }
 
@@ -77,6 +82,8 @@
     pub(super) portion: f64,
     /// When the portion last grew.
     pub(super) portion_grown_at: ids::Time,
+    /// State for the allocation by urgency.
+    pub(super) crowd: crowded::Crowd,
 }
 
 impl Bucket {
@@ -103,10 +110,22 @@
     pub(super) fn grow_portion(&mut self, now: ids::Time, view: quota::View) {
         let passed = now.since(self.portion_grown_at).as_secs_f64();
         self.portion_grown_at = self.portion_grown_at.max(now);
-        let max_portion = self.burst * view.share() * self.demand_share(now, view);
+        let max_portion = self.max_portion(now, view);
         self.portion = (self.portion + passed * self.portion_rate(now, view)).min(max_portion);
     }
 
+    /// Largest portion that is saved up.
+    pub(super) fn max_portion(&self, now: ids::Time, view: quota::View) -> f64 {
+        let mut share = self.demand_share(now, view);
+        if let (true, quota::View::Together { heard, .. }) = (self.is_crowded(), view) {
+            // The demand that one VM sees varies; what was reserved is kept nevertheless.
+            share = share.max(1.0 / heard.max(1) as f64);
+            return self.burst * view.share() * share * crowded::CROWDED_PORTION
+                + self.crowd.largest;
+        }
+        self.burst * view.share() * share
+    }
+
     /// Applies the saved level from before the start. Usage since then is known only
     /// when all VMs are heard; until then, each VM may use its share.
     fn restore_saved(&mut self, now: ids::Time, view: quota::View) {
@@ -175,7 +194,8 @@
         usage: &quota::Usage,
     ) -> Option<f64> {
         let quota::Usage { granted, asked, .. } = *usage;
-        let heard = Reported { reporter: reporter.clone(), granted, asked, at: now };
+        let classes = usage.classes.clone();
+        let heard = Reported { reporter: reporter.clone(), granted, asked, classes, at: now };
         if !is_vm(source) {
             self.reported.retain(|other, _| !source.covers(other));
         }
@@ -196,6 +216,10 @@
 
     /// This VM's fraction of the demand at all VMs.
     fn demand_share(&self, now: ids::Time, view: quota::View) -> f64 {
+        // Demand that is not going to be granted needs no portion.
+        if let Some(fraction) = self.plan().and_then(allocation::Plan::own_fraction) {
+            return fraction;
+        }
         let own = self.asked.per_second(now);
         let all = own + self.asked_elsewhere(now);
         match view {
@@ -206,14 +230,14 @@
     }
 
     /// Growth of the portion, in units per second.
-    fn portion_rate(&self, now: ids::Time, view: quota::View) -> f64 {
+    pub(super) fn portion_rate(&self, now: ids::Time, view: quota::View) -> f64 {
         let surplus = (self.level / self.burst - BASE_LEVEL) * CATCH_UP_FACTOR;
         self.rate * view.share() * self.demand_share(now, view) * (1.0 + surplus).max(0.0)
     }
 
     /// Time in s until `units` can be granted; `None` if they can be granted now. Usage
     /// at other VMs is known with a delay of `lag`, and may exceed the level by up to
-    /// `margin` units.
+    /// `margin` units. The units in `reserve` are kept for other calls.
     pub(super) fn wait(
         &self,
         now: ids::Time,
@@ -221,19 +245,22 @@
         lag: time::Duration,
         margin: f64,
         units: f64,
+        reserve: allocation::Reserve,
     ) -> Option<f64> {
         let rate = (self.rate * view.share()).max(f64::MIN_POSITIVE);
-        if self.level < units {
-            return Some((units - self.level) / rate);
+        let required = (units + reserve.fleet).min(self.burst * view.share());
+        if self.level < required {
+            return Some((required - self.level) / rate);
         }
         if !matches!(view, quota::View::Together { .. }) {
             return None;
         }
         let unheard = self.asked_elsewhere(now) * lag.as_secs_f64();
-        if self.level + margin - unheard >= units || self.portion > 0.0 {
+        if self.level + margin - unheard >= required.max(units) || self.portion > reserve.own {
             return None;
         }
-        let wait = -self.portion / self.portion_rate(now, view).max(f64::MIN_POSITIVE);
+        let wait =
+            (reserve.own - self.portion) / self.portion_rate(now, view).max(f64::MIN_POSITIVE);
         Some(wait.min(MAX_PORTION_WAIT_S))
     }
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -16,7 +16,7 @@
 const PEER_WAIT: time::Duration = time::Duration::from_millis(1_500);
 /// Maximum number of queued calls. Beyond it, calls of the account with the most
 /// queued calls are refused first.
-const MAX_QUEUED_CALLS: usize = 2_000;
+pub(crate) const MAX_QUEUED_CALLS: usize = 2_000;
 /// Wait after which a call can no longer meet its objective, in ms: the objective
 /// of the tightest streams.
 const OBJECTIVE_MS: u64 = 800;
@@ -84,6 +84,8 @@
     pub(crate) calls: call::Table,
     pub(crate) queue: route::queue::Queue,
     pub(crate) quota: quota::Table,
+    /// Calls that wait for quota units.
+    pub(crate) units: quota::allocation::Queue,
     pub(crate) retries: collections::BTreeMap<ids::Service, route::retry::Budget>,
     pub(crate) typical_ms: collections::BTreeMap<ids::Service, f64>,
     pub(crate) peers: peer::Table,
@@ -142,7 +144,8 @@
             held_calls: collections::BTreeMap::new(),
             calls: call::Table::default(),
             queue: route::queue::Queue::new(queue),
-            quota: quota::Table::new(settings.quota),
+            quota: quota_table(&settings),
+            units: quota::allocation::Queue::default(),
             retries: collections::BTreeMap::new(),
             typical_ms: collections::BTreeMap::new(),
             peers: peer::Table::new(settings.centre.clone()),
@@ -184,6 +187,7 @@
             self.apply(now, input, out);
         }
         system::startup::release(self, now, out);
+        system::allocation::serve(self, now, out);
         if self.next_tick <= now {
             self.next_tick = now + TICK_INTERVAL;
             system::quarantine::tick(self, now, out);
@@ -224,6 +228,18 @@
         self.poison.blocked_count()
     }
 
+    /// Number of calls that wait for quota units.
+    #[must_use]
+    pub const fn calls_waiting_for_units(&self) -> usize {
+        self.units.len()
+    }
+
+    /// Lowest fraction of their rate that accounts which ask for more were granted at all VMs
+    /// since the last call; `None` if no account asks for more.
+    pub fn granted_ratio(&mut self, now: ids::Time) -> Option<f64> {
+        self.quota.granted_ratio(now)
+    }
+
     /// Number of open calls.
     #[must_use]
     pub fn open_calls(&self) -> usize {
@@ -376,6 +392,17 @@
     }
 }
 
+/// Creates the accounts' buckets.
+fn quota_table(settings: &Settings) -> quota::Table {
+    let table = quota::Table::new(settings.quota);
+    if settings.by_urgency {
+        let hash = route::hash::seed(settings.vm.as_str());
+        table.with_urgency((hash >> 11) as f64 / (1_u64 << 53) as f64)
+    } else {
+        table
+    }
+}
+
 /// Relative pace of the model that a call uses; 1 if unknown.
 pub(crate) fn pace_of(config: Option<&config::Config>, pace: &pace::Pace, row: &call::Row) -> f64 {
     let found = || {
--- a/crates/relay/src/system/admission.rs
+++ b/crates/relay/src/system/admission.rs
@@ -8,7 +8,7 @@
 use crate::{
     Output, call, choice, config, envelope, event,
     relay::{Relay, line, refusal},
-    system::{dispatch, overlay, quarantine},
+    system::{allocation, dispatch, quarantine},
 };
 
 /// Retry delay sent to callers while this VM shuts down or has no configuration:
@@ -29,8 +29,9 @@
     arrived: ids::Time,
     out: &mut Vec<Output>,
 ) {
-    match admit(relay, now, envelope, arrived) {
-        Ok(row) => enqueue_new(relay, now, call, row, out),
+    match admit(relay, now, envelope, arrived, out) {
+        Ok((row, None)) => enqueue_new(relay, now, call, row, out),
+        Ok((row, Some(wait))) => allocation::wait(relay, now, call, row, wait, out),
         Err(rejection) => {
             let line = event::Event::new("call", &envelope.path, rejection.reason)
                 .with_id(&envelope.id)
@@ -43,7 +44,7 @@
 }
 
 /// Reason for not admitting a call.
-struct Rejection {
+pub(crate) struct Rejection {
     status: u16,
     reason: &'static str,
     retry_after: Option<time::Duration>,
@@ -51,29 +52,31 @@
 }
 
 impl Rejection {
-    const fn new(status: u16, reason: &'static str) -> Self {
+    pub(crate) const fn new(status: u16, reason: &'static str) -> Self {
         Self { status, reason, retry_after: None, inputs: String::new() }
     }
 
-    const fn with_wait(mut self, wait: time::Duration) -> Self {
+    pub(crate) const fn with_wait(mut self, wait: time::Duration) -> Self {
         self.retry_after = Some(wait);
         self
     }
 
-    fn with_inputs(mut self, inputs: String) -> Self {
+    pub(crate) fn with_inputs(mut self, inputs: String) -> Self {
         self.inputs = inputs;
         self
     }
 }
 
-type Result<T, E = Rejection> = std::result::Result<T, E>;
+pub(crate) type Result<T, E = Rejection> = std::result::Result<T, E>;
 
+/// Checks a call. Returns its row, and `Some` if it is to wait for quota units.
 fn admit(
     relay: &mut Relay,
     now: ids::Time,
     envelope: &envelope::Envelope,
     arrived: ids::Time,
-) -> Result<call::Row> {
+    out: &mut Vec<Output>,
+) -> Result<(call::Row, Option<allocation::Wait>)> {
     // Open connections may deliver calls until the process exits.
     if !relay.stage.accepts_calls(now) {
         return Err(Rejection::new(503, "stopping").with_wait(RETRY_ELSEWHERE));
@@ -97,22 +100,21 @@
         return Err(Rejection::new(503, "no service").with_wait(RETRY_ELSEWHERE));
     };
     let timeout = envelope.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
-    let mut units = 0.0;
+    let (mut units, mut wait) = (0.0, None);
     if let Some(account) = account {
         units = quota_units(account, envelope);
-        let view = overlay::view(relay, now);
-        if let Err(short) = relay.quota.take(now, view, &account.name, units) {
-            let inputs = format!("account {} units {units} peers {view:?}: {short}", account.name);
-            return Err(Rejection::new(429, "over quota")
-                .with_wait(short.wait)
-                .with_inputs(inputs));
+        let deadline = arrived + timeout;
+        let charge = allocation::Charge { account, route, units, deadline };
+        wait = allocation::charge(relay, now, charge, out)?;
+        if wait.is_some() {
+            units = 0.0;
         }
     }
     let item = match &envelope.work {
         Some(work) => work.item(),
         None => route::item::service(&service),
     };
-    Ok(call::Row {
+    let row = call::Row {
         rank: rank(account, route),
         is_courtesy: config.is_lowest_priority(route),
         account: account.map(|account| account.name.clone()),
@@ -130,7 +132,8 @@
         has_begun: false,
         resume_after: None,
         adapter_requested_at: None,
-    })
+    };
+    Ok((row, wait))
 }
 
 /// Selects a service of the route at random, by weight.
@@ -170,7 +173,7 @@
 }
 
 /// Queues a new call, unless it certainly cannot be served in time.
-fn enqueue_new(
+pub(crate) fn enqueue_new(
     relay: &mut Relay,
     now: ids::Time,
     call: ids::Call,
--- a/crates/relay/src/system/mod.rs
+++ b/crates/relay/src/system/mod.rs
@@ -1,6 +1,7 @@
 //! Systems: functions that operate on the relay's state.
 
 pub(crate) mod admission;
+pub(crate) mod allocation;
 pub(crate) mod attempt;
 pub(crate) mod dispatch;
 pub(crate) mod gossip;
--- a/crates/relay/tests/fleet/mod.rs
+++ b/crates/relay/tests/fleet/mod.rs
@@ -43,6 +43,14 @@
     pub heard_lines: u64,
 }
 
+/// A refusal of a call.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer {
+    pub call: ids::Call,
+    pub status: u16,
+    pub retry_after: Option<time::Duration>,
+}
+
 pub struct Fleet {
     pub now: ids::Time,
     pub vms: Vec<Vm>,
@@ -65,6 +73,10 @@
     pub keeps_calls: bool,
     /// Attempts begun since the test took them, with the index of their VM.
     pub begun: Vec<(usize, output::Begin)>,
+    /// Refusals, if the test keeps calls.
+    pub answers: Vec<Answer>,
+    /// Whether quota units are granted by urgency.
+    by_urgency: bool,
     /// VMs that have finished a graceful shutdown.
     pub stopped: Vec<usize>,
     /// Questions whether a target has crashed, with the index of the VM that asks.
@@ -85,6 +97,17 @@
         centres: usize,
         config: config::Config,
         targets: Vec<target::Entry>,
+    ) -> Self {
+        Self::with_urgency(size, centres, config, targets, false)
+    }
+
+    /// Creates a fleet whose VMs grant quota units by urgency if `by_urgency`.
+    pub fn with_urgency(
+        size: usize,
+        centres: usize,
+        config: config::Config,
+        targets: Vec<target::Entry>,
+        by_urgency: bool,
     ) -> Self {
         let vm = |index: usize| Vm {
             name: format!("vm-{}-{}", index % centres, index / centres).as_str().into(),
@@ -120,6 +143,8 @@
             sent: collections::BTreeMap::new(),
             keeps_calls: false,
             begun: Vec::new(),
+            answers: Vec::new(),
+            by_urgency,
             stopped: Vec::new(),
             probes: Vec::new(),
         };
@@ -132,8 +157,9 @@
         let vm = &mut self.vms[index];
         vm.incarnation += 1;
         let address = format!("10.0.0.{index}:7000");
-        let settings =
-            Settings::new(vm.name.as_str(), vm.centre.as_str(), vm.incarnation).with_peer(&address);
+        let settings = Settings::new(vm.name.as_str(), vm.centre.as_str(), vm.incarnation)
+            .with_peer(&address)
+            .with_urgency(self.by_urgency);
         vm.relay = Some(Relay::new(settings));
         vm.links.clear();
         vm.follow = output::Follow { is_reader: false, watches_members: true, watches_lease: true };
@@ -283,7 +309,12 @@
             }
             Output::Stopped => self.stopped.push(index),
             Output::Probe { target, born, .. } => self.probes.push((index, target, born)),
-            Output::Refuse { reason, .. } => *self.refused.entry(reason).or_default() += 1,
+            Output::Refuse { call, status, reason, retry_after } => {
+                *self.refused.entry(reason).or_default() += 1;
+                if self.keeps_calls {
+                    self.answers.push(Answer { call, status, retry_after });
+                }
+            }
             Output::Decode { .. } => {
                 let config = sync::Arc::clone(&self.config);
                 self.vms[index].inbox.push(Input::Config { text: "text".into(), config });
