quota: calls whose classes are granted in full may use their overdraft

They were checked against the level once more after they had been granted, so that urgent calls were refused for 0.5 s while the bucket was in debt at the start of an overload.

--- a/crates/relay/src/quota.rs
+++ b/crates/relay/src/quota.rs
@@ -383,6 +383,8 @@
                     return Err(shortage);
                 }
                 bucket.spend_minimum(request);
+                bucket.grant(request.units);
+                return Ok(());
             }
         }
         self.take_in_turn(now, view, account, request.units).map_err(plain)
@@ -444,9 +446,7 @@
         if let Some(wait) = bucket.wait(now, view, lag, margin, needed, reserve) {
             return Err(short(time::Duration::from_secs_f64(wait.min(MAX_WAIT_S))));
         }
-        bucket.spend(units);
-        bucket.portion -= units;
-        bucket.granted += units;
+        bucket.grant(units);
         Ok(())
     }
 
--- a/crates/relay/src/quota/bucket.rs
+++ b/crates/relay/src/quota/bucket.rs
@@ -162,6 +162,13 @@
         }
     }
 
+    /// Grants units of this VM.
+    pub(super) fn grant(&mut self, units: f64) {
+        self.spend(units);
+        self.portion -= units;
+        self.granted += units;
+    }
+
     /// Deducts units granted by this or another VM.
     pub(super) fn spend(&mut self, units: f64) {
         self.level = (self.level - units).max(-self.burst * MAX_DEBT_BURSTS);
