--- a/crates/relay/src/quota/allocation.rs
+++ b/crates/relay/src/quota/allocation.rs
@@ -56,9 +56,7 @@
     pub fn new(priority: u32, units: f64) -> Self {
         let priority = u8::try_from(priority.min(MAX_PRIORITY)).unwrap_or_default();
         let band = (units.max(1.0).log2() / BAND_BITS).floor();
-        let bands = (0..BANDS).rev();
-        // Bands are compared as numbers, as a float cannot be converted without truncation.
-        let band = bands.into_iter().find(|known| f64::from(*known) <= band).unwrap_or_default();
+        let band = (0..BANDS).rev().find(|known| f64::from(*known) <= band).unwrap_or_default();
         Self(priority * BANDS + band)
     }
 
--- a/crates/relay/src/quota/crowded.rs
+++ b/crates/relay/src/quota/crowded.rs
@@ -98,7 +98,8 @@
             let falls = (asked - rate) * (lag + FALL_TIME).as_secs_f64();
             asked > CROWDED_DEMAND * rate && self.level - falls < CROWDED_LEVEL * burst
         };
-        if !is_crowded {
+        // Without the membership, nothing is granted, whatever the level.
+        if !is_crowded || view.share() <= 0.0 {
             self.crowd.plan = None;
             return;
         }
