relay: targets that announce that they leave, or ask for a pause

Cause: what a target says in its answers (server-leaving, Retry-After with 503) was ignored except towards the caller, so requests went on to targets that leave or that want none for a time.

Change: crates/relay/src/pause.rs holds what each instance has announced; the choice, the planner, reports, probes and orders go by it. Calls that only paused or leaving targets could serve wait only if a pause ends in time, and else are refused at once. The head of every answer whose id matches is reported to the core when it arrives.

--- a/crates/daemon/src/relay/effect.rs
+++ b/crates/daemon/src/relay/effect.rs
@@ -70,8 +70,10 @@
             Output::Decode { text } => rows::decode_config(&self.inbox, text),
             Output::Write { op, write } => self.write(op, write),
             Output::Order { op, order } => self.order(op, order),
-            Output::Report { target, address } => self.report(target, address),
-            Output::Probe { target, born, address } => self.probe(target, born, address),
+            Output::Report { target, born, address } => self.report(target, born, address),
+            Output::Probe { target, born, address, may_ask } => {
+                self.probe(target, born, address, may_ask);
+            }
             Output::Disconnect { address } => self.pool.close_idle(&address),
             Output::Ready(ready) => {
                 self.ready.send_replace(ready);
@@ -118,7 +120,9 @@
                 .body(Full::new(platform::order::body(&order, &vm).into()));
             let answer = match request {
                 Ok(request) => {
-                    exchange::round_trip(&pool, &order.address, request, ORDER_TIMEOUT).await
+                    let notify = notifier(&inbox, &order.target, order.born);
+                    exchange::round_trip(&pool, &order.address, request, ORDER_TIMEOUT, notify)
+                        .await
                 }
                 Err(cause) => Err(cause.to_string()),
             };
@@ -138,14 +142,16 @@
         });
     }
 
-    fn probe(&self, target: ids::Target, born: u64, address: sync::Arc<str>) {
+    fn probe(&self, target: ids::Target, born: u64, address: sync::Arc<str>, may_ask: bool) {
         let (pool, inbox) = (self.pool.clone(), self.inbox.clone());
         tokio::spawn(async move {
             // Only a refused connection proves that nothing listens: a full target resets it.
             let probe = if pool::refuses_connections(&address).await {
                 relay::input::Probe::Refused
+            } else if !may_ask {
+                relay::input::Probe::Unknown
             } else {
-                match read_report(&pool, &target, &address).await {
+                match read_report(&pool, &inbox, &target, born, &address).await {
                     Ok(report) if report.born != 0 => relay::input::Probe::Runs(report.born),
                     Ok(_) => relay::input::Probe::Unknown,
                     Err(reason) => {
@@ -158,10 +164,10 @@
         });
     }
 
-    fn report(&self, target: ids::Target, address: sync::Arc<str>) {
+    fn report(&self, target: ids::Target, born: u64, address: sync::Arc<str>) {
         let (pool, inbox) = (self.pool.clone(), self.inbox.clone());
         tokio::spawn(async move {
-            let report = match read_report(&pool, &target, &address).await {
+            let report = match read_report(&pool, &inbox, &target, born, &address).await {
                 Ok(report) => Some(report),
                 Err(reason) => {
                     tracing::warn!(
@@ -178,10 +184,24 @@
     }
 }
 
+/// Returns a function that passes what an instance announces to the core.
+fn notifier(
+    inbox: &inbox::Inbox,
+    target: &ids::Target,
+    born: u64,
+) -> impl Fn(relay::pause::Notice) {
+    let (inbox, target) = (inbox.clone(), target.clone());
+    move |notice| {
+        inbox.send(Input::Notice { target: target.clone(), born, notice });
+    }
+}
+
 /// Requests the report of a runner.
 async fn read_report(
     pool: &pool::Pool,
+    inbox: &inbox::Inbox,
     target: &ids::Target,
+    born: u64,
     address: &sync::Arc<str>,
 ) -> Result<relay::input::Report, String> {
     let request = http::Request::builder()
@@ -189,11 +209,23 @@
         .header(http::header::HOST, &**address)
         .body(Full::default())
         .map_err(|cause| cause.to_string())?;
-    let (status, body) = exchange::round_trip(pool, address, request, REPORT_TIMEOUT).await?;
-    if status != http::StatusCode::OK {
-        return Err(format!("status {status}"));
+    let mut notice = relay::pause::Notice::default();
+    let note = |said| notice = said;
+    let answer = exchange::round_trip(pool, address, request, REPORT_TIMEOUT, note).await;
+    let report = answer.and_then(|(status, body)| {
+        if status != http::StatusCode::OK {
+            return Err(format!("status {status}"));
+        }
+        platform::entry::decode_report(target.as_str(), &body).map_err(|fault| fault.to_string())
+    });
+    if !notice.is_empty() {
+        // Another process may listen at the address by now. An unknown start stays unknown:
+        // the name alone identifies the target then.
+        let told = report.as_ref().map_or(0, |report| report.born);
+        let born = if born == 0 || told == 0 { born } else { told };
+        notifier(inbox, target, born)(notice);
     }
-    platform::entry::decode_report(target.as_str(), &body).map_err(|fault| fault.to_string())
+    report
 }
 
 fn log(event: &event::Event) {
--- a/crates/daemon/src/relay/exchange.rs
+++ b/crates/daemon/src/relay/exchange.rs
@@ -8,7 +8,7 @@
 use platform::answer;
 use relay::{
     input::{self, Event},
-    output,
+    output, pause,
 };
 
 use crate::{clock, relay::pool};
@@ -102,8 +102,13 @@
 }
 
 /// Sends a call to a target and waits for the complete answer, or for the head
-/// of a stream.
-pub async fn run(pool: &pool::Pool, request: &Request, begin: &output::Begin) -> Outcome {
+/// of a stream. Passes what the head announces to `notify` as soon as it arrives.
+pub async fn run(
+    pool: &pool::Pool,
+    request: &Request,
+    begin: &output::Begin,
+    notify: &impl Fn(pause::Notice),
+) -> Outcome {
     let (mut connection, response) = match send(pool, request, begin).await {
         Ok(sent) => sent,
         Err(event) => return Outcome::NoAnswer(event),
@@ -119,6 +124,9 @@
     if !echo_matches {
         return broken("the answer does not match the request");
     }
+    if !answer.notice.is_empty() {
+        notify(answer.notice);
+    }
     let keep_alive = answer.keep_alive;
     if answer.has_not_run {
         let event =
@@ -243,7 +251,8 @@
     Err(Event::Unsent { reason: "every connection was closed before the request was sent".into() })
 }
 
-/// Sends an internal request to a target and returns status and body.
+/// Sends an internal request to a target and returns status and body. Passes what the head
+/// of the answer announces to `notify`.
 ///
 /// # Errors
 ///
@@ -253,6 +262,7 @@
     address: &sync::Arc<str>,
     request: http::Request<Full<bytes::Bytes>>,
     timeout: time::Duration,
+    mut notify: impl FnMut(pause::Notice),
 ) -> Result<(StatusCode, bytes::Bytes), String> {
     let exchange = async {
         let mut connection = pool.acquire(address, usize::MAX, true).await?;
@@ -260,11 +270,14 @@
         let response =
             connection.sender.send_request(request).await.map_err(|cause| cause.to_string())?;
         let (head, body) = response.into_parts();
-        let answer::Answer { echo, keep_alive, .. } = answer::decode(&head, "");
+        let answer::Answer { echo, keep_alive, notice, .. } = answer::decode(&head, "");
         // Only answers to calls carry an id: this one is a late copy of an earlier answer.
         if echo != answer::Echo::Missing {
             return Err("the answer belongs to another request".to_owned());
         }
+        if !notice.is_empty() {
+            notify(notice);
+        }
         let bytes = read_body(pool, body).await?;
         // Replies carry no id: a late copy of a refusal would pass for the next reply.
         if head.status.is_success() {
--- a/crates/daemon/src/relay/handler.rs
+++ b/crates/daemon/src/relay/handler.rs
@@ -98,8 +98,11 @@
         };
         let attempt = begin.attempt;
         let send_event = |event| state.inbox.send(relay::Input::Attempt { attempt, event });
+        let notify = |notice| {
+            send_event(Event::Notice(notice));
+        };
         let outcome = tokio::select! {
-            outcome = exchange::run(&state.pool, &request, &begin) => outcome,
+            outcome = exchange::run(&state.pool, &request, &begin, &notify) => outcome,
             // The core decided before the target answered.
             decision = call.decisions.recv() => {
                 next = decision;
--- a/crates/daemon/src/relay/metric.rs
+++ b/crates/daemon/src/relay/metric.rs
@@ -32,6 +32,10 @@
 pub const VIEW_AGE: &str = "primroseplank_relay_view_age_seconds";
 /// Gauge of prompt parts that are blocked because they crash engines.
 pub const BLOCKED_PARTS: &str = "primroseplank_relay_blocked_prompt_parts";
+/// Gauge of targets that leave, labelled by where that is known from.
+pub const LEAVING_TARGETS: &str = "primroseplank_relay_leaving_targets";
+/// Histogram of the lengths of the pauses that targets have begun, in seconds.
+pub const PAUSE_SECONDS: &str = "primroseplank_relay_pause_seconds";
 /// Gauge of open calls.
 pub const OPEN_CALLS: &str = "primroseplank_relay_open_calls";
 /// Gauge of the version of the configuration in force.
@@ -63,6 +67,8 @@
         "Age of the oldest report about reachable VMs."
     );
     metrics::describe_gauge!(BLOCKED_PARTS, Unit::Count, "Prompt parts that are blocked.");
+    metrics::describe_gauge!(LEAVING_TARGETS, Unit::Count, "Targets that leave, by source.");
+    metrics::describe_histogram!(PAUSE_SECONDS, Unit::Seconds, "Pauses of targets.");
     metrics::describe_gauge!(OPEN_CALLS, Unit::Count, "Calls that are open.");
     metrics::describe_gauge!(CONFIG_VERSION, Unit::Count, "Version of the configuration in force.");
     Ok(handle)
@@ -89,6 +95,9 @@
         event::Measure::Ended { outcome } => {
             metrics::counter!(ENDED_CALLS, "outcome" => *outcome).increment(1);
         }
+        event::Measure::Paused(length) => {
+            metrics::histogram!(PAUSE_SECONDS).record(*length);
+        }
         event::Measure::Ordered => metrics::counter!(RUNNER_ORDERS).increment(1),
     }
 }
--- a/crates/daemon/src/relay/pump.rs
+++ b/crates/daemon/src/relay/pump.rs
@@ -114,8 +114,11 @@
             };
             let send_event =
                 |event| state.inbox.send(relay::Input::Attempt { attempt: resumed.attempt, event });
+            let notify = |notice| {
+                send_event(Event::Notice(notice));
+            };
             let outcome = tokio::select! {
-                outcome = exchange::run(&state.pool, request, &resumed) => outcome,
+                outcome = exchange::run(&state.pool, request, &resumed, &notify) => outcome,
                 decision = call.decisions.recv() => {
                     next = decision;
                     continue;
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -73,6 +73,8 @@
     pub had_no_backlog: bool,
     /// When the first byte or event arrived; `None` before that.
     pub first_byte_at: Option<ids::Time>,
+    /// Whether its answer asks for a pause of the target, which is no sign of ill health.
+    pub asked_pause: bool,
 }
 
 /// All open calls and attempts.
--- a/crates/relay/src/choice.rs
+++ b/crates/relay/src/choice.rs
@@ -152,6 +152,7 @@
 ) -> impl Iterator<Item = &'a target::Row> {
     table
         .open(&query.service.name)
+        .filter(move |row| row.pause.admits(now))
         .filter(|row| !query.excluded.contains(&row.entry.target))
         .filter(|row| !query.unreached.contains(&row.entry.target))
         .filter(move |row| {
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -53,4 +53,6 @@
     },
     /// An order was sent to a runner.
     Ordered,
+    /// A target has begun a pause of this length.
+    Paused(time::Duration),
 }
--- a/crates/relay/src/input.rs
+++ b/crates/relay/src/input.rs
@@ -4,7 +4,7 @@
 
 use store::table;
 
-use crate::{config, envelope, peer, shutdown, target};
+use crate::{config, envelope, pause, peer, shutdown, target};
 
 /// An event.
 #[derive(Clone, Debug)]
@@ -81,6 +81,15 @@
         /// The report; `None` if the request failed.
         report: Option<Report>,
     },
+    /// What an answer to a report request or an order announces.
+    Notice {
+        /// The target.
+        target: ids::Target,
+        /// Start time of its process.
+        born: u64,
+        /// The announcement.
+        notice: pause::Notice,
+    },
     /// The outcome of the question whether a target has crashed.
     Probed {
         /// The target.
@@ -196,6 +205,8 @@
         /// The error.
         reason: sync::Arc<str>,
     },
+    /// The head of an answer announces something. The event for the answer itself follows.
+    Notice(pause::Notice),
     /// The target refused the call without executing it.
     Refused {
         /// HTTP status.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`poison`] finds prompt parts that crash engines, which are blocked then;
 //! - [`target`] holds the targets, with their [`health`] and prompt [`cache`]; [`pace`] is the
 //!   relative speed of models; [`choice`] selects the target with the lowest expected latency;
+//! - [`pause`] holds what targets announce: that they leave, or want nothing for a time;
 //! - [`demand`] and [`placement`] decide which model to load where; the [`planner`] sends
 //!   the orders while this VM holds the [`lease`];
 //! - [`shutdown`] has the times of a graceful shutdown;
@@ -41,6 +42,7 @@
 pub mod lease;
 pub mod output;
 pub mod pace;
+pub mod pause;
 pub mod peer;
 pub mod placement;
 pub mod planner;
--- a/crates/relay/src/output.rs
+++ b/crates/relay/src/output.rs
@@ -75,6 +75,8 @@
     Report {
         /// The runner.
         target: ids::Target,
+        /// Start time of its process.
+        born: u64,
         /// Its address.
         address: sync::Arc<str>,
     },
@@ -86,6 +88,8 @@
         born: u64,
         /// Its address.
         address: sync::Arc<str>,
+        /// Whether its report may be requested.
+        may_ask: bool,
     },
     /// Close the connections to a target that no longer exists.
     Disconnect {
@@ -143,6 +147,8 @@
 pub struct Order {
     /// The runner.
     pub target: ids::Target,
+    /// Start time of its process.
+    pub born: u64,
     /// Its address.
     pub address: sync::Arc<str>,
     /// The operation.
--- a/crates/relay/src/planner.rs
+++ b/crates/relay/src/planner.rs
@@ -175,7 +175,7 @@
                 .records
                 .entry(entry.target.clone())
                 .or_insert_with(|| record::Record::new(now, entry));
-            if entry.is_leaving {
+            if row.is_leaving() {
                 record.tasks.clear();
             }
         }
@@ -203,12 +203,16 @@
             let record::Stage::AwaitingReport { ask_at, asked_at } = &mut record.stage else {
                 continue;
             };
+            if !view.targets.get(target).is_some_and(|row| row.takes_requests(now)) {
+                continue;
+            }
             let is_overdue = asked_at.is_some_and(|asked_at| now.since(asked_at) > ANSWER_TIMEOUT);
             if (asked_at.is_none() && now >= *ask_at) || is_overdue {
                 *asked_at = Some(now);
                 if let Some(row) = view.targets.get(target) {
                     let address = sync::Arc::clone(&row.entry.address);
-                    out.push(Output::Report { target: target.clone(), address });
+                    let born = row.entry.born;
+                    out.push(Output::Report { target: target.clone(), born, address });
                 }
             }
         }
@@ -336,7 +340,7 @@
             (Verb::Load, None) => {
                 record.models.entry(task.model.clone()).or_default();
                 if reply == Reply::Accepted {
-                    let takes = load_time(config, targets, target, &task.model);
+                    let takes = record::load_time(config, targets, target, &task.model);
                     record.loading = Some((task.model, now + takes));
                     record.is_busy = true;
                 } else {
@@ -397,13 +401,19 @@
                     Verb::Unload => models.remove(&task.model),
                 };
             }
+            // Calls for models that only this runner holds would wait for its pauses.
+            if row.pause.is_long(now) {
+                models.clear();
+            }
             let cached = row.entry.warm.union(&row.entry.on_disk).cloned().collect();
             runners.push(placement::Runner {
                 target: row.entry.target.clone(),
                 free_mb: engine.memory_mb - record.taken_mb(engine),
                 models,
                 cached,
-                is_free: record.is_free(now) && row.health.is_healthy(now),
+                is_free: record.is_free(now)
+                    && row.health.is_healthy(now)
+                    && row.takes_requests(now),
             });
         }
         let own = view.demand.iter().filter(|(name, _, _)| *name == service.name);
@@ -485,7 +495,8 @@
             return true;
         }
         let mut best: Option<((bool, u64), ids::Target)> = None;
-        for row in view.targets.open(&request.service).filter(|row| row.health.is_healthy(now)) {
+        let usable = |row: &&target::Row| row.health.is_healthy(now) && row.takes_requests(now);
+        for row in view.targets.open(&request.service).filter(usable) {
             let Some(record) = self.records.get(&row.entry.target) else {
                 continue;
             };
@@ -559,7 +570,8 @@
             if record.stage != record::Stage::Idle || record.is_busy {
                 continue;
             }
-            let Some(row) = view.targets.get(target) else {
+            let row = view.targets.get(target).filter(|row| row.takes_requests(now));
+            let Some(row) = row else {
                 continue;
             };
             let Some(expected) = record.orders else {
@@ -571,6 +583,7 @@
             let op = next_op();
             let order = Order {
                 target: target.clone(),
+                born: row.entry.born,
                 address: sync::Arc::clone(&row.entry.address),
                 verb: task.verb,
                 model: task.model.clone(),
@@ -583,26 +596,3 @@
         }
     }
 }
-
-/// Expected duration of a load of `model` at `target`.
-fn load_time(
-    config: &config::Config,
-    targets: &target::Table,
-    target: &ids::Target,
-    model: &ids::Model,
-) -> time::Duration {
-    let Some(row) = targets.get(target) else {
-        return time::Duration::ZERO;
-    };
-    let engine = config.services.get(&row.entry.service).and_then(|found| found.engine.as_ref());
-    let Some(spec) = engine.and_then(|engine| engine.models.get(model)) else {
-        return time::Duration::ZERO;
-    };
-    if row.entry.warm.contains(model) {
-        spec.warm
-    } else if row.entry.on_disk.contains(model) {
-        spec.disk
-    } else {
-        spec.load
-    }
-}
--- a/crates/relay/src/planner/record.rs
+++ b/crates/relay/src/planner/record.rs
@@ -116,3 +116,26 @@
         least_recent.map(|(_, found)| found)
     }
 }
+
+/// Expected duration of a load of `model` at `target`.
+pub(crate) fn load_time(
+    config: &config::Config,
+    targets: &target::Table,
+    target: &ids::Target,
+    model: &ids::Model,
+) -> time::Duration {
+    let Some(row) = targets.get(target) else {
+        return time::Duration::ZERO;
+    };
+    let engine = config.services.get(&row.entry.service).and_then(|found| found.engine.as_ref());
+    let Some(spec) = engine.and_then(|engine| engine.models.get(model)) else {
+        return time::Duration::ZERO;
+    };
+    if row.entry.warm.contains(model) {
+        spec.warm
+    } else if row.entry.on_disk.contains(model) {
+        spec.disk
+    } else {
+        spec.load
+    }
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -187,6 +187,7 @@
         if self.next_tick <= now {
             self.next_tick = now + TICK_INTERVAL;
             system::quarantine::tick(self, now, out);
+            system::pause::tick(self, now, out);
             system::planning::tick(self, now, out);
             system::gossip::tick(self, now, out);
             system::replication::tick(self, now, out);
@@ -224,6 +225,14 @@
         self.poison.blocked_count()
     }
 
+    /// Number of targets that leave by their entries in the store, and of those that leave by
+    /// their answers.
+    #[must_use]
+    pub fn leaving_targets(&self) -> (usize, usize) {
+        let by_store = self.targets.iter().filter(|row| row.entry.is_leaving).count();
+        (by_store, self.targets.iter().filter(|row| row.pause.is_leaving()).count())
+    }
+
     /// Number of open calls.
     #[must_use]
     pub fn open_calls(&self) -> usize {
@@ -269,6 +278,9 @@
             Input::Reported { target, report } => {
                 system::planning::reported(self, now, &target, report.as_ref(), out);
             }
+            Input::Notice { target, born, notice } => {
+                system::pause::noticed(self, now, &target, born, notice, out);
+            }
             Input::Probed { target, born, probe } => {
                 system::quarantine::probed(self, now, &target, born, probe, out);
             }
--- a/crates/relay/src/system/admission.rs
+++ b/crates/relay/src/system/admission.rs
@@ -8,7 +8,7 @@
 use crate::{
     Output, call, choice, config, envelope, event,
     relay::{Relay, line, refusal},
-    system::{dispatch, overlay, quarantine},
+    system::{dispatch, overlay, pause, quarantine},
 };
 
 /// Retry delay sent to callers while this VM shuts down or has no configuration:
@@ -43,11 +43,11 @@
 }
 
 /// Reason for not admitting a call.
-struct Rejection {
+pub(crate) struct Rejection {
     status: u16,
-    reason: &'static str,
-    retry_after: Option<time::Duration>,
-    inputs: String,
+    pub(crate) reason: &'static str,
+    pub(crate) retry_after: Option<time::Duration>,
+    pub(crate) inputs: String,
 }
 
 impl Rejection {
@@ -235,7 +235,7 @@
 }
 
 /// Latest time at which the call can be sent and still be answered in time.
-fn latest_start(row: &call::Row) -> ids::Time {
+pub(crate) fn latest_start(row: &call::Row) -> ids::Time {
     let needed = |estimate_ms: fn(&envelope::Work) -> f64| {
         let estimate_ms = row.envelope.work.as_ref().map_or(0.0, estimate_ms);
         time::Duration::from_secs_f64(estimate_ms / 1_000.0) + ANSWER_TRANSIT
@@ -246,7 +246,14 @@
 }
 
 /// Returns the reason if the call certainly cannot be served in time.
-fn rejection_reason(relay: &Relay, now: ids::Time, row: &call::Row) -> Option<Rejection> {
+pub(crate) fn rejection_reason(
+    relay: &Relay,
+    now: ids::Time,
+    row: &call::Row,
+) -> Option<Rejection> {
+    if let Some(pause::Hopeless { wait, inputs }) = pause::hopeless(relay, now, row) {
+        return Some(Rejection::new(503, pause::REASON).with_wait(wait).with_inputs(inputs));
+    }
     let config = relay.config.as_ref()?;
     let service = config.services.get(&row.service)?;
     let (Some(work), Some(engine)) = (&row.envelope.work, &service.engine) else {
--- a/crates/relay/src/system/attempt.rs
+++ b/crates/relay/src/system/attempt.rs
@@ -6,7 +6,7 @@
     Output, call, event, health,
     input::{self, Event},
     relay::{Relay, line},
-    system::{admission, dispatch, quarantine},
+    system::{admission, dispatch, pause, quarantine},
 };
 
 /// Weight of the latest answer in the moving average of a service's answer time.
@@ -90,6 +90,7 @@
             out.push(line(&row, &ended.target, "not reached", reason.to_string()));
             retry(relay, now, ended.call, row, None, out);
         }
+        Event::Notice(notice) => pause::attempt_noticed(relay, now, attempt, notice, out),
         Event::Refused { status, retry_after } => {
             refused(relay, now, attempt, status, retry_after, out);
         }
@@ -195,10 +196,14 @@
     out: &mut Vec<Output>,
 ) -> Option<(call::Attempt, call::Row)> {
     let ended = release_load(relay, now, attempt)?;
+    let ending = if ended.asked_pause { health::Ending::Refused } else { ending };
     if let Some(target) = relay.targets.get_mut(&ended.target) {
         if ending != health::Ending::Broken {
             target.health.record_response(now);
         }
+        if ending == health::Ending::Answered && target.entry.born == ended.born {
+            target.pause.record_answered(ended.sent);
+        }
         if target.health.record_ending(now, ending) {
             let line = event::Event::new("target", &ended.target, "ejected")
                 .with_inputs(format!("failed {:.2}", target.health.failed));
@@ -265,7 +270,9 @@
     };
     let inputs = format!("{reason}; sent {:?} ago, event {last_event:?}", now.since(ended.sent));
     out.push(line(&row, &ended.target, "broken off by target", inputs));
-    quarantine::broken_off(relay, now, &ended, &row, out);
+    if !ended.asked_pause {
+        quarantine::broken_off(relay, now, &ended, &row, out);
+    }
     row.may_have_run = true;
     row.resume_after = last_event.or(row.resume_after);
     if row.route.repeat.allows_rerun() && may_retry(relay, now, &row) {
@@ -299,6 +306,13 @@
     retry_after: Option<time::Duration>,
     out: &mut Vec<Output>,
 ) {
+    if !row.may_have_run
+        && !row.has_begun
+        && let Some(pause::Hopeless { wait, inputs }) = pause::hopeless(relay, now, &row)
+    {
+        admission::refuse(relay, call, &row, pause::REASON, Some(wait), &inputs, out);
+        return;
+    }
     // A call that reached no target does not count as a retry.
     let is_unsent = row.tried.is_empty() && row.remaining(now) > MIN_REMAINING;
     if is_unsent || may_retry(relay, now, &row) {
--- a/crates/relay/src/system/dispatch.rs
+++ b/crates/relay/src/system/dispatch.rs
@@ -5,7 +5,7 @@
 use crate::{
     Output, call, choice, envelope, event, output, peer,
     relay::{Relay, line, pace_of},
-    system::{admission, attempt, overlay, startup},
+    system::{admission, attempt, overlay, pause, startup},
 };
 
 /// Interval between adapter requests for one call.
@@ -128,6 +128,7 @@
         relay.throughput.record_sent(now, &row.item);
     }
     target.health.record_sent(now);
+    target.pause.record_sent(now);
     if let Some(work) = &relay.calls.get(call).and_then(|row| row.envelope.work.clone()) {
         let item = work.item();
         target.cache.record(&item, &work.prompt);
@@ -152,6 +153,7 @@
         expected_ms: chosen.expected_ms,
         had_no_backlog,
         first_byte_at: None,
+        asked_pause: false,
     });
     let Some(row) = relay.calls.get_mut(call) else {
         return true;
@@ -208,7 +210,9 @@
             continue;
         };
         let query = query(row, service, settings, 1.0, 0.0, 1.0);
-        let is_offered = choice::is_offered_healthy(targets, now, &query);
+        // A paused target that holds it does not help: a further one is to load it.
+        let is_offered = choice::is_offered_healthy(targets, now, &query)
+            || pause::is_held_paused(targets, now, row);
         // If its targets are full, a further copy helps only where the model has capacity.
         let model_alone = envelope::Work { adapter: None, ..work.clone() };
         let model_query = choice::Query { work: Some(&model_alone), ..query };
--- a/crates/relay/src/system/mod.rs
+++ b/crates/relay/src/system/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod dispatch;
 pub(crate) mod gossip;
 pub(crate) mod overlay;
+pub(crate) mod pause;
 pub(crate) mod planning;
 pub(crate) mod quarantine;
 pub(crate) mod replication;
--- a/crates/relay/src/system/quarantine.rs
+++ b/crates/relay/src/system/quarantine.rs
@@ -58,7 +58,7 @@
     row: &call::Row,
     out: &mut Vec<Output>,
 ) {
-    let Some(target) = relay.targets.get(&ended.target).filter(|row| !row.entry.is_leaving) else {
+    let Some(target) = relay.targets.get(&ended.target).filter(|row| !row.is_leaving()) else {
         return;
     };
     let parts: Vec<_> = shared_parts(row).collect();
@@ -69,9 +69,12 @@
         relay.poison.record_sound(now, parts.iter().copied());
     }
     let address = sync::Arc::clone(&target.entry.address);
+    // While the target is paused, only a connection to it is tried.
+    let may_ask = target.pause.returns_at(now).is_none();
     let key = (ended.target.clone(), ended.born);
     let suspects = relay.suspects.entry(key).or_insert_with(|| {
-        out.push(Output::Probe { target: ended.target.clone(), born: ended.born, address });
+        let (target, born) = (ended.target.clone(), ended.born);
+        out.push(Output::Probe { target, born, address, may_ask });
         Suspects::default()
     });
     let list = if is_written(now, ended) { &mut suspects.written } else { &mut suspects.begun };
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, sync, time};
 
-use crate::{cache, health};
+use crate::{cache, health, pause};
 
 /// A target's own entry in the store.
 #[derive(Clone, Debug, PartialEq)]
@@ -133,6 +133,8 @@
     pub health: health::Health,
     /// Estimate of its prefix cache.
     pub cache: cache::Cache,
+    /// What it has announced to this VM in its answers.
+    pub pause: pause::State,
     /// Set while its entry is missing after a store outage.
     absence: Option<Absence>,
     corrections: collections::BTreeMap<sync::Arc<str>, Correction>,
@@ -170,6 +172,7 @@
             others: Load::default(),
             health: health::Health::default(),
             cache: cache::Cache::default(),
+            pause: pause::State::default(),
             absence: None,
             corrections: collections::BTreeMap::new(),
         }
@@ -198,6 +201,19 @@
         }
     }
 
+    /// Whether it accepts no new calls, by its entry or its answers.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        self.entry.is_leaving || self.pause.is_leaving()
+    }
+
+    /// Whether reports and orders may be requested: it has announced neither that it leaves
+    /// nor a pause.
+    #[must_use]
+    pub fn takes_requests(&self, now: ids::Time) -> bool {
+        !self.pause.is_leaving() && self.pause.returns_at(now).is_none()
+    }
+
     /// Its entry as a change, to be passed on to other VMs.
     #[must_use]
     pub fn change(&self) -> Change {
@@ -219,6 +235,8 @@
 pub struct Table {
     rows: collections::BTreeMap<ids::Target, Row>,
     tombstones: collections::BTreeMap<ids::Target, Tombstone>,
+    /// What instances without a row have announced.
+    former: pause::Former,
     /// Until when the target of a missing entry does not count as removed.
     absences_tolerated_until: ids::Time,
 }
@@ -281,7 +299,9 @@
                 if starts_leaving { Outcome::Leaving } else { Outcome::Changed }
             }
             _ => {
-                let before = self.rows.insert(target.clone(), Row::new(version, entry));
+                let before = self.take_row(target);
+                let pause = self.former.take(target, entry.born);
+                self.rows.insert(target.clone(), Row { pause, ..Row::new(version, entry) });
                 Outcome::New { before: before.map(|row| row.entry.address) }
             }
         }
@@ -302,12 +322,27 @@
             return outcome;
         }
         self.tombstones.insert(target.clone(), Tombstone { version, since: now });
-        match self.rows.remove(target) {
+        match self.take_row(target) {
             Some(row) => Outcome::Gone { address: row.entry.address },
             None => Outcome::Unknown,
         }
     }
 
+    /// Removes a row; what its instance has announced is remembered.
+    fn take_row(&mut self, target: &ids::Target) -> Option<Row> {
+        let row = self.rows.remove(target)?;
+        self.former.keep(target, row.entry.born, row.pause);
+        Some(row)
+    }
+
+    /// What an instance has announced, to be changed.
+    pub fn announcement_mut(&mut self, target: &ids::Target, born: u64) -> &mut pause::State {
+        match self.rows.get_mut(target).filter(|row| row.entry.born == born) {
+            Some(row) => &mut row.pause,
+            None => self.former.get_mut(target, born),
+        }
+    }
+
     /// Removals of all targets that are missing from the complete list of `version`.
     #[must_use]
     pub fn unlisted(&self, version: ids::Version, listed: &[Change]) -> Vec<Change> {
@@ -329,7 +364,7 @@
         let overdue: Vec<_> = self.rows.values().filter_map(overdue).collect();
         let mut removed = Vec::new();
         for (target, version) in overdue {
-            self.rows.remove(&target);
+            self.take_row(&target);
             self.tombstones.insert(target.clone(), Tombstone { version, since: now });
             removed.push(Change { target, version, entry: None });
         }
@@ -369,7 +404,7 @@
 
     /// The targets of `service` that accept new calls.
     pub fn open<'a>(&'a self, service: &'a ids::Service) -> impl Iterator<Item = &'a Row> {
-        self.rows.values().filter(move |row| row.entry.service == *service && !row.entry.is_leaving)
+        self.rows.values().filter(move |row| row.entry.service == *service && !row.is_leaving())
     }
 
     /// Iterates over all targets, in order of their names.
