--- a/crates/relay/src/pause.rs
+++ b/crates/relay/src/pause.rs
@@ -53,19 +53,23 @@
 }
 
 /// How the VMs of a fleet spread their return after a pause.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Spread {
     /// Width of the range of the VMs' return times.
     width: time::Duration,
+    /// Shift within the range, as a fraction of it.
+    phase: f64,
 }
 
 impl Spread {
-    /// Creates the spread of a fleet with this many VMs.
+    /// Creates the spread of a fleet with this many VMs, of which this one is called `vm`.
+    /// VMs that start together may have the same seed; their names differ.
     #[must_use]
-    pub fn new(vms: usize) -> Self {
+    pub fn new(vms: usize, vm: &ids::Vm) -> Self {
         let vms = u32::try_from(vms).unwrap_or(u32::MAX);
         let (min, max) = WIDTH_RANGE;
-        Self { width: WIDTH_PER_VM.saturating_mul(vms).clamp(min, max) }
+        let phase = (route::hash::seed(vm.as_str()) >> 32) as f64 / (1_u64 << 32) as f64;
+        Self { width: WIDTH_PER_VM.saturating_mul(vms).clamp(min, max), phase }
     }
 
     /// Time after its return for which a VM limits its rate.
@@ -80,7 +84,8 @@
     }
 
     fn offset<R: rand::Rng + ?Sized>(&self, rng: &mut R) -> time::Duration {
-        MIN_OFFSET + self.width.mul_f64(rng.random_range(0.0..1.0))
+        let place: f64 = rng.random_range(0.0..1.0);
+        MIN_OFFSET + self.width.mul_f64((place + self.phase).fract())
     }
 }
 
--- a/crates/relay/src/system/pause.rs
+++ b/crates/relay/src/system/pause.rs
@@ -50,7 +50,7 @@
     notice: pause::Notice,
     out: &mut Vec<Output>,
 ) {
-    let spread = pause::Spread::new(relay.peers.iter().count() + 1);
+    let spread = spread(relay);
     let Relay { targets, rng, .. } = relay;
     let state = targets.announcement_mut(target, born);
     let line = |outcome, inputs: String| {
@@ -82,6 +82,10 @@
     }
 }
 
+fn spread(relay: &Relay) -> pause::Spread {
+    pause::Spread::new(relay.peers.iter().count() + 1, &relay.settings.vm)
+}
+
 /// Why and until when a call cannot be served, if that is so.
 #[derive(Clone, Debug)]
 pub(crate) struct Hopeless {
@@ -115,7 +119,7 @@
 
 /// A call's place in the range over which refused callers return.
 fn return_offset(relay: &Relay, row: &call::Row) -> time::Duration {
-    let width = pause::Spread::new(relay.peers.iter().count() + 1).ramp().max(MIN_RETURN_WIDTH);
+    let width = spread(relay).ramp().max(MIN_RETURN_WIDTH);
     let place = route::hash::score(relay.settings.seed, &row.envelope.id) >> 40;
     width.mul_f64(place as f64 / (1_u64 << 24) as f64)
 }
