relay: limit what cold targets get, over all VMs

Cause: a target that has just started, or has become cold again, is slow and crashes well above the rate that its service states. Every VM sent it calls as to any other target, and its slowness entered its health.

Change: `relay::cold` keeps what entries, responses and starts say about an instance. Calls that only cold targets could serve wait if one is warm in time, else they are refused with the time until then. A service without a rate is served as before.

--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -53,6 +53,7 @@
             published_at = now;
             effects.pool.close_expired();
             metrics::gauge!(metric::OPEN_CALLS).set(core.open_calls() as f64);
+            metrics::gauge!(metric::COLD_TARGETS).set(core.cold_targets() as f64);
             metrics::gauge!(metric::BLOCKED_PARTS).set(core.blocked_parts() as f64);
             metrics::gauge!(metric::VIEW_AGE).set(core.view_age(now).as_secs_f64());
             metrics::gauge!(metric::CONFIG_VERSION).set(core.version().get() as f64);
--- a/crates/daemon/src/relay/exchange.rs
+++ b/crates/daemon/src/relay/exchange.rs
@@ -102,8 +102,13 @@
 }
 
 /// Sends a call to a target and waits for the complete answer, or for the head
-/// of a stream.
-pub async fn run(pool: &pool::Pool, request: &Request, begin: &output::Begin) -> Outcome {
+/// of a stream. Passes what the head says about the target to `report`.
+pub async fn run(
+    pool: &pool::Pool,
+    request: &Request,
+    begin: &output::Begin,
+    report: impl Fn(Event) -> bool,
+) -> Outcome {
     let (mut connection, response) = match send(pool, request, begin).await {
         Ok(sent) => sent,
         Err(event) => return Outcome::NoAnswer(event),
@@ -119,6 +124,10 @@
     if !echo_matches {
         return broken("the answer does not match the request");
     }
+    // An answer without an id may be of another process on a connection that was open before.
+    if let Some(left) = answer.cold_left.filter(|_| answer.echo == answer::Echo::Matching) {
+        report(Event::Cold { left });
+    }
     let keep_alive = answer.keep_alive;
     if answer.has_not_run {
         let event =
@@ -224,7 +233,12 @@
         if connection.sender.ready().await.is_err() {
             continue;
         }
-        let remaining = begin.deadline.since(clock::now());
+        let now = clock::now();
+        if begin.send_by.is_some_and(|send_by| send_by < now) {
+            let reason = "too late for a cold target: it counts requests by the second".into();
+            return Err(Event::Unsent { reason });
+        }
+        let remaining = begin.deadline.since(now);
         let outgoing = platform::call::forward(&request.head, begin, remaining)
             .body(Full::new(request.body.clone()))
             .map_err(|cause| Event::Unsent { reason: cause.to_string().into() })?;
--- a/crates/daemon/src/relay/handler.rs
+++ b/crates/daemon/src/relay/handler.rs
@@ -99,7 +99,7 @@
         let attempt = begin.attempt;
         let send_event = |event| state.inbox.send(relay::Input::Attempt { attempt, event });
         let outcome = tokio::select! {
-            outcome = exchange::run(&state.pool, &request, &begin) => outcome,
+            outcome = exchange::run(&state.pool, &request, &begin, send_event) => outcome,
             // The core decided before the target answered.
             decision = call.decisions.recv() => {
                 next = decision;
--- a/crates/daemon/src/relay/metric.rs
+++ b/crates/daemon/src/relay/metric.rs
@@ -32,6 +32,11 @@
 pub const VIEW_AGE: &str = "primroseplank_relay_view_age_seconds";
 /// Gauge of prompt parts that are blocked because they crash engines.
 pub const BLOCKED_PARTS: &str = "primroseplank_relay_blocked_prompt_parts";
+/// Gauge of targets that are cold, of services with a limit for those.
+pub const COLD_TARGETS: &str = "primroseplank_relay_cold_targets";
+/// Counter of calls to cold targets, labelled by outcome: `granted` if they were sent to one,
+/// `withheld` if they were refused because all their targets are cold.
+pub const COLD_CALLS: &str = "primroseplank_relay_cold_calls_total";
 /// Gauge of open calls.
 pub const OPEN_CALLS: &str = "primroseplank_relay_open_calls";
 /// Gauge of the version of the configuration in force.
@@ -63,6 +68,8 @@
         "Age of the oldest report about reachable VMs."
     );
     metrics::describe_gauge!(BLOCKED_PARTS, Unit::Count, "Prompt parts that are blocked.");
+    metrics::describe_gauge!(COLD_TARGETS, Unit::Count, "Targets that are cold.");
+    metrics::describe_counter!(COLD_CALLS, Unit::Count, "Calls to cold targets, by outcome.");
     metrics::describe_gauge!(OPEN_CALLS, Unit::Count, "Calls that are open.");
     metrics::describe_gauge!(CONFIG_VERSION, Unit::Count, "Version of the configuration in force.");
     Ok(handle)
@@ -89,6 +96,12 @@
         event::Measure::Ended { outcome } => {
             metrics::counter!(ENDED_CALLS, "outcome" => *outcome).increment(1);
         }
+        event::Measure::ColdGranted => {
+            metrics::counter!(COLD_CALLS, "outcome" => "granted").increment(1);
+        }
+        event::Measure::ColdWithheld => {
+            metrics::counter!(COLD_CALLS, "outcome" => "withheld").increment(1);
+        }
         event::Measure::Ordered => metrics::counter!(RUNNER_ORDERS).increment(1),
     }
 }
--- a/crates/daemon/src/relay/pump.rs
+++ b/crates/daemon/src/relay/pump.rs
@@ -115,7 +115,7 @@
             let send_event =
                 |event| state.inbox.send(relay::Input::Attempt { attempt: resumed.attempt, event });
             let outcome = tokio::select! {
-                outcome = exchange::run(&state.pool, request, &resumed) => outcome,
+                outcome = exchange::run(&state.pool, request, &resumed, send_event) => outcome,
                 decision = call.decisions.recv() => {
                     next = decision;
                     continue;
--- a/crates/daemon/src/relay/settings.rs
+++ b/crates/daemon/src/relay/settings.rs
@@ -159,6 +159,10 @@
             overage: amount(bounds.quota_overage, default.quota.overage),
             slack: amount(bounds.quota_slack, default.quota.slack),
         };
+        let cold = relay::cold::Tolerance {
+            overage: bounds.cold_overage.get().unwrap_or(default.cold.overage),
+            slack: bounds.cold_slack.get().unwrap_or(default.cold.slack),
+        };
         let handover = bounds.turn_ms.map_or(default.handover, settings::Span::get);
         let retry_share = amount(bounds.retry_share, default.retry_share);
         let retry_slack = amount(bounds.retry_slack, default.retry_slack);
@@ -170,6 +174,7 @@
             .with_handover(handover)
             .with_retries(retry_share, retry_slack)
             .with_quota(tolerance)
+            .with_cold(cold)
     }
 }
 
--- a/crates/experiment/src/engine.rs
+++ b/crates/experiment/src/engine.rs
@@ -73,6 +73,7 @@
             on_disk: models.keys().cloned().collect(),
             models,
             warm: collections::BTreeSet::new(),
+            cold_left_ms: None,
         };
         let batch = batch::Batch::new(config());
         Self { entry, orders: 0, batch, clock: time::Duration::ZERO, pending_order: None }
--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -141,8 +141,12 @@
         loads_per_second: 1.4,
         models: models.collect(),
     };
-    let service =
-        config::Service { name: "writers".into(), connections: 360, engine: Some(engine) };
+    let service = config::Service {
+        name: "writers".into(),
+        connections: 360,
+        engine: Some(engine),
+        cold: None,
+    };
     let routes = load::KINDS.iter().enumerate().map(|(number, kind)| {
         sync::Arc::new(config::Route {
             name: kind.name.into(),
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -71,6 +71,8 @@
     pub expected_ms: f64,
     /// Whether no other prompt was known to be unread at the target when it was sent.
     pub had_no_backlog: bool,
+    /// Whether the target was cold when it was sent.
+    pub was_cold: bool,
     /// When the first byte or event arrived; `None` before that.
     pub first_byte_at: Option<ids::Time>,
 }
--- a/crates/relay/src/choice.rs
+++ b/crates/relay/src/choice.rs
@@ -5,7 +5,7 @@
 use rand::seq::IteratorRandom as _;
 use route::policy;
 
-use crate::{config, envelope, target};
+use crate::{cold, config, envelope, target};
 
 /// Prefill time per prompt token, in ms: the engines' data sheets give 19 tokens
 /// per ms.
@@ -65,6 +65,8 @@
     pub excluded: &'a [ids::Target],
     /// Targets that could not be reached, which are skipped.
     pub unreached: &'a [ids::Target],
+    /// Limit of the service's cold targets; `None` for no limit.
+    pub cold: Option<cold::Gate<'a>>,
     /// Data centre of this VM.
     pub centre: &'a ids::Centre,
     /// Typical answer time of the plain service, in ms.
@@ -117,7 +119,7 @@
 /// Whether some target has capacity for the call now.
 #[must_use]
 pub fn has_room(table: &target::Table, now: ids::Time, query: &Query<'_>) -> bool {
-    candidates(table, now, query).any(|row| has_room_at(row, query))
+    candidates(table, now, query).any(|row| has_room_at(now, row, query))
 }
 
 /// Whether some target offers the item, with or without free capacity.
@@ -133,16 +135,24 @@
 }
 
 /// Selects the target with the lowest cost among those with free capacity.
-/// Unhealthy targets are used only if no healthy one qualifies.
+/// Unhealthy targets are used only if no healthy one qualifies, and cold ones only if no warm
+/// one does.
 pub fn choose<R: rand::Rng + ?Sized>(
     table: &target::Table,
     now: ids::Time,
     query: &Query<'_>,
     rng: &mut R,
 ) -> Option<Choice> {
-    let with_room = || candidates(table, now, query).filter(|row| has_room_at(row, query));
-    let healthy = pick(with_room().filter(|row| row.health.is_healthy(now)), query, rng);
-    healthy.or_else(|| pick(with_room(), query, rng))
+    let with_room = || candidates(table, now, query).filter(|row| has_room_at(now, row, query));
+    let is_warm = |row: &&target::Row| query.cold.is_none() || !row.cold.is_cold(now);
+    let healthy = || with_room().filter(|row| row.health.is_healthy(now));
+    let warm = pick(healthy().filter(is_warm), query, rng);
+    if query.cold.is_none() {
+        return warm.or_else(|| pick(with_room(), query, rng));
+    }
+    warm.or_else(|| pick(healthy(), query, rng))
+        .or_else(|| pick(with_room().filter(is_warm), query, rng))
+        .or_else(|| pick(with_room(), query, rng))
 }
 
 fn candidates<'a>(
@@ -157,9 +167,13 @@
         .filter(move |row| {
             query.work.is_none_or(|work| row.holds(now, &work.model, work.adapter.as_ref()))
         })
+        .filter(move |row| query.cold.is_none_or(|gate| gate.is_candidate(now, row)))
 }
 
-fn has_room_at(row: &target::Row, query: &Query<'_>) -> bool {
+fn has_room_at(now: ids::Time, row: &target::Row, query: &Query<'_>) -> bool {
+    if query.cold.is_some_and(|gate| !gate.has_room(now, row)) {
+        return false;
+    }
     let load = row.load();
     let slots = u64::from(row.entry.slots.max(1));
     let (Some(work), Some(engine)) = (query.work, query.service.engine.as_ref()) else {
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -101,6 +101,17 @@
     pub connections: u32,
     /// Capacity of its runners; `None` for a plain service.
     pub engine: Option<Engine>,
+    /// Limit of its cold targets; `None` for no limit.
+    pub cold: Option<Cold>,
+}
+
+/// What the cold targets of a service tolerate.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// Requests per second that a cold target tolerates; above 0.
+    pub per_second: f64,
+    /// How long a target is cold after its start.
+    pub start: time::Duration,
 }
 
 /// Capacity of the runners of a service.
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -51,6 +51,10 @@
         /// Short description of the outcome.
         outcome: &'static str,
     },
+    /// A call was sent to a cold target.
+    ColdGranted,
+    /// A call was refused because all its targets are cold.
+    ColdWithheld,
     /// An order was sent to a runner.
     Ordered,
 }
--- a/crates/relay/src/input.rs
+++ b/crates/relay/src/input.rs
@@ -208,6 +208,11 @@
         /// HTTP status.
         status: u16,
     },
+    /// The target stated how much longer it is cold; its answer follows.
+    Cold {
+        /// The time; zero if it is warm.
+        left: time::Duration,
+    },
     /// The answer has begun and is being passed on.
     Began,
     /// The first event of a stream was passed on.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`call`] holds open calls and their attempts, [`quota`] enforces account rates
 //!   across all VMs; calls wait in a [`route::queue`];
 //! - [`throughput`] estimates queueing delays, so that hopeless calls are refused at once;
+//! - [`cold`] limits what cold targets get;
 //! - [`poison`] finds prompt parts that crash engines, which are blocked then;
 //! - [`target`] holds the targets, with their [`health`] and prompt [`cache`]; [`pace`] is the
 //!   relative speed of models; [`choice`] selects the target with the lowest expected latency;
@@ -31,6 +32,7 @@
 pub mod call;
 pub mod centre;
 pub mod choice;
+pub mod cold;
 pub mod config;
 pub mod decay;
 pub mod demand;
--- a/crates/relay/src/output.rs
+++ b/crates/relay/src/output.rs
@@ -136,6 +136,8 @@
     pub is_stream: bool,
     /// Number of the event after which a resumed stream continues.
     pub resume_after: Option<u64>,
+    /// When the request must have been sent, else it is not; `None` for no limit.
+    pub send_by: Option<ids::Time>,
 }
 
 /// An order to a runner.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -5,7 +5,7 @@
 use rand::SeedableRng as _;
 
 use crate::{
-    Input, Output, Settings, call, centre, config, demand, event, lease, output, pace, peer,
+    Input, Output, Settings, call, centre, cold, config, demand, event, lease, output, pace, peer,
     planner, poison, quota, shutdown, system, target, throughput,
 };
 
@@ -101,6 +101,9 @@
     pub(crate) pace: pace::Pace,
     pub(crate) throughput: throughput::Throughput,
     /// Prompt parts that crash engines.
+    pub(crate) cold: cold::Table,
+    /// Targets last logged as cold, with their start and the source of the belief.
+    pub(crate) cold_logged: collections::BTreeMap<ids::Target, (u64, cold::Source)>,
     pub(crate) poison: poison::Ledger,
     /// Calls that were broken off, while it is not known whether their target, with this
     /// start time, has crashed.
@@ -155,6 +158,8 @@
             demand: demand::Demand::default(),
             pace: pace::Pace::default(),
             throughput: throughput::Throughput::default(),
+            cold: cold::Table::default(),
+            cold_logged: collections::BTreeMap::new(),
             poison: poison::Ledger::default(),
             suspects: collections::BTreeMap::new(),
             stage: Stage::Running,
@@ -187,6 +192,7 @@
         if self.next_tick <= now {
             self.next_tick = now + TICK_INTERVAL;
             system::quarantine::tick(self, now, out);
+            system::cold::tick(self, now, out);
             system::planning::tick(self, now, out);
             system::gossip::tick(self, now, out);
             system::replication::tick(self, now, out);
@@ -224,6 +230,12 @@
         self.poison.blocked_count()
     }
 
+    /// Number of targets that are cold, of services with a limit for those.
+    #[must_use]
+    pub fn cold_targets(&self) -> usize {
+        self.cold_logged.len()
+    }
+
     /// Number of open calls.
     #[must_use]
     pub fn open_calls(&self) -> usize {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -4,7 +4,7 @@
 
 use route::policy;
 
-use crate::{choice, quota};
+use crate::{choice, cold, quota};
 
 /// Settings of the decision core of a VM, fixed at its start.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,6 +27,8 @@
     pub retry_slack: f64,
     /// Usage that the platform tolerates beyond an account's rate and burst.
     pub quota: quota::Tolerance,
+    /// Requests that a cold target tolerates beyond its service's rate.
+    pub cold: cold::Tolerance,
     /// Rule for selecting targets.
     pub rule: choice::Rule,
     /// Order in which queued calls are served.
@@ -48,6 +50,9 @@
 const QUOTA: quota::Tolerance =
     quota::Tolerance { window: time::Duration::from_secs(8), overage: 0.1, slack: 17_000.0 };
 
+/// Default tolerance of cold targets, likewise.
+const COLD: cold::Tolerance = cold::Tolerance { overage: 1.5, slack: 5.0 };
+
 impl Settings {
     /// Creates default settings of the VM `vm` in the data centre `centre`.
     #[must_use]
@@ -62,6 +67,7 @@
             retry_share: RETRY_SHARE,
             retry_slack: RETRY_SLACK,
             quota: QUOTA,
+            cold: COLD,
             rule: choice::Rule::default(),
             discipline: policy::Discipline::default(),
             by_urgency: false,
@@ -97,6 +103,13 @@
         self
     }
 
+    /// Sets the requests that a cold target tolerates beyond its service's rate.
+    #[must_use]
+    pub const fn with_cold(mut self, tolerance: cold::Tolerance) -> Self {
+        self.cold = tolerance;
+        self
+    }
+
     /// Sets the fraction and the burst of retries allowed to all VMs together.
     #[must_use]
     pub const fn with_retries(mut self, share: f64, slack: f64) -> Self {
--- a/crates/relay/src/system/admission.rs
+++ b/crates/relay/src/system/admission.rs
@@ -8,7 +8,7 @@
 use crate::{
     Output, call, choice, config, envelope, event,
     relay::{Relay, line, refusal},
-    system::{dispatch, overlay, quarantine},
+    system::{cold, dispatch, overlay, quarantine},
 };
 
 /// Retry delay sent to callers while this VM shuts down or has no configuration:
@@ -188,7 +188,13 @@
         let busy_ms = choice::busy_ms(work) * relay.pace_of(&row);
         relay.demand.add(now, &row.service, &work.model, busy_ms);
     }
-    if let Some(rejection) = rejection_reason(relay, now, &row) {
+    if let Some(mut rejection) = rejection_reason(relay, now, &row) {
+        if let Some(wait) = cold::retry_after(relay, now, &row) {
+            rejection.retry_after = Some(wait);
+        }
+        if rejection.reason == cold::REASON {
+            out.push(Output::Measure(event::Measure::ColdWithheld));
+        }
         refuse(relay, call, &row, rejection.reason, rejection.retry_after, &rejection.inputs, out);
         return;
     }
@@ -249,6 +255,9 @@
 fn rejection_reason(relay: &Relay, now: ids::Time, row: &call::Row) -> Option<Rejection> {
     let config = relay.config.as_ref()?;
     let service = config.services.get(&row.service)?;
+    if let Some(inputs) = cold::shortage(relay, now, service, row, latest_start(row)) {
+        return Some(Rejection::new(503, cold::REASON).with_inputs(inputs));
+    }
     let (Some(work), Some(engine)) = (&row.envelope.work, &service.engine) else {
         return None;
     };
--- a/crates/relay/src/system/attempt.rs
+++ b/crates/relay/src/system/attempt.rs
@@ -6,7 +6,7 @@
     Output, call, event, health,
     input::{self, Event},
     relay::{Relay, line},
-    system::{admission, dispatch, quarantine},
+    system::{admission, cold, dispatch, quarantine},
 };
 
 /// Weight of the latest answer in the moving average of a service's answer time.
@@ -78,6 +78,7 @@
 ) {
     match event {
         Event::Began | Event::First | Event::Progress => progress(relay, now, attempt, &event, out),
+        Event::Cold { left } => cold::stated(relay, now, attempt, left),
         Event::Ended(summary) => ended(relay, now, attempt, summary, out),
         Event::Unsent { reason } => {
             let Some((ended, row)) = finish(relay, now, attempt, health::Ending::Broken, out)
@@ -115,20 +116,25 @@
     let took = now.since(row.sent);
     let expected_ms = row.expected_ms;
     let (prompt_tokens, had_no_backlog) = (row.load.prefill, row.had_no_backlog);
+    let was_cold = row.was_cold;
     // The head of a stream may arrive before the prefill; only the first event counts.
     let is_first_token = is_first && matches!(event, Event::First);
     if is_first_token {
         row.first_byte_at = Some(now);
         row.load.prefill = 0;
     }
+    // The slowness of a cold target is not a sign of ill health.
+    let is_cold = was_cold || cold::is_cold(relay, now, &target);
     if let Some(target) = relay.targets.get_mut(&target) {
         target.health.record_response(now);
         if is_first_token {
             target.own.prefill = target.own.prefill.saturating_sub(prompt_tokens);
-            target.health.record_latency(took, expected_ms);
+            if !is_cold {
+                target.health.record_latency(took, expected_ms);
+            }
         }
     }
-    if is_first_token && had_no_backlog && prompt_tokens >= MIN_SAMPLE_TOKENS {
+    if is_first_token && had_no_backlog && !is_cold && prompt_tokens >= MIN_SAMPLE_TOKENS {
         record_pace(relay, call, took, expected_ms);
     }
     quarantine::progress(relay, now, attempt);
@@ -168,7 +174,10 @@
     };
     quarantine::answered(relay, now, &row);
     let took = now.since(ended.sent);
-    if row.envelope.work.is_none() {
+    let is_cold = ended.was_cold || cold::is_cold(relay, now, &ended.target);
+    if row.envelope.work.is_none() && is_cold {
+        out.push(Output::Measure(event::Measure::First(now.since(row.arrived))));
+    } else if row.envelope.work.is_none() {
         let ms = took.as_secs_f64() * 1_000.0;
         let typical = relay.typical_ms(&row.service);
         relay.typical_ms.insert(row.service.clone(), typical + SAMPLE_WEIGHT * (ms - typical));
@@ -309,6 +318,7 @@
         relay.calls.insert(call, row);
         dispatch::give_up(relay, now, call, "no target left", out);
     } else {
+        let retry_after = cold::retry_after(relay, now, &row).or(retry_after);
         admission::refuse(relay, call, &row, "refused by target", retry_after, "", out);
     }
 }
--- a/crates/relay/src/system/dispatch.rs
+++ b/crates/relay/src/system/dispatch.rs
@@ -5,7 +5,7 @@
 use crate::{
     Output, call, choice, envelope, event, output, peer,
     relay::{Relay, line, pace_of},
-    system::{admission, attempt, overlay, startup},
+    system::{admission, attempt, cold, overlay, startup},
 };
 
 /// Interval between adapter requests for one call.
@@ -28,7 +28,7 @@
     let mut blocked_items = collections::HashSet::new();
     let mut requeue = Vec::new();
     loop {
-        let Relay { queue, calls, targets, settings, typical_ms, pace, .. } = relay;
+        let Relay { queue, calls, targets, settings, typical_ms, pace, cold, .. } = relay;
         let typical = |service| typical_ms.get(service).copied().unwrap_or_default();
         let popped = queue.pop(now, |entry| {
             let Some(row) = calls.get(entry.call).filter(|_| !blocked_items.contains(&entry.item))
@@ -46,6 +46,7 @@
                     row,
                     service,
                     settings,
+                    cold,
                     pace_of(Some(&config), pace, row),
                     typical_ms,
                     place_share,
@@ -75,6 +76,7 @@
     row: &'a call::Row,
     service: &'a crate::config::Service,
     settings: &'a crate::Settings,
+    cold: &'a crate::cold::Table,
     pace: f64,
     typical_ms: f64,
     place_share: f64,
@@ -85,6 +87,7 @@
         item: &row.item,
         excluded: &row.tried,
         unreached: &row.unreached,
+        cold: cold::gate(cold, service, settings),
         centre: &settings.centre,
         pace,
         typical_ms,
@@ -105,7 +108,7 @@
     let typical_ms = relay.calls.get(call).map_or(0.0, |row| relay.typical_ms(&row.service));
     let place_share = startup::place_share(relay, now);
     let pace = relay.calls.get(call).map_or(1.0, |row| relay.pace_of(row));
-    let Relay { calls, targets, settings, rng, .. } = relay;
+    let Relay { calls, targets, settings, cold, rng, .. } = relay;
     let Some(row) = calls.get(call) else {
         return true;
     };
@@ -113,12 +116,13 @@
         return true;
     };
     let sequence = calls.attempt_count();
-    let query =
-        choice::Query { sequence, ..query(row, service, settings, pace, typical_ms, place_share) };
+    let query = query(row, service, settings, cold, pace, typical_ms, place_share);
+    let query = choice::Query { sequence, ..query };
     let Some(chosen) = choice::choose(targets, now, &query, rng) else {
         return false;
     };
     let connections = relay.connections(service);
+    let send_by = cold::record_sent(relay, now, service, &chosen.target, out);
     let Some(target) = relay.targets.get_mut(&chosen.target) else {
         return false;
     };
@@ -127,7 +131,9 @@
     if let Some(row) = relay.calls.get(call) {
         relay.throughput.record_sent(now, &row.item);
     }
-    target.health.record_sent(now);
+    if send_by.is_none() {
+        target.health.record_sent(now);
+    }
     if let Some(work) = &relay.calls.get(call).and_then(|row| row.envelope.work.clone()) {
         let item = work.item();
         target.cache.record(&item, &work.prompt);
@@ -151,6 +157,7 @@
         sent: now,
         expected_ms: chosen.expected_ms,
         had_no_backlog,
+        was_cold: send_by.is_some(),
         first_byte_at: None,
     });
     let Some(row) = relay.calls.get_mut(call) else {
@@ -180,6 +187,7 @@
         deadline: row.deadline,
         is_stream: row.route.repeat.is_stream(),
         resume_after: row.resume_after,
+        send_by,
     }));
     true
 }
@@ -195,7 +203,7 @@
     let waiting: Vec<ids::Call> = relay.queue.iter().map(|entry| entry.call).collect();
     let mut requested = collections::BTreeSet::new();
     for call in waiting {
-        let Relay { calls, targets, settings, .. } = &mut *relay;
+        let Relay { calls, targets, settings, cold, .. } = &mut *relay;
         let Some(row) = calls.get_mut(call) else {
             continue;
         };
@@ -207,7 +215,7 @@
         let Some((work, adapter)) = adapter else {
             continue;
         };
-        let query = query(row, service, settings, 1.0, 0.0, 1.0);
+        let query = query(row, service, settings, cold, 1.0, 0.0, 1.0);
         let is_offered = choice::is_offered_healthy(targets, now, &query);
         // If its targets are full, a further copy helps only where the model has capacity.
         let model_alone = envelope::Work { adapter: None, ..work.clone() };
@@ -266,15 +274,8 @@
         {
             relay.queue.remove(call);
             let inputs = format!("waited {:?} others {wait:?}", now.since(row.arrived));
-            admission::refuse(
-                relay,
-                call,
-                &row,
-                "overloaded",
-                Some(wait.max(NO_ROOM_RETRY)),
-                &inputs,
-                out,
-            );
+            let wait = cold::retry_after(relay, now, &row).unwrap_or(wait.max(NO_ROOM_RETRY));
+            admission::refuse(relay, call, &row, "overloaded", Some(wait), &inputs, out);
         }
     }
 }
@@ -327,5 +328,6 @@
         out.push(Output::Fail { call, status: 502, reason });
         return;
     }
-    admission::refuse(relay, call, &row, reason, Some(NO_ROOM_RETRY), &waited, out);
+    let wait = cold::retry_after(relay, now, &row).unwrap_or(NO_ROOM_RETRY);
+    admission::refuse(relay, call, &row, reason, Some(wait), &waited, out);
 }
--- a/crates/relay/src/system/mod.rs
+++ b/crates/relay/src/system/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod admission;
 pub(crate) mod attempt;
+pub(crate) mod cold;
 pub(crate) mod dispatch;
 pub(crate) mod gossip;
 pub(crate) mod overlay;
--- a/crates/relay/src/system/replication.rs
+++ b/crates/relay/src/system/replication.rs
@@ -10,7 +10,12 @@
 
 use std::{collections, sync, time};
 
-use crate::{Output, centre, event, input, output, peer, relay::Relay, system::overlay, target};
+use crate::{
+    Output, centre, event, input, output, peer,
+    relay::Relay,
+    system::{cold, overlay},
+    target,
+};
 
 /// Number of readers, so that the loss of one leaves no gap.
 const READERS: usize = 2;
@@ -289,7 +294,7 @@
         let knows_none = targets == ids::Version::default();
         let newest = if knows_none { relay.targets_version } else { settled_targets };
         if targets < newest && is_source && claim_slot(&mut relay.gossip.targets) {
-            let changes = relay.targets.iter().map(target::Row::change).collect();
+            let changes = relay.targets.iter().map(|row| row.change(now)).collect();
             let copy = peer::Targets { since: None, version: relay.targets_version, changes };
             out.push(Output::Peer { to: to(), message: peer::Message::Targets(copy) });
         }
@@ -343,12 +348,13 @@
     targets: input::Targets,
     out: &mut Vec<Output>,
 ) -> Vec<target::Change> {
-    relay.has_targets = true;
+    // The first read lists targets that may have run for long.
+    let is_first = !std::mem::replace(&mut relay.has_targets, true);
     let input::Targets { is_full, version, mut changes } = targets;
     if is_full {
         changes.extend(relay.targets.unlisted(version, &changes));
     }
-    changes.retain(|change| apply(relay, now, change, out));
+    changes.retain(|change| apply(relay, now, is_first, change, out));
     changes
 }
 
@@ -356,6 +362,7 @@
 fn apply(
     relay: &mut Relay,
     now: ids::Time,
+    is_first: bool,
     change: &target::Change,
     out: &mut Vec<Output>,
 ) -> bool {
@@ -363,6 +370,9 @@
         target::Outcome::Stale | target::Outcome::Unchanged => return false,
         target::Outcome::Changed | target::Outcome::Unknown => return true,
         target::Outcome::New { before } => {
+            if !is_first {
+                cold::appeared(relay, now, change);
+            }
             let is_leaving = change.entry.as_ref().is_some_and(|entry| entry.is_leaving);
             (if is_leaving { "leaving" } else { "known" }, before)
         }
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, sync, time};
 
-use crate::{cache, health};
+use crate::{cache, cold, health};
 
 /// A target's own entry in the store.
 #[derive(Clone, Debug, PartialEq)]
@@ -28,6 +28,9 @@
     pub warm: collections::BTreeSet<ids::Model>,
     /// Models whose weights it has on disk.
     pub on_disk: collections::BTreeSet<ids::Model>,
+    /// How much longer it is cold, in ms; 0 if it is warm, `None` if it states nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_left_ms: Option<u64>,
 }
 
 impl Entry {
@@ -133,6 +136,8 @@
     pub health: health::Health,
     /// Estimate of its prefix cache.
     pub cache: cache::Cache,
+    /// Whether it is cold.
+    pub cold: cold::State,
     /// Set while its entry is missing after a store outage.
     absence: Option<Absence>,
     corrections: collections::BTreeMap<sync::Arc<str>, Correction>,
@@ -161,11 +166,15 @@
 /// Minimum interval between two corrections of the same content that count as news.
 const REPEAT_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
+/// How much longer a target is cold, as stated by its entry.
+type ColdLeft = Option<time::Duration>;
+
 impl Row {
-    fn new(version: ids::Version, entry: Entry) -> Self {
+    fn new(now: ids::Time, version: ids::Version, entry: Entry, cold_left: ColdLeft) -> Self {
         Self {
             entry,
             version,
+            cold: cold::State::new(now, cold_left),
             own: Load::default(),
             others: Load::default(),
             health: health::Health::default(),
@@ -198,10 +207,12 @@
         }
     }
 
-    /// Its entry as a change, to be passed on to other VMs.
+    /// Its entry as a change, to be passed on to other VMs, with the time that it stays cold
+    /// from now on.
     #[must_use]
-    pub fn change(&self) -> Change {
-        let entry = Some(self.entry.clone());
+    pub fn change(&self, now: ids::Time) -> Change {
+        let left = u64::try_from(self.cold.left(now).as_millis()).unwrap_or(u64::MAX);
+        let entry = Some(Entry { cold_left_ms: Some(left), ..self.entry.clone() });
         Change { target: self.entry.target.clone(), version: self.version, entry }
     }
 
@@ -244,7 +255,7 @@
             return Outcome::Stale;
         }
         match entry {
-            Some(entry) => self.update(target, *version, entry.clone()),
+            Some(entry) => self.update(now, target, *version, entry.clone()),
             None => self.remove(now, target, *version),
         }
     }
@@ -267,21 +278,31 @@
         }
     }
 
-    fn update(&mut self, target: &ids::Target, version: ids::Version, entry: Entry) -> Outcome {
+    fn update(
+        &mut self,
+        now: ids::Time,
+        target: &ids::Target,
+        version: ids::Version,
+        mut entry: Entry,
+    ) -> Outcome {
         self.tombstones.remove(target);
+        // It differs from write to write; `Row::cold` keeps what it means.
+        let cold_left = entry.cold_left_ms.take().map(time::Duration::from_millis);
         match self.rows.get_mut(target) {
             Some(row) if row.entry.born == entry.born && row.entry.address == entry.address => {
                 let starts_leaving = entry.is_leaving && !row.entry.is_leaving;
                 let is_back = row.absence.take().is_some();
                 row.version = version;
-                if row.entry == entry && !is_back {
+                let is_news = row.cold.observe_entry(now, cold_left);
+                if row.entry == entry && !is_back && !is_news {
                     return Outcome::Unchanged;
                 }
                 row.entry = entry;
                 if starts_leaving { Outcome::Leaving } else { Outcome::Changed }
             }
             _ => {
-                let before = self.rows.insert(target.clone(), Row::new(version, entry));
+                let row = Row::new(now, version, entry, cold_left);
+                let before = self.rows.insert(target.clone(), row);
                 Outcome::New { before: before.map(|row| row.entry.address) }
             }
         }
--- a/crates/relay/tests/fleet/mod.rs
+++ b/crates/relay/tests/fleet/mod.rs
@@ -59,6 +59,8 @@
     last_call: u64,
     pub admitted: u64,
     pub refused: collections::BTreeMap<&'static str, u64>,
+    /// Calls refused with status 503, and when their callers may return.
+    pub returns: Vec<(ids::Call, time::Duration)>,
     /// Calls sent to each target.
     pub sent: collections::BTreeMap<ids::Target, u64>,
     /// Whether the test ends the calls that are sent, by their attempts in `begun`.
@@ -117,6 +119,7 @@
             last_call: 0,
             admitted: 0,
             refused: collections::BTreeMap::new(),
+            returns: Vec::new(),
             sent: collections::BTreeMap::new(),
             keeps_calls: false,
             begun: Vec::new(),
@@ -283,7 +286,11 @@
             }
             Output::Stopped => self.stopped.push(index),
             Output::Probe { target, born, .. } => self.probes.push((index, target, born)),
-            Output::Refuse { reason, .. } => *self.refused.entry(reason).or_default() += 1,
+            Output::Refuse { call, status, reason, retry_after } => {
+                *self.refused.entry(reason).or_default() += 1;
+                let wait = retry_after.filter(|_| status == 503);
+                self.returns.extend(wait.map(|wait| (call, wait)));
+            }
             Output::Decode { .. } => {
                 let config = sync::Arc::clone(&self.config);
                 self.vms[index].inbox.push(Input::Config { text: "text".into(), config });
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -24,6 +24,7 @@
     pub ready: Vec<bool>,
     pub reconnects: Vec<ids::Vm>,
     pub stopped: bool,
+    pub logs: Vec<relay::event::Event>,
     pub follow: Option<output::Follow>,
 }
 
@@ -88,8 +89,12 @@
         loads_per_second: 1.0,
         models: [model("alpha"), model("beta"), model("gamma")].into(),
     };
-    let service =
-        |name: &str, engine| config::Service { name: name.into(), connections: 100, engine };
+    let service = |name: &str, engine| config::Service {
+        name: name.into(),
+        connections: 100,
+        engine,
+        cold: None,
+    };
     let account = |name: &str, rate| config::Account {
         name: name.into(),
         priority: 1,
@@ -132,6 +137,7 @@
             .collect(),
         warm: collections::BTreeSet::new(),
         on_disk: collections::BTreeSet::new(),
+        cold_left_ms: None,
     }
 }
 
@@ -228,6 +234,7 @@
                 Output::Reconnect { to } => seen.reconnects.push(to),
                 Output::Stopped => seen.stopped = true,
                 Output::Follow(follow) => seen.follow = Some(follow),
+                Output::Log(line) => seen.logs.push(line),
                 _ => {}
             }
         }
@@ -297,6 +304,7 @@
         self.messages.extend(other.messages);
         self.ready.extend(other.ready);
         self.reconnects.extend(other.reconnects);
+        self.logs.extend(other.logs);
         self.stopped |= other.stopped;
         self.follow = other.follow.or(self.follow);
     }
