--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -56,6 +56,7 @@
             let (by_store, by_answer) = core.leaving_targets();
             metrics::gauge!(metric::LEAVING_TARGETS, "source" => "store").set(by_store as f64);
             metrics::gauge!(metric::LEAVING_TARGETS, "source" => "answer").set(by_answer as f64);
+            metrics::gauge!(metric::COLD_TARGETS).set(core.cold_targets() as f64);
             metrics::gauge!(metric::BLOCKED_PARTS).set(core.blocked_parts() as f64);
             metrics::gauge!(metric::VIEW_AGE).set(core.view_age(now).as_secs_f64());
             metrics::gauge!(metric::WAITING_FOR_UNITS).set(core.calls_waiting_for_units() as f64);
--- a/crates/daemon/src/relay/exchange.rs
+++ b/crates/daemon/src/relay/exchange.rs
@@ -102,12 +102,12 @@
 }
 
 /// Sends a call to a target and waits for the complete answer, or for the head
-/// of a stream. Passes what the head announces to `notify` as soon as it arrives.
+/// of a stream. Passes what the head says about the target to `report` as soon as it arrives.
 pub async fn run(
     pool: &pool::Pool,
     request: &Request,
     begin: &output::Begin,
-    notify: &impl Fn(pause::Notice),
+    report: impl Fn(Event) -> bool,
 ) -> Outcome {
     let (mut connection, response) = match send(pool, request, begin).await {
         Ok(sent) => sent,
@@ -125,7 +125,11 @@
         return broken("the answer does not match the request");
     }
     if !answer.notice.is_empty() {
-        notify(answer.notice);
+        report(Event::Notice(answer.notice));
+    }
+    // An answer without an id may be of another process on a connection that was open before.
+    if let Some(left) = answer.cold_left.filter(|_| answer.echo == answer::Echo::Matching) {
+        report(Event::Cold { left });
     }
     let keep_alive = answer.keep_alive;
     if answer.has_not_run {
@@ -232,7 +236,12 @@
         if connection.sender.ready().await.is_err() {
             continue;
         }
-        let remaining = begin.deadline.since(clock::now());
+        let now = clock::now();
+        if begin.send_by.is_some_and(|send_by| send_by < now) {
+            let reason = "too late for a cold target: it counts requests by the second".into();
+            return Err(Event::Unsent { reason });
+        }
+        let remaining = begin.deadline.since(now);
         let outgoing = platform::call::forward(&request.head, begin, remaining)
             .body(Full::new(request.body.clone()))
             .map_err(|cause| Event::Unsent { reason: cause.to_string().into() })?;
--- a/crates/daemon/src/relay/metric.rs
+++ b/crates/daemon/src/relay/metric.rs
@@ -36,6 +36,11 @@
 pub const LEAVING_TARGETS: &str = "primroseplank_relay_leaving_targets";
 /// Histogram of the lengths of the pauses that targets have begun, in seconds.
 pub const PAUSE_SECONDS: &str = "primroseplank_relay_pause_seconds";
+/// Gauge of targets that are cold, of services with a limit for those.
+pub const COLD_TARGETS: &str = "primroseplank_relay_cold_targets";
+/// Counter of calls to cold targets, labelled by outcome: `granted` if they were sent to one,
+/// `withheld` if they were refused because all their targets are cold.
+pub const COLD_CALLS: &str = "primroseplank_relay_cold_calls_total";
 /// Gauge of open calls.
 pub const OPEN_CALLS: &str = "primroseplank_relay_open_calls";
 /// Counter of calls charged to accounts with a limit, labelled by priority and outcome.
@@ -78,6 +83,8 @@
     metrics::describe_gauge!(BLOCKED_PARTS, Unit::Count, "Prompt parts that are blocked.");
     metrics::describe_gauge!(LEAVING_TARGETS, Unit::Count, "Targets that leave, by source.");
     metrics::describe_histogram!(PAUSE_SECONDS, Unit::Seconds, "Pauses of targets.");
+    metrics::describe_gauge!(COLD_TARGETS, Unit::Count, "Targets that are cold.");
+    metrics::describe_counter!(COLD_CALLS, Unit::Count, "Calls to cold targets, by outcome.");
     metrics::describe_gauge!(OPEN_CALLS, Unit::Count, "Calls that are open.");
     metrics::describe_counter!(CHARGED_CALLS, Unit::Count, "Calls charged to quotas.");
     metrics::describe_counter!(CHARGED_UNITS, Unit::Count, "Quota units asked for.");
@@ -126,6 +133,12 @@
         event::Measure::Paused(length) => {
             metrics::histogram!(PAUSE_SECONDS).record(*length);
         }
+        event::Measure::ColdGranted => {
+            metrics::counter!(COLD_CALLS, "outcome" => "granted").increment(1);
+        }
+        event::Measure::ColdWithheld => {
+            metrics::counter!(COLD_CALLS, "outcome" => "withheld").increment(1);
+        }
         event::Measure::Ordered => metrics::counter!(RUNNER_ORDERS).increment(1),
     }
 }
--- a/crates/daemon/src/relay/pump.rs
+++ b/crates/daemon/src/relay/pump.rs
@@ -114,11 +114,8 @@
             };
             let send_event =
                 |event| state.inbox.send(relay::Input::Attempt { attempt: resumed.attempt, event });
-            let notify = |notice| {
-                send_event(Event::Notice(notice));
-            };
             let outcome = tokio::select! {
-                outcome = exchange::run(&state.pool, request, &resumed, &notify) => outcome,
+                outcome = exchange::run(&state.pool, request, &resumed, send_event) => outcome,
                 decision = call.decisions.recv() => {
                     next = decision;
                     continue;
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -60,6 +60,10 @@
         /// `granted` or `refused`.
         outcome: &'static str,
     },
+    /// A call was sent to a cold target.
+    ColdGranted,
+    /// A call was refused because all its targets are cold.
+    ColdWithheld,
     /// An order was sent to a runner.
     Ordered,
     /// A target has begun a pause of this length.
--- a/crates/relay/src/system/mod.rs
+++ b/crates/relay/src/system/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod admission;
 pub(crate) mod allocation;
 pub(crate) mod attempt;
+pub(crate) mod cold;
 pub(crate) mod dispatch;
 pub(crate) mod gossip;
 pub(crate) mod overlay;
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, sync, time};
 
-use crate::{cache, health, pause};
+use crate::{cache, cold, health, pause};
 
 /// A target's own entry in the store.
 #[derive(Clone, Debug, PartialEq)]
@@ -28,6 +28,9 @@
     pub warm: collections::BTreeSet<ids::Model>,
     /// Models whose weights it has on disk.
     pub on_disk: collections::BTreeSet<ids::Model>,
+    /// How much longer it is cold, in ms; 0 if it is warm, `None` if it states nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_left_ms: Option<u64>,
 }
 
 impl Entry {
@@ -135,6 +138,8 @@
     pub cache: cache::Cache,
     /// What it has announced to this VM in its answers.
     pub pause: pause::State,
+    /// Whether it is cold.
+    pub cold: cold::State,
     /// Set while its entry is missing after a store outage.
     absence: Option<Absence>,
     corrections: collections::BTreeMap<sync::Arc<str>, Correction>,
@@ -163,11 +168,15 @@
 /// Minimum interval between two corrections of the same content that count as news.
 const REPEAT_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
+/// How much longer a target is cold, as stated by its entry.
+type ColdLeft = Option<time::Duration>;
+
 impl Row {
-    fn new(version: ids::Version, entry: Entry) -> Self {
+    fn new(now: ids::Time, version: ids::Version, entry: Entry, cold_left: ColdLeft) -> Self {
         Self {
             entry,
             version,
+            cold: cold::State::new(now, cold_left),
             own: Load::default(),
             others: Load::default(),
             health: health::Health::default(),
@@ -214,10 +223,12 @@
         !self.pause.is_leaving() && self.pause.returns_at(now).is_none()
     }
 
-    /// Its entry as a change, to be passed on to other VMs.
+    /// Its entry as a change, to be passed on to other VMs, with the time that it stays cold
+    /// from now on.
     #[must_use]
-    pub fn change(&self) -> Change {
-        let entry = Some(self.entry.clone());
+    pub fn change(&self, now: ids::Time) -> Change {
+        let left = u64::try_from(self.cold.left(now).as_millis()).unwrap_or(u64::MAX);
+        let entry = Some(Entry { cold_left_ms: Some(left), ..self.entry.clone() });
         Change { target: self.entry.target.clone(), version: self.version, entry }
     }
 
@@ -262,7 +273,7 @@
             return Outcome::Stale;
         }
         match entry {
-            Some(entry) => self.update(target, *version, entry.clone()),
+            Some(entry) => self.update(now, target, *version, entry.clone()),
             None => self.remove(now, target, *version),
         }
     }
@@ -285,14 +296,23 @@
         }
     }
 
-    fn update(&mut self, target: &ids::Target, version: ids::Version, entry: Entry) -> Outcome {
+    fn update(
+        &mut self,
+        now: ids::Time,
+        target: &ids::Target,
+        version: ids::Version,
+        mut entry: Entry,
+    ) -> Outcome {
         self.tombstones.remove(target);
+        // It differs from write to write; `Row::cold` keeps what it means.
+        let cold_left = entry.cold_left_ms.take().map(time::Duration::from_millis);
         match self.rows.get_mut(target) {
             Some(row) if row.entry.born == entry.born && row.entry.address == entry.address => {
                 let starts_leaving = entry.is_leaving && !row.entry.is_leaving;
                 let is_back = row.absence.take().is_some();
                 row.version = version;
-                if row.entry == entry && !is_back {
+                let is_news = row.cold.observe_entry(now, cold_left);
+                if row.entry == entry && !is_back && !is_news {
                     return Outcome::Unchanged;
                 }
                 row.entry = entry;
@@ -301,7 +321,8 @@
             _ => {
                 let before = self.take_row(target);
                 let pause = self.former.take(target, entry.born);
-                self.rows.insert(target.clone(), Row { pause, ..Row::new(version, entry) });
+                let row = Row { pause, ..Row::new(now, version, entry, cold_left) };
+                self.rows.insert(target.clone(), row);
                 Outcome::New { before: before.map(|row| row.entry.address) }
             }
         }
