relay: drain a data centre by a row of the operator (in progress)

Cause: a data centre could only be taken out of service by removing its targets. Change: VMs follow the rows evacuate/ZONE, pass the set on by its store version, and send nothing more to targets there; checked again at the moment of sending. The full tests of relay, platform and daemon are not run yet.

--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -54,6 +54,7 @@
             effects.pool.close_expired();
             metrics::gauge!(metric::OPEN_CALLS).set(core.open_calls() as f64);
             metrics::gauge!(metric::BLOCKED_PARTS).set(core.blocked_parts() as f64);
+            metrics::gauge!(metric::DRAINED_CENTRES).set(core.drained_centres() as f64);
             metrics::gauge!(metric::VIEW_AGE).set(core.view_age(now).as_secs_f64());
             metrics::gauge!(metric::CONFIG_VERSION).set(core.version().get() as f64);
         }
--- a/crates/daemon/src/relay/effect.rs
+++ b/crates/daemon/src/relay/effect.rs
@@ -72,6 +72,7 @@
             Output::Order { op, order } => self.order(op, order),
             Output::Report { target, address } => self.report(target, address),
             Output::Probe { target, born, address } => self.probe(target, born, address),
+            Output::Withhold { targets } => self.pool.withheld.set(targets),
             Output::Disconnect { address } => self.pool.close_idle(&address),
             Output::Ready(ready) => {
                 self.ready.send_replace(ready);
@@ -107,6 +108,11 @@
 
     fn order(&self, op: ids::Op, order: relay::output::Order) {
         let (pool, inbox, vm) = (self.pool.clone(), self.inbox.clone(), self.vm.clone());
+        if pool.withheld.contains(&order.target) {
+            // Not sent: as after a conflict, a report is needed before the next order.
+            inbox.send(Input::Ordered { op, reply: relay::input::Reply::Conflict });
+            return;
+        }
         tokio::spawn(async move {
             let (name, target) = platform::order::target_header(&order);
             let request = http::Request::builder()
@@ -184,6 +190,9 @@
     target: &ids::Target,
     address: &sync::Arc<str>,
 ) -> Result<relay::input::Report, String> {
+    if pool.withheld.contains(target) {
+        return Err("its data centre is drained".to_owned());
+    }
     let request = http::Request::builder()
         .uri(platform::entry::REPORT_PATH)
         .header(http::header::HOST, &**address)
--- a/crates/daemon/src/relay/exchange.rs
+++ b/crates/daemon/src/relay/exchange.rs
@@ -224,6 +224,11 @@
         if connection.sender.ready().await.is_err() {
             continue;
         }
+        // Its data centre may have been drained while the call waited for the connection.
+        if pool.withheld.contains(&begin.target) {
+            pool.release(connection, None);
+            return Err(Event::Withheld);
+        }
         let remaining = begin.deadline.since(clock::now());
         let outgoing = platform::call::forward(&request.head, begin, remaining)
             .body(Full::new(request.body.clone()))
--- a/crates/daemon/src/relay/metric.rs
+++ b/crates/daemon/src/relay/metric.rs
@@ -32,6 +32,10 @@
 pub const VIEW_AGE: &str = "primroseplank_relay_view_age_seconds";
 /// Gauge of prompt parts that are blocked because they crash engines.
 pub const BLOCKED_PARTS: &str = "primroseplank_relay_blocked_prompt_parts";
+/// Gauge of data centres to whose targets nothing is sent.
+pub const DRAINED_CENTRES: &str = "primroseplank_relay_drained_centres";
+/// Counter of calls that were not sent because their target was drained at that moment.
+pub const WITHHELD_CALLS: &str = "primroseplank_relay_withheld_calls_total";
 /// Gauge of open calls.
 pub const OPEN_CALLS: &str = "primroseplank_relay_open_calls";
 /// Gauge of the version of the configuration in force.
@@ -63,6 +67,8 @@
         "Age of the oldest report about reachable VMs."
     );
     metrics::describe_gauge!(BLOCKED_PARTS, Unit::Count, "Prompt parts that are blocked.");
+    metrics::describe_gauge!(DRAINED_CENTRES, Unit::Count, "Data centres that are drained.");
+    metrics::describe_counter!(WITHHELD_CALLS, Unit::Count, "Calls not sent because of a drain.");
     metrics::describe_gauge!(OPEN_CALLS, Unit::Count, "Calls that are open.");
     metrics::describe_gauge!(CONFIG_VERSION, Unit::Count, "Version of the configuration in force.");
     Ok(handle)
@@ -90,5 +96,6 @@
             metrics::counter!(ENDED_CALLS, "outcome" => *outcome).increment(1);
         }
         event::Measure::Ordered => metrics::counter!(RUNNER_ORDERS).increment(1),
+        event::Measure::Withheld => metrics::counter!(WITHHELD_CALLS).increment(1),
     }
 }
--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -7,6 +7,7 @@
 //! * [`settings`] reads and checks the settings file;
 //! * [`front`] accepts connections of callers, [`handler`] handles one call;
 //! * [`exchange`] makes one attempt at a target, over a connection of the [`pool`];
+//! * [`withhold`] keeps what has not been sent from targets that are drained;
 //! * [`pump`] forwards a stream of [`events`] to its caller;
 //! * [`rows`] follows the store's tables and writes to them;
 //! * [`effect`] carries out the outputs of the core;
@@ -30,3 +31,4 @@
 pub mod rows;
 pub mod settings;
 pub mod side;
+pub mod withhold;
--- a/crates/daemon/src/relay/pool.rs
+++ b/crates/daemon/src/relay/pool.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net;
 
-use crate::relay::head;
+use crate::relay::{head, withhold};
 
 /// Timeout for opening a connection: many times the round trip to another data
 /// centre, yet short enough to try another one if a target is unreachable.
@@ -110,6 +110,8 @@
     targets: sync::Arc<sync::Mutex<collections::HashMap<sync::Arc<str>, Target>>>,
     /// Bytes of incomplete answers that are buffered.
     buffered: sync::Arc<atomic::AtomicUsize>,
+    /// Targets to which nothing may be sent.
+    pub withheld: withhold::Set,
 }
 
 /// Memory for one answer; it is returned when this is dropped.
--- a/crates/daemon/src/relay/rows.rs
+++ b/crates/daemon/src/relay/rows.rs
@@ -303,16 +303,19 @@
     Ok(page)
 }
 
-/// Follows the operator's configuration.
+/// Follows the operator's configuration, and which data centres are drained.
 struct Config {
     inbox: inbox::Inbox,
+    evacuations: platform::evacuation::Rows,
 }
 
 impl Follow for Config {
     const TABLE: &'static str = platform::config::TABLE;
     const POLL_INTERVAL: time::Duration = CONFIG_POLL_INTERVAL;
 
-    fn apply(&mut self, page: platform::rows::Page, _is_full: bool) {
+    fn apply(&mut self, page: platform::rows::Page, is_full: bool) {
+        // Before the configuration: a VM that starts serves calls as soon as it has one.
+        self.apply_evacuations(&page, is_full);
         let newest = page.rows.into_iter().rfind(|row| &*row.key == platform::config::KEY);
         if let Some(text) = newest.and_then(|row| row.value) {
             decode_config(&self.inbox, text);
@@ -320,6 +323,25 @@
     }
 }
 
+impl Config {
+    fn apply_evacuations(&mut self, page: &platform::rows::Page, is_full: bool) {
+        let change = self.evacuations.apply(&page.rows, is_full);
+        for fault in change.faults {
+            tracing::warn!(step = "evacuation", %fault, "a drain's row is not as expected");
+        }
+        for centre in change.missed {
+            tracing::info!(
+                step = "evacuation",
+                peer = centre.as_str(),
+                outcome = "written and removed between two reads",
+            );
+        }
+        if let Some(centres) = change.centres {
+            self.inbox.send(Input::Evacuations { version: page.version, centres });
+        }
+    }
+}
+
 /// Decodes a configuration and sends it to the core. Logs faults; a text that
 /// cannot be read leaves the previous configuration in force.
 pub fn decode_config(inbox: &inbox::Inbox, text: sync::Arc<str>) {
@@ -469,7 +491,7 @@
     let (members, members_enabled) = watch::channel(true);
     let address = || sync::Arc::clone(address);
     tokio::spawn(follow(
-        Config { inbox: inbox.clone() },
+        Config { inbox: inbox.clone(), evacuations: platform::evacuation::Rows::default() },
         address(),
         silent(),
         reader_enabled.clone(),
--- a/crates/relay/src/centre.rs
+++ b/crates/relay/src/centre.rs
@@ -52,6 +52,10 @@
     /// The planner and its fencing token, if it is in this data centre.
     #[serde(rename = "f")]
     pub leader: Option<(ids::Vm, ids::Fence)>,
+    /// Store version of the drained data centres that the aggregator knows; `None` if it is
+    /// of a version that does not know any.
+    #[serde(rename = "ev", default, skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<ids::Version>,
 }
 
 /// Sums over several VMs.
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -5,7 +5,7 @@
 /// A logged decision and the inputs that led to it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Event {
-    /// Kind of decision (`call`, `order`, `lease`, `config`, `target`, `prompt`, `peer`, `stop`).
+    /// Kind of decision (`call`, `order`, `lease`, `config`, `evacuation`, `target`, `prompt`, `peer`, `stop`).
     pub step: &'static str,
     /// The caller's id of the call, if the decision concerns a call.
     pub id: Option<sync::Arc<str>>,
@@ -53,4 +53,6 @@
     },
     /// An order was sent to a runner.
     Ordered,
+    /// A call was not sent, because its target was drained while it waited for a connection.
+    Withheld,
 }
--- a/crates/relay/src/input.rs
+++ b/crates/relay/src/input.rs
@@ -39,6 +39,13 @@
     },
     /// Targets were read from the store.
     Targets(Targets),
+    /// The drained data centres were read from the store.
+    Evacuations {
+        /// Store version of the read.
+        version: ids::Version,
+        /// All data centres to whose targets nothing more may be sent.
+        centres: std::collections::BTreeSet<ids::Centre>,
+    },
     /// The rows of the VMs were read from the store.
     Members {
         /// Store version of the read.
@@ -196,6 +203,9 @@
         /// The error.
         reason: sync::Arc<str>,
     },
+    /// No byte of the request was sent, because the target is one of those to which nothing
+    /// may be sent any more ([`crate::Output::Withhold`]).
+    Withheld,
     /// The target refused the call without executing it.
     Refused {
         /// HTTP status.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`poison`] finds prompt parts that crash engines, which are blocked then;
 //! - [`target`] holds the targets, with their [`health`] and prompt [`cache`]; [`pace`] is the
 //!   relative speed of models; [`choice`] selects the target with the lowest expected latency;
+//! - [`evacuation`] is the set of data centres to whose targets nothing more is sent;
 //! - [`demand`] and [`placement`] decide which model to load where; the [`planner`] sends
 //!   the orders while this VM holds the [`lease`];
 //! - [`shutdown`] has the times of a graceful shutdown;
@@ -35,6 +36,7 @@
 pub mod decay;
 pub mod demand;
 pub mod envelope;
+pub mod evacuation;
 pub mod event;
 pub mod health;
 pub mod input;
--- a/crates/relay/src/output.rs
+++ b/crates/relay/src/output.rs
@@ -1,6 +1,6 @@
 //! Actions that the decision core requests from the shell.
 
-use std::{sync, time};
+use std::{collections, sync, time};
 
 use store::table;
 
@@ -8,6 +8,7 @@
 
 /// An action.
 #[derive(Clone, Debug, PartialEq)]
+#[expect(clippy::large_enum_variant, reason = "few outputs exist at a time, and soon end")]
 pub enum Output {
     /// Send a call to a target.
     Begin(Begin),
@@ -87,6 +88,12 @@
         /// Its address.
         address: sync::Arc<str>,
     },
+    /// From now on send nothing to these targets and to no others than these: calls that
+    /// have begun and still wait for a connection are not sent. Each list replaces the last.
+    Withhold {
+        /// The targets.
+        targets: sync::Arc<collections::BTreeSet<ids::Target>>,
+    },
     /// Close the connections to a target that no longer exists.
     Disconnect {
         /// Its former address.
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -65,6 +65,9 @@
     /// State of the other data centres, for the VMs of the sender's.
     #[serde(rename = "o")]
     Overview(centre::Overview),
+    /// The drained data centres; sent only to VMs whose digests state a version of them.
+    #[serde(rename = "ev")]
+    Evacuations(Evacuations),
 }
 
 impl Message {
@@ -80,6 +83,7 @@
             Self::Members(_) => "members",
             Self::Summary(_) => "summary",
             Self::Overview(_) => "overview",
+            Self::Evacuations(_) => "evacuations",
         }
     }
 }
@@ -96,6 +100,18 @@
     pub members: Vec<member::Member>,
 }
 
+/// The drained data centres, as read from the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Evacuations {
+    /// Store version of the read.
+    #[serde(rename = "v")]
+    pub version: ids::Version,
+    /// The data centres.
+    #[serde(rename = "e")]
+    pub centres: collections::BTreeSet<ids::Centre>,
+}
+
 /// Targets read from the store by a VM.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -160,6 +176,10 @@
     /// What is new about prompt parts that crash engines.
     #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
     pub poison: Vec<poison::Entry>,
+    /// Store version of the drained data centres that it knows; `None` if it is of a version
+    /// that does not understand [`Message::Evacuations`].
+    #[serde(rename = "ev", default, skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<ids::Version>,
 }
 
 /// State of another VM.
--- a/crates/relay/src/planner.rs
+++ b/crates/relay/src/planner.rs
@@ -113,7 +113,8 @@
     /// Earliest expected end of a load of `model` in progress.
     #[must_use]
     pub fn expected_at(&self, model: &ids::Model) -> Option<ids::Time> {
-        let loading = self.records.values().filter_map(|record| record.loading.as_ref());
+        let usable = self.records.values().filter(|record| !record.is_drained);
+        let loading = usable.filter_map(|record| record.loading.as_ref());
         loading.filter(|(loading, _)| loading == model).map(|(_, at)| *at).min()
     }
 
@@ -175,7 +176,8 @@
                 .records
                 .entry(entry.target.clone())
                 .or_insert_with(|| record::Record::new(now, entry));
-            if entry.is_leaving {
+            record.is_drained = view.targets.is_drained(row);
+            if entry.is_leaving || record.is_drained {
                 record.tasks.clear();
             }
         }
@@ -188,7 +190,7 @@
 
     /// Requests reports from runners whose state is uncertain.
     fn request_reports(&mut self, now: ids::Time, view: &View<'_>, out: &mut Vec<Output>) {
-        for (target, record) in &mut self.records {
+        for (target, record) in self.records.iter_mut().filter(|(_, record)| !record.is_drained) {
             if let record::Stage::Ordered { sent, .. } = &record.stage
                 && now.since(*sent) > ANSWER_TIMEOUT
             {
--- a/crates/relay/src/planner/record.rs
+++ b/crates/relay/src/planner/record.rs
@@ -55,6 +55,8 @@
     pub(crate) stage: Stage,
     pub(crate) tasks: collections::VecDeque<Task>,
     pub(crate) backoff_until: ids::Time,
+    /// Whether its data centre is drained: it is sent neither orders nor report requests.
+    pub(crate) is_drained: bool,
     /// Last use of each adapter.
     pub(crate) adapter_uses: collections::BTreeMap<sync::Arc<str>, ids::Time>,
 }
@@ -70,6 +72,7 @@
             stage: Stage::AwaitingReport { ask_at: now, asked_at: None },
             tasks: collections::VecDeque::new(),
             backoff_until: ids::Time::default(),
+            is_drained: false,
             adapter_uses: collections::BTreeMap::new(),
         }
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -105,6 +105,8 @@
     /// Calls that were broken off, while it is not known whether their target, with this
     /// start time, has crashed.
     pub(crate) suspects: collections::BTreeMap<(ids::Target, u64), system::quarantine::Suspects>,
+    /// Drained data centres.
+    pub(crate) evacuation: system::evacuation::State,
     pub(crate) stage: Stage,
     pub(crate) store_down_since: Option<ids::Time>,
     pub(crate) gossip: system::gossip::Schedule,
@@ -157,6 +159,7 @@
             throughput: throughput::Throughput::default(),
             poison: poison::Ledger::default(),
             suspects: collections::BTreeMap::new(),
+            evacuation: system::evacuation::State::default(),
             stage: Stage::Running,
             store_down_since: None,
             gossip: system::gossip::Schedule::default(),
@@ -187,6 +190,7 @@
         if self.next_tick <= now {
             self.next_tick = now + TICK_INTERVAL;
             system::quarantine::tick(self, now, out);
+            system::evacuation::tick(self, now, out);
             system::planning::tick(self, now, out);
             system::gossip::tick(self, now, out);
             system::replication::tick(self, now, out);
@@ -224,6 +228,12 @@
         self.poison.blocked_count()
     }
 
+    /// Number of data centres to whose targets nothing is sent.
+    #[must_use]
+    pub fn drained_centres(&self) -> usize {
+        self.evacuation.table.centres().len()
+    }
+
     /// Number of open calls.
     #[must_use]
     pub fn open_calls(&self) -> usize {
@@ -245,6 +255,9 @@
             }
             Input::Config { text, config } => self.adopt(now, text, config, out),
             Input::Targets(targets) => system::replication::read_targets(self, now, targets, out),
+            Input::Evacuations { version, centres } => {
+                system::evacuation::read(self, now, version, &centres, out);
+            }
             Input::Members { version, members } => {
                 system::planning::read_members(self, now, version, members, out);
             }
--- a/crates/relay/src/system/admission.rs
+++ b/crates/relay/src/system/admission.rs
@@ -8,7 +8,7 @@
 use crate::{
     Output, call, choice, config, envelope, event,
     relay::{Relay, line, refusal},
-    system::{dispatch, overlay, quarantine},
+    system::{dispatch, evacuation, overlay, quarantine},
 };
 
 /// Retry delay sent to callers while this VM shuts down or has no configuration:
@@ -43,19 +43,20 @@
 }
 
 /// Reason for not admitting a call.
-struct Rejection {
+#[derive(Debug)]
+pub(crate) struct Rejection {
     status: u16,
-    reason: &'static str,
-    retry_after: Option<time::Duration>,
-    inputs: String,
+    pub(crate) reason: &'static str,
+    pub(crate) retry_after: Option<time::Duration>,
+    pub(crate) inputs: String,
 }
 
 impl Rejection {
-    const fn new(status: u16, reason: &'static str) -> Self {
+    pub(crate) const fn new(status: u16, reason: &'static str) -> Self {
         Self { status, reason, retry_after: None, inputs: String::new() }
     }
 
-    const fn with_wait(mut self, wait: time::Duration) -> Self {
+    pub(crate) const fn with_wait(mut self, wait: time::Duration) -> Self {
         self.retry_after = Some(wait);
         self
     }
@@ -203,6 +204,12 @@
     row: call::Row,
     out: &mut Vec<Output>,
 ) {
+    if !row.tried.is_empty()
+        && let Some(rejection) = evacuation::refusal(relay, now, &row)
+    {
+        evacuation::end(relay, now, call, &row, &rejection, out);
+        return;
+    }
     let class = if row.is_courtesy { format::Class::Courtesy } else { format::Class::Paid };
     let entry = route::queue::Entry {
         call,
@@ -248,13 +255,16 @@
 /// Returns the reason if the call certainly cannot be served in time.
 fn rejection_reason(relay: &Relay, now: ids::Time, row: &call::Row) -> Option<Rejection> {
     let config = relay.config.as_ref()?;
+    if let Some(rejection) = evacuation::refusal_without_targets(relay, row) {
+        return Some(rejection);
+    }
     let service = config.services.get(&row.service)?;
     let (Some(work), Some(engine)) = (&row.envelope.work, &service.engine) else {
         return None;
     };
-    let Some(model) = engine.models.get(&work.model) else {
+    if !engine.models.contains_key(&work.model) {
         return Some(Rejection::new(503, "unknown model"));
-    };
+    }
     if work.prompt_tokens > engine.kv_tokens {
         return Some(Rejection::new(503, "larger than the memory"));
     }
@@ -269,6 +279,15 @@
             Rejection::new(503, "overloaded").with_wait(wait).with_inputs(inputs)
         });
     }
+    load_rejection(relay, now, row)
+}
+
+/// Returns the reason if the model of a call, which no usable target holds, certainly cannot
+/// be loaded in time.
+pub(crate) fn load_rejection(relay: &Relay, now: ids::Time, row: &call::Row) -> Option<Rejection> {
+    let work = row.envelope.work.as_ref()?;
+    let engine = relay.config.as_ref()?.services.get(&row.service)?.engine.as_ref()?;
+    let model = engine.models.get(&work.model)?;
     let expected_at = relay.planner.as_ref().and_then(|planner| planner.expected_at(&work.model));
     let fastest_load = relay
         .targets
--- a/crates/relay/src/system/attempt.rs
+++ b/crates/relay/src/system/attempt.rs
@@ -6,7 +6,7 @@
     Output, call, event, health,
     input::{self, Event},
     relay::{Relay, line},
-    system::{admission, dispatch, quarantine},
+    system::{admission, dispatch, evacuation, quarantine},
 };
 
 /// Weight of the latest answer in the moving average of a service's answer time.
@@ -90,6 +90,7 @@
             out.push(line(&row, &ended.target, "not reached", reason.to_string()));
             retry(relay, now, ended.call, row, None, out);
         }
+        Event::Withheld => evacuation::withheld(relay, now, attempt, out),
         Event::Refused { status, retry_after } => {
             refused(relay, now, attempt, status, retry_after, out);
         }
--- a/crates/relay/src/system/gossip.rs
+++ b/crates/relay/src/system/gossip.rs
@@ -5,7 +5,7 @@
 use crate::{
     Output, call, centre, event, peer, quota,
     relay::Relay,
-    system::{overlay, planning, quarantine, replication},
+    system::{evacuation, overlay, planning, quarantine, replication},
     target,
 };
 
@@ -50,6 +50,7 @@
         send_overviews(relay, now, out);
     }
     replication::send_copies(relay, now, out);
+    evacuation::send_copies(relay, now, out);
 }
 
 /// Sends the state of this VM to its neighbours.
@@ -87,6 +88,7 @@
         adapters: Vec::new(),
         leader_fence: relay.lease.fence(now),
         poison: quarantine::news(relay, now),
+        evacuations: Some(relay.evacuation.table.version()),
     }
 }
 
@@ -166,6 +168,7 @@
         centres_hash: relay.centres.hash(now, &relay.settings.centre),
         readers: readers.chain(own_age).collect(),
         leader: leaders.chain(own_fence).max_by_key(|(_, fence)| *fence),
+        evacuations: Some(relay.evacuation.table.version()),
     }
 }
 
@@ -282,6 +285,7 @@
             }
         }
         peer::Message::Summary(summary) => receive_summary(relay, now, summary, out),
+        peer::Message::Evacuations(news) => evacuation::receive(relay, now, from, &news, out),
         peer::Message::Overview(overview) => receive_overview(relay, now, from, &overview),
     }
 }
--- a/crates/relay/src/system/mod.rs
+++ b/crates/relay/src/system/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod admission;
 pub(crate) mod attempt;
 pub(crate) mod dispatch;
+pub(crate) mod evacuation;
 pub(crate) mod gossip;
 pub(crate) mod overlay;
 pub(crate) mod planning;
--- a/crates/relay/src/system/quarantine.rs
+++ b/crates/relay/src/system/quarantine.rs
@@ -6,6 +6,7 @@
     Output, call, event, input, lease, poison,
     relay::{Relay, line},
     system::{admission, attempt},
+    target,
 };
 
 /// Time for which changes of the ledger are sent to other VMs, in digest intervals, so
@@ -58,7 +59,9 @@
     row: &call::Row,
     out: &mut Vec<Output>,
 ) {
-    let Some(target) = relay.targets.get(&ended.target).filter(|row| !row.entry.is_leaving) else {
+    // A drained target is not asked.
+    let is_asked = |row: &&target::Row| !row.entry.is_leaving && !relay.targets.is_drained(row);
+    let Some(target) = relay.targets.get(&ended.target).filter(is_asked) else {
         return;
     };
     let parts: Vec<_> = shared_parts(row).collect();
--- a/crates/relay/src/system/replication.rs
+++ b/crates/relay/src/system/replication.rs
@@ -48,13 +48,18 @@
 }
 
 /// Time after which the digests of all VMs confirm a change.
-fn settle_time(relay: &Relay) -> time::Duration {
+pub(crate) fn settle_time(relay: &Relay) -> time::Duration {
     MIN_SETTLE_TIME.max(relay.peers.digest_interval() * SETTLE_INTERVALS)
 }
 
 impl Progress {
     /// Records that `version` is known now.
-    fn note(&mut self, now: ids::Time, settle_time: time::Duration, version: ids::Version) {
+    pub(crate) fn note(
+        &mut self,
+        now: ids::Time,
+        settle_time: time::Duration,
+        version: ids::Version,
+    ) {
         // Without peers, nothing else calls `settled`: prune here, so that versions do not
         // accumulate.
         let settled = self.settled(now, settle_time);
@@ -64,7 +69,7 @@
     }
 
     /// The newest version that all VMs should know by now.
-    fn settled(&mut self, now: ids::Time, settle_time: time::Duration) -> ids::Version {
+    pub(crate) fn settled(&mut self, now: ids::Time, settle_time: time::Duration) -> ids::Version {
         while let Some((_, version)) =
             self.recent.pop_front_if(|(since, _)| now.since(*since) >= settle_time)
         {
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -133,6 +133,8 @@
     pub health: health::Health,
     /// Estimate of its prefix cache.
     pub cache: cache::Cache,
+    /// Store version at which the last drain of its data centre ended, if it was known then.
+    pub drain_ended: Option<ids::Version>,
     /// Set while its entry is missing after a store outage.
     absence: Option<Absence>,
     corrections: collections::BTreeMap<sync::Arc<str>, Correction>,
@@ -170,6 +172,7 @@
             others: Load::default(),
             health: health::Health::default(),
             cache: cache::Cache::default(),
+            drain_ended: None,
             absence: None,
             corrections: collections::BTreeMap::new(),
         }
@@ -221,6 +224,8 @@
     tombstones: collections::BTreeMap<ids::Target, Tombstone>,
     /// Until when the target of a missing entry does not count as removed.
     absences_tolerated_until: ids::Time,
+    /// Data centres to whose targets nothing may be sent.
+    drained: collections::BTreeSet<ids::Centre>,
 }
 
 /// How long after a store outage a missing entry may still come back: the two
@@ -369,7 +374,29 @@
 
     /// The targets of `service` that accept new calls.
     pub fn open<'a>(&'a self, service: &'a ids::Service) -> impl Iterator<Item = &'a Row> {
-        self.rows.values().filter(move |row| row.entry.service == *service && !row.entry.is_leaving)
+        let open = self.rows.values();
+        let open = open.filter(move |row| row.entry.service == *service && !row.entry.is_leaving);
+        open.filter(|row| !self.is_drained(row))
+    }
+
+    /// Sets the drained data centres.
+    pub fn set_drained(&mut self, centres: &collections::BTreeSet<ids::Centre>) {
+        self.drained.clone_from(centres);
+    }
+
+    /// Whether the data centre of a target is drained.
+    #[must_use]
+    pub fn is_drained(&self, row: &Row) -> bool {
+        self.drained.contains(&row.entry.centre)
+    }
+
+    /// Whether `service` has no targets that accept new calls, because of drains.
+    #[must_use]
+    pub fn is_drained_out(&self, service: &ids::Service) -> bool {
+        let own = |row: &&Row| row.entry.service == *service && !row.entry.is_leaving;
+        !self.drained.is_empty()
+            && self.open(service).next().is_none()
+            && self.rows.values().any(|row| own(&row))
     }
 
     /// Iterates over all targets, in order of their names.
--- a/crates/relay/tests/fleet/mod.rs
+++ b/crates/relay/tests/fleet/mod.rs
@@ -49,6 +49,8 @@
     indices: collections::BTreeMap<ids::Vm, usize>,
     config: sync::Arc<config::Config>,
     targets: Vec<target::Entry>,
+    /// The drained data centres in the store.
+    drained: collections::BTreeSet<ids::Centre>,
     version: u64,
     lease: Option<store::table::Row>,
     members: collections::BTreeMap<sync::Arc<str>, (u64, member::Member)>,
@@ -67,6 +69,8 @@
     pub begun: Vec<(usize, output::Begin)>,
     /// VMs that have finished a graceful shutdown.
     pub stopped: Vec<usize>,
+    /// Whether VMs that begin to read the store read which data centres are drained.
+    pub polls_drains: bool,
     /// Questions whether a target has crashed, with the index of the VM that asks.
     pub probes: Vec<(usize, ids::Target, u64)>,
 }
@@ -108,6 +112,7 @@
             vms,
             config: sync::Arc::new(config),
             targets,
+            drained: collections::BTreeSet::new(),
             version: 1,
             lease: None,
             members: collections::BTreeMap::new(),
@@ -121,6 +126,7 @@
             keeps_calls: false,
             begun: Vec::new(),
             stopped: Vec::new(),
+            polls_drains: true,
             probes: Vec::new(),
         };
         (0..size).for_each(|index| fleet.start(index));
@@ -186,6 +192,23 @@
         }
     }
 
+    /// Replaces the drained data centres in the store; its readers learn of it `millis` later.
+    pub fn drain(&mut self, centres: &[&str], millis: u64) {
+        self.version += 1;
+        self.drained = centres.iter().map(|centre| ids::Centre::from(*centre)).collect();
+        for index in 0..self.vms.len() {
+            if self.vms[index].follow.is_reader && self.vms[index].relay.is_some() {
+                let at = self.now + time::Duration::from_millis(millis);
+                self.in_flight.push((at, index, self.evacuations()));
+            }
+        }
+    }
+
+    fn evacuations(&self) -> Input {
+        let version = ids::Version::new(self.version);
+        Input::Evacuations { version, centres: self.drained.clone() }
+    }
+
     /// Removes the entry of a target.
     pub fn remove(&mut self, name: &str) {
         self.version += 1;
@@ -383,6 +406,9 @@
                 let is_first = self.vms[index].polled_at == ids::Time::default();
                 self.vms[index].polled_at = now;
                 let config = sync::Arc::clone(&self.config);
+                if is_first && self.polls_drains {
+                    self.deliver(index, self.evacuations());
+                }
                 self.deliver(index, Input::Config { text: "text".into(), config });
                 let input = if is_first {
                     let change = |entry: &target::Entry| target::Change {
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -25,6 +25,10 @@
     pub reconnects: Vec<ids::Vm>,
     pub stopped: bool,
     pub follow: Option<output::Follow>,
+    /// The targets to which nothing may be sent, if they were told.
+    pub withheld: Option<Vec<ids::Target>>,
+    pub probes: Vec<ids::Target>,
+    pub lines: Vec<relay::event::Event>,
 }
 
 pub struct World {
@@ -228,6 +232,11 @@
                 Output::Reconnect { to } => seen.reconnects.push(to),
                 Output::Stopped => seen.stopped = true,
                 Output::Follow(follow) => seen.follow = Some(follow),
+                Output::Withhold { targets } => {
+                    seen.withheld = Some(targets.iter().cloned().collect());
+                }
+                Output::Probe { target, .. } => seen.probes.push(target),
+                Output::Log(line) => seen.lines.push(line),
                 _ => {}
             }
         }
@@ -299,5 +308,8 @@
         self.reconnects.extend(other.reconnects);
         self.stopped |= other.stopped;
         self.follow = other.follow.or(self.follow);
+        self.withheld = other.withheld.or_else(|| self.withheld.take());
+        self.probes.extend(other.probes);
+        self.lines.extend(other.lines);
     }
 }
