--- a/crates/daemon/src/relay/exchange.rs
+++ b/crates/daemon/src/relay/exchange.rs
@@ -241,6 +241,11 @@
             let reason = "too late for a cold target: it counts requests by the second".into();
             return Err(Event::Unsent { reason });
         }
+        // Its data centre may have been drained while the call waited for the connection.
+        if pool.withheld.contains(&begin.target) {
+            pool.release(connection, None);
+            return Err(Event::Withheld);
+        }
         let remaining = begin.deadline.since(now);
         let outgoing = platform::call::forward(&request.head, begin, remaining)
             .body(Full::new(request.body.clone()))
--- a/crates/daemon/src/relay/metric.rs
+++ b/crates/daemon/src/relay/metric.rs
@@ -41,6 +41,10 @@
 /// Counter of calls to cold targets, labelled by outcome: `granted` if they were sent to one,
 /// `withheld` if they were refused because all their targets are cold.
 pub const COLD_CALLS: &str = "primroseplank_relay_cold_calls_total";
+/// Gauge of data centres to whose targets nothing is sent.
+pub const DRAINED_CENTRES: &str = "primroseplank_relay_drained_centres";
+/// Counter of calls that were not sent because their target was drained at that moment.
+pub const WITHHELD_CALLS: &str = "primroseplank_relay_withheld_calls_total";
 /// Gauge of open calls.
 pub const OPEN_CALLS: &str = "primroseplank_relay_open_calls";
 /// Counter of calls charged to accounts with a limit, labelled by priority and outcome.
@@ -85,6 +89,8 @@
     metrics::describe_histogram!(PAUSE_SECONDS, Unit::Seconds, "Pauses of targets.");
     metrics::describe_gauge!(COLD_TARGETS, Unit::Count, "Targets that are cold.");
     metrics::describe_counter!(COLD_CALLS, Unit::Count, "Calls to cold targets, by outcome.");
+    metrics::describe_gauge!(DRAINED_CENTRES, Unit::Count, "Data centres that are drained.");
+    metrics::describe_counter!(WITHHELD_CALLS, Unit::Count, "Calls not sent because of a drain.");
     metrics::describe_gauge!(OPEN_CALLS, Unit::Count, "Calls that are open.");
     metrics::describe_counter!(CHARGED_CALLS, Unit::Count, "Calls charged to quotas.");
     metrics::describe_counter!(CHARGED_UNITS, Unit::Count, "Quota units asked for.");
@@ -140,5 +146,6 @@
             metrics::counter!(COLD_CALLS, "outcome" => "withheld").increment(1);
         }
         event::Measure::Ordered => metrics::counter!(RUNNER_ORDERS).increment(1),
+        event::Measure::Withheld => metrics::counter!(WITHHELD_CALLS).increment(1),
     }
 }
--- a/crates/relay/src/output.rs
+++ b/crates/relay/src/output.rs
@@ -1,6 +1,6 @@
 //! Actions that the decision core requests from the shell.
 
-use std::{sync, time};
+use std::{collections, sync, time};
 
 use store::table;
 
@@ -91,6 +91,12 @@
         /// Whether its report may be requested.
         may_ask: bool,
     },
+    /// From now on send nothing to these targets and to no others than these: calls that
+    /// have begun and still wait for a connection are not sent. Each list replaces the last.
+    Withhold {
+        /// The targets.
+        targets: sync::Arc<collections::BTreeSet<ids::Target>>,
+    },
     /// Close the connections to a target that no longer exists.
     Disconnect {
         /// Its former address.
--- a/crates/relay/src/system/admission.rs
+++ b/crates/relay/src/system/admission.rs
@@ -8,7 +8,7 @@
 use crate::{
     Output, call, choice, config, envelope, event,
     relay::{Relay, line, refusal},
-    system::{allocation, cold, dispatch, pause, quarantine},
+    system::{allocation, cold, dispatch, evacuation, pause, quarantine},
 };
 
 /// Retry delay sent to callers while this VM shuts down or has no configuration:
@@ -44,6 +44,7 @@
 }
 
 /// Reason for not admitting a call.
+#[derive(Debug)]
 pub(crate) struct Rejection {
     status: u16,
     pub(crate) reason: &'static str,
@@ -212,6 +213,12 @@
     row: call::Row,
     out: &mut Vec<Output>,
 ) {
+    if !row.tried.is_empty()
+        && let Some(rejection) = evacuation::refusal(relay, now, &row)
+    {
+        evacuation::end(relay, now, call, &row, &rejection, out);
+        return;
+    }
     let class = if row.is_courtesy { format::Class::Courtesy } else { format::Class::Paid };
     let entry = route::queue::Entry {
         call,
@@ -264,6 +271,9 @@
         return Some(Rejection::new(503, pause::REASON).with_wait(wait).with_inputs(inputs));
     }
     let config = relay.config.as_ref()?;
+    if let Some(rejection) = evacuation::refusal_without_targets(relay, row) {
+        return Some(rejection);
+    }
     let service = config.services.get(&row.service)?;
     if let Some(inputs) = cold::shortage(relay, now, service, row, latest_start(row)) {
         return Some(Rejection::new(503, cold::REASON).with_inputs(inputs));
@@ -271,9 +281,9 @@
     let (Some(work), Some(engine)) = (&row.envelope.work, &service.engine) else {
         return None;
     };
-    let Some(model) = engine.models.get(&work.model) else {
+    if !engine.models.contains_key(&work.model) {
         return Some(Rejection::new(503, "unknown model"));
-    };
+    }
     if work.prompt_tokens > engine.kv_tokens {
         return Some(Rejection::new(503, "larger than the memory"));
     }
@@ -288,6 +298,15 @@
             Rejection::new(503, "overloaded").with_wait(wait).with_inputs(inputs)
         });
     }
+    load_rejection(relay, now, row)
+}
+
+/// Returns the reason if the model of a call, which no usable target holds, certainly cannot
+/// be loaded in time.
+pub(crate) fn load_rejection(relay: &Relay, now: ids::Time, row: &call::Row) -> Option<Rejection> {
+    let work = row.envelope.work.as_ref()?;
+    let engine = relay.config.as_ref()?.services.get(&row.service)?.engine.as_ref()?;
+    let model = engine.models.get(&work.model)?;
     let expected_at = relay.planner.as_ref().and_then(|planner| planner.expected_at(&work.model));
     let fastest_load = relay
         .targets
--- a/crates/relay/src/system/attempt.rs
+++ b/crates/relay/src/system/attempt.rs
@@ -6,7 +6,7 @@
     Output, call, event, health,
     input::{self, Event},
     relay::{Relay, line},
-    system::{admission, cold, dispatch, pause, quarantine},
+    system::{admission, cold, dispatch, evacuation, pause, quarantine},
 };
 
 /// Weight of the latest answer in the moving average of a service's answer time.
@@ -92,6 +92,7 @@
             retry(relay, now, ended.call, row, None, out);
         }
         Event::Notice(notice) => pause::attempt_noticed(relay, now, attempt, notice, out),
+        Event::Withheld => evacuation::withheld(relay, now, attempt, out),
         Event::Refused { status, retry_after } => {
             refused(relay, now, attempt, status, retry_after, out);
         }
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -250,6 +250,8 @@
     former: pause::Former,
     /// Until when the target of a missing entry does not count as removed.
     absences_tolerated_until: ids::Time,
+    /// Data centres to whose targets nothing may be sent.
+    drained: collections::BTreeSet<ids::Centre>,
 }
 
 /// How long after a store outage a missing entry may still come back: the two
@@ -425,7 +427,29 @@
 
     /// The targets of `service` that accept new calls.
     pub fn open<'a>(&'a self, service: &'a ids::Service) -> impl Iterator<Item = &'a Row> {
-        self.rows.values().filter(move |row| row.entry.service == *service && !row.is_leaving())
+        let open = self.rows.values();
+        let open = open.filter(move |row| row.entry.service == *service && !row.is_leaving());
+        open.filter(|row| !self.is_drained(row))
+    }
+
+    /// Sets the drained data centres.
+    pub fn set_drained(&mut self, centres: &collections::BTreeSet<ids::Centre>) {
+        self.drained.clone_from(centres);
+    }
+
+    /// Whether the data centre of a target is drained.
+    #[must_use]
+    pub fn is_drained(&self, row: &Row) -> bool {
+        self.drained.contains(&row.entry.centre)
+    }
+
+    /// Whether `service` has no targets that accept new calls, because of drains.
+    #[must_use]
+    pub fn is_drained_out(&self, service: &ids::Service) -> bool {
+        let own = |row: &&Row| row.entry.service == *service && !row.is_leaving();
+        !self.drained.is_empty()
+            && self.open(service).next().is_none()
+            && self.rows.values().any(|row| own(&row))
     }
 
     /// Iterates over all targets, in order of their names.
--- a/crates/relay/tests/cold.rs
+++ b/crates/relay/tests/cold.rs
@@ -422,11 +422,11 @@
     world.event(first, Event::Cold { left });
     let seen = world.wait(40);
     assert!(
-        seen.logs
+        seen.lines
             .iter()
             .any(|line| line.outcome == "cold" && line.inputs.contains("source Response")),
         "{:?}",
-        seen.logs
+        seen.lines
     );
     assert_eq!(world.relay.cold_targets(), 1);
     assert_eq!(sent_of(&mut world, 5), 1, "what was sent before counts");
@@ -437,9 +437,9 @@
     world.event(first, Event::First);
     world.changes(3, vec![world::change(3, cold_runner("r-1", 0))]);
     let seen = world.wait(40);
-    assert!(seen.logs.iter().any(|line| line.outcome == "warm"), "{:?}", seen.logs);
+    assert!(seen.lines.iter().any(|line| line.outcome == "warm"), "{:?}", seen.lines);
     let (_, seen) = world.arrive(draft("draft", "alpha", 100));
-    let sent = seen.logs.iter().find(|line| line.outcome == "sent").expect("it is sent");
+    let sent = seen.lines.iter().find(|line| line.outcome == "sent").expect("it is sent");
     assert!(sent.inputs.contains("slowness 1.00 failed 0.00"), "{}", sent.inputs);
     let attempt = seen.begun[0].attempt;
     // And an entry tells that it is cold again, then a response that it is warm.
@@ -450,6 +450,27 @@
     assert_eq!(sent_of(&mut world, 5), 5);
 }
 
+/// Guards against a data centre that gets all its calls at once when its drain ends: its
+/// targets may have become cold meanwhile, and their last entries are from before.
+#[test]
+fn targets_count_as_cold_after_a_drain_until_a_newer_entry_says_otherwise() {
+    let mut world = world(vec![cold_runner("r-1", 0)]);
+    assert_eq!(world.relay.cold_targets(), 0);
+    let drain = |version, centres: &[&str]| Input::Evacuations {
+        version: ids::Version::new(version),
+        centres: centres.iter().map(|name| (*name).into()).collect(),
+    };
+    let centre = cold_runner("r-1", 0).centre;
+    world.step([drain(5, &[centre.as_str()])]);
+    world.wait(2_000);
+    world.step([drain(7, &[])]);
+    world.wait(40);
+    assert_eq!(sent_of(&mut world, 9), 2);
+    world.wait(1_300);
+    world.changes(8, vec![world::change(8, cold_runner("r-1", 0))]);
+    assert_eq!(sent_of(&mut world, 9), 9);
+}
+
 /// Guards against targets that count as warm because their first entry states no time, and
 /// against targets of a VM that starts which count as cold without a reason.
 #[test]
@@ -547,7 +568,7 @@
     }
     let seen = world.wait(100);
     assert_eq!(seen.begun.len(), 2, "those that wait get the share of the next window");
-    let sent = seen.logs.iter().find(|line| line.outcome == "sent").expect("it is sent");
+    let sent = seen.lines.iter().find(|line| line.outcome == "sent").expect("it is sent");
     assert!(sent.inputs.contains("expected 40 ms"), "{}", sent.inputs);
 }
 
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -24,8 +24,11 @@
     pub ready: Vec<bool>,
     pub reconnects: Vec<ids::Vm>,
     pub stopped: bool,
-    pub logs: Vec<relay::event::Event>,
     pub follow: Option<output::Follow>,
+    /// The targets to which nothing may be sent, if they were told.
+    pub withheld: Option<Vec<ids::Target>>,
+    pub probes: Vec<ids::Target>,
+    pub lines: Vec<relay::event::Event>,
 }
 
 pub struct World {
@@ -234,7 +237,11 @@
                 Output::Reconnect { to } => seen.reconnects.push(to),
                 Output::Stopped => seen.stopped = true,
                 Output::Follow(follow) => seen.follow = Some(follow),
-                Output::Log(line) => seen.logs.push(line),
+                Output::Withhold { targets } => {
+                    seen.withheld = Some(targets.iter().cloned().collect());
+                }
+                Output::Probe { target, .. } => seen.probes.push(target),
+                Output::Log(line) => seen.lines.push(line),
                 _ => {}
             }
         }
@@ -304,8 +311,10 @@
         self.messages.extend(other.messages);
         self.ready.extend(other.ready);
         self.reconnects.extend(other.reconnects);
-        self.logs.extend(other.logs);
         self.stopped |= other.stopped;
         self.follow = other.follow.or(self.follow);
+        self.withheld = other.withheld.or_else(|| self.withheld.take());
+        self.probes.extend(other.probes);
+        self.lines.extend(other.lines);
     }
 }
