--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -53,6 +53,12 @@
             published_at = now;
             effects.pool.close_expired();
             metrics::gauge!(metric::OPEN_CALLS).set(core.open_calls() as f64);
+            for (target, speed) in core.speeds() {
+                let target = target.to_string();
+                metrics::gauge!(metric::PREFILL_RATIO, "target" => target.clone())
+                    .set(speed.prefill);
+                metrics::gauge!(metric::STEP_RATIO, "target" => target).set(speed.step);
+            }
             metrics::gauge!(metric::BLOCKED_PARTS).set(core.blocked_parts() as f64);
             metrics::gauge!(metric::VIEW_AGE).set(core.view_age(now).as_secs_f64());
             metrics::gauge!(metric::CONFIG_VERSION).set(core.version().get() as f64);
--- a/crates/daemon/src/relay/events.rs
+++ b/crates/daemon/src/relay/events.rs
@@ -34,6 +34,8 @@
     pub bytes: bytes::Bytes,
     /// Id of the most recent event; `None` if there is none.
     pub last_id: Option<u64>,
+    /// Number of events.
+    pub count: u32,
     /// What is wrong with the bytes after these events. Nothing more can be forwarded.
     pub error: Option<Error>,
 }
@@ -67,6 +69,7 @@
         };
         let mut complete = self.buffer.split_to(searched + end).freeze();
         let mut valid_length = 0;
+        let mut count = 0;
         let mut error = None;
         while let Some(length) = first_length(&complete[valid_length..]) {
             let event = &complete[valid_length..valid_length + length];
@@ -75,10 +78,11 @@
                 break;
             }
             valid_length += length;
+            count += 1;
         }
         complete.truncate(valid_length);
         let last_id = self.last_id.filter(|_| valid_length > 0);
-        Batch { bytes: complete, last_id, error }
+        Batch { bytes: complete, last_id, count, error }
     }
 
     /// Checks that an event is a comment, or has an id that is higher than the one before.
--- a/crates/daemon/src/relay/metric.rs
+++ b/crates/daemon/src/relay/metric.rs
@@ -32,6 +32,12 @@
 pub const VIEW_AGE: &str = "primroseplank_relay_view_age_seconds";
 /// Gauge of prompt parts that are blocked because they crash engines.
 pub const BLOCKED_PARTS: &str = "primroseplank_relay_blocked_prompt_parts";
+/// Gauge of the learned time per prompt token relative to the nominal one, by target.
+pub const PREFILL_RATIO: &str = "primroseplank_relay_target_prefill_ratio";
+/// Gauge of the learned time of a decoding step relative to the nominal one, by target.
+pub const STEP_RATIO: &str = "primroseplank_relay_target_step_ratio";
+/// Counter of calls kept away from a target because of the pauses of its streams.
+pub const PAUSES_AVOIDED: &str = "primroseplank_relay_pauses_avoided_total";
 /// Gauge of open calls.
 pub const OPEN_CALLS: &str = "primroseplank_relay_open_calls";
 /// Gauge of the version of the configuration in force.
@@ -63,6 +69,21 @@
         "Age of the oldest report about reachable VMs."
     );
     metrics::describe_gauge!(BLOCKED_PARTS, Unit::Count, "Prompt parts that are blocked.");
+    metrics::describe_gauge!(
+        PREFILL_RATIO,
+        Unit::Count,
+        "Learned time per prompt token relative to the nominal one."
+    );
+    metrics::describe_gauge!(
+        STEP_RATIO,
+        Unit::Count,
+        "Learned time of a decoding step relative to the nominal one."
+    );
+    metrics::describe_counter!(
+        PAUSES_AVOIDED,
+        Unit::Count,
+        "Calls kept away from a target because of the pauses of its streams."
+    );
     metrics::describe_gauge!(OPEN_CALLS, Unit::Count, "Calls that are open.");
     metrics::describe_gauge!(CONFIG_VERSION, Unit::Count, "Version of the configuration in force.");
     Ok(handle)
@@ -89,6 +110,7 @@
         event::Measure::Ended { outcome } => {
             metrics::counter!(ENDED_CALLS, "outcome" => *outcome).increment(1);
         }
+        event::Measure::PauseAvoided => metrics::counter!(PAUSES_AVOIDED).increment(1),
         event::Measure::Ordered => metrics::counter!(RUNNER_ORDERS).increment(1),
     }
 }
--- a/crates/daemon/src/relay/pump.rs
+++ b/crates/daemon/src/relay/pump.rs
@@ -35,13 +35,17 @@
     splitter: events::Splitter,
     last_id: Option<u64>,
     has_sent_first: bool,
+    began: time::Instant,
     reported_at: time::Instant,
+    meter: relay::speed::Meter,
 }
 
 impl Forwarded {
     fn new(last_id: Option<u64>, has_sent_first: bool) -> Self {
         let splitter = events::Splitter::new(last_id);
-        Self { splitter, last_id, has_sent_first, reported_at: time::Instant::now() }
+        let began = time::Instant::now();
+        let meter = relay::speed::Meter::default();
+        Self { splitter, last_id, has_sent_first, began, reported_at: began, meter }
     }
 }
 
@@ -96,6 +100,7 @@
                 send_event(Event::Ended(input::Summary {
                     framing: stream.framing,
                     last_event: forwarded.last_id,
+                    rhythm: forwarded.meter.take(),
                 }));
                 return;
             }
@@ -159,6 +164,7 @@
         if let Some(bytes) = data.take() {
             let events = forwarded.splitter.push(&bytes);
             forwarded.last_id = events.last_id.or(forwarded.last_id);
+            forwarded.meter.record(forwarded.began.elapsed(), events.count);
             if !events.bytes.is_empty() {
                 tokio::select! {
                     sent = caller.send(Ok(events.bytes)) => if sent.is_err() {
@@ -196,6 +202,6 @@
         send_event(Event::First);
     } else if forwarded.reported_at.elapsed() >= PROGRESS_INTERVAL {
         forwarded.reported_at = time::Instant::now();
-        send_event(Event::Progress);
+        send_event(Event::Progress(forwarded.meter.take()));
     }
 }
--- a/crates/experiment/src/engine.rs
+++ b/crates/experiment/src/engine.rs
@@ -99,6 +99,12 @@
         true
     }
 
+    /// Whether it has work.
+    #[must_use]
+    pub const fn is_busy(&self) -> bool {
+        self.batch.next_end().is_some()
+    }
+
     /// Removes a request from the batch.
     pub fn cancel(&mut self, job: u64) {
         self.batch.cancel(job);
--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -53,6 +53,7 @@
     engine: usize,
     chunks: u64,
     last_progress_ms: u64,
+    meter: relay::speed::Meter,
 }
 
 /// A call that arrived at a VM and has not ended.
@@ -79,6 +80,8 @@
     /// Last id given to a call, an engine job or a scheduled event.
     last_id: u64,
     version: u64,
+    /// Time for which each engine had work, in ms.
+    busy_ms: Vec<u64>,
     tally: Tally,
 }
 
@@ -86,7 +89,7 @@
 #[must_use]
 pub fn run(scenario: &Scenario, rule: &Rule, seed: u64) -> Tally {
     let mut fleet = Fleet::new(scenario, rule, seed);
-    let max_timeout_ms = load::KINDS.iter().map(|kind| kind.timeout_ms).max().unwrap_or(0);
+    let max_timeout_ms = scenario.kinds.iter().map(|kind| kind.timeout_ms).max().unwrap_or(0);
     let end = START_MS + WARM_UP_MS + scenario.length_s * 1_000 + max_timeout_ms + 1_000;
     while fleet.now_ms < end {
         fleet.step();
@@ -96,6 +99,8 @@
     for (call_index, first_ms) in unanswered {
         fleet.record(call_index, first_ms, Outcome::Failed);
     }
+    fleet.tally.busiest_engine = busiest(&fleet.busy_ms);
+    fleet.tally.speed_error = fleet.speed_error();
     fleet.tally
 }
 
@@ -122,6 +127,11 @@
     placement
 }
 
+/// Data centre of the VM or engine with this number.
+fn centre(scenario: &Scenario, number: usize) -> String {
+    format!("centre-{}", number % scenario.centres)
+}
+
 fn configuration(scenario: &Scenario) -> config::Config {
     let models = (0..scenario::MODELS).map(|number| {
         let spec = config::Model {
@@ -139,11 +149,12 @@
         memory_mb: 220_000.0,
         adapters: 8,
         loads_per_second: 1.4,
+        stride: scenario.stride,
         models: models.collect(),
     };
     let service =
         config::Service { name: "writers".into(), connections: 360, engine: Some(engine) };
-    let routes = load::KINDS.iter().enumerate().map(|(number, kind)| {
+    let routes = scenario.kinds.iter().enumerate().map(|(number, kind)| {
         sync::Arc::new(config::Route {
             name: kind.name.into(),
             host: "experiment".into(),
@@ -181,18 +192,29 @@
     }
 }
 
+/// Busy time of the busiest engine as a multiple of the mean.
+fn busiest(busy_ms: &[u64]) -> f64 {
+    let mean = busy_ms.iter().sum::<u64>() as f64 / busy_ms.len().max(1) as f64;
+    busy_ms.iter().max().map_or(0.0, |most| *most as f64 / mean.max(1.0))
+}
+
 impl<'a> Fleet<'a> {
     fn new(scenario: &'a Scenario, rule: &Rule, seed: u64) -> Self {
         let placement = initial_placement(scenario.engines);
         let engines: Vec<_> = placement
             .iter()
             .enumerate()
-            .map(|(number, placement)| engine::Engine::new(number, placement))
+            .map(|(number, placement)| {
+                let mut engine = engine::Engine::new(number, placement);
+                engine.entry.centre = centre(scenario, number).as_str().into();
+                engine
+            })
             .collect();
         let settings = |number: usize| {
-            let mut settings = Settings::new(&format!("vm-{number}"), "north", 1)
+            let mut settings = Settings::new(&format!("vm-{number}"), &centre(scenario, number), 1)
                 .with_peer(&format!("10.1.0.{number}:1"))
-                .with_rules(rule.choice, rule.discipline);
+                .with_rules(rule.choice, rule.discipline)
+                .with_learned_speed(rule.learns_speed);
             settings.seed = seed * 100 + number as u64;
             settings
         };
@@ -222,6 +244,7 @@
             open_calls: collections::BTreeMap::new(),
             last_id: 0,
             version: 1,
+            busy_ms: vec![0; scenario.engines],
             tally: Tally::new(scenario.length_s),
         };
         for call_index in 0..fleet.calls.len() {
@@ -307,8 +330,15 @@
         self.last_id += 1;
         if self.engines[engine].submit(self.last_id, begin.rank, work) {
             let (attempt, call) = (begin.attempt, begin.call);
-            let request =
-                Request { vm, attempt, call, engine, chunks: 0, last_progress_ms: self.now_ms };
+            let request = Request {
+                vm,
+                attempt,
+                call,
+                engine,
+                chunks: 0,
+                last_progress_ms: self.now_ms,
+                meter: relay::speed::Meter::default(),
+            };
             self.requests.insert(self.last_id, request);
         } else {
             let event = input::Event::Refused { status: 503, retry_after: None };
@@ -325,14 +355,18 @@
         let (second, now) = (self.second(), self.now());
         for number in 0..self.engines.len() {
             let speed = self.scenario.speed(second, number);
-            let mut events = Vec::new();
-            let step = time::Duration::from_millis(STEP_MS);
-            self.engines[number].advance(step, speed, &mut events);
-            for event in events {
-                match event {
-                    batch::Event::Chunk { job, .. } => self.handle_chunk(job),
-                    batch::Event::Done { job } => self.handle_done(job),
-                    batch::Event::Cache(_) => {}
+            for at_ms in self.now_ms + 1 - STEP_MS..=self.now_ms {
+                let speed = speed * self.scenario.uneven_speed(at_ms, number);
+                let mut events = Vec::new();
+                let step = time::Duration::from_millis(1);
+                self.busy_ms[number] += u64::from(self.engines[number].is_busy());
+                self.engines[number].advance(step, speed, &mut events);
+                for event in events {
+                    match event {
+                        batch::Event::Chunk { job, .. } => self.handle_chunk(job, at_ms),
+                        batch::Event::Done { job } => self.handle_done(job),
+                        batch::Event::Cache(_) => {}
+                    }
                 }
             }
             if self.engines[number].complete_order(now) {
@@ -347,17 +381,26 @@
         }
     }
 
-    fn handle_chunk(&mut self, job: u64) {
-        let now_ms = self.now_ms;
+    fn handle_chunk(&mut self, job: u64, now_ms: u64) {
+        let stride = u64::from(self.scenario.stride);
         let Some(request) = self.requests.get_mut(&job) else {
             return;
         };
         request.chunks += 1;
+        if (request.chunks - 1) % stride != 0 {
+            return;
+        }
+        request.meter.record(time::Duration::from_millis(now_ms), 1);
         let (vm, attempt, is_first) = (request.vm, request.attempt, request.chunks == 1);
-        let is_due = now_ms - request.last_progress_ms >= PROGRESS_INTERVAL_MS;
+        let is_due = now_ms.saturating_sub(request.last_progress_ms) >= PROGRESS_INTERVAL_MS;
         if is_first || is_due {
             request.last_progress_ms = now_ms;
         }
+        let rhythm = if is_due && !is_first {
+            request.meter.take()
+        } else {
+            relay::speed::Rhythm::default()
+        };
         if let Some(open) = self.open_calls.get_mut(&request.call) {
             if is_first {
                 open.first_ms = Some(now_ms);
@@ -381,16 +424,17 @@
             self.schedule_input(
                 vm,
                 LINK_DELAY_MS,
-                Input::Attempt { attempt, event: input::Event::Progress },
+                Input::Attempt { attempt, event: input::Event::Progress(rhythm) },
             );
         }
     }
 
     fn handle_done(&mut self, job: u64) {
-        let Some(request) = self.requests.remove(&job) else {
+        let Some(mut request) = self.requests.remove(&job) else {
             return;
         };
-        let event = input::Event::Ended(input::Summary::default());
+        let rhythm = request.meter.take();
+        let event = input::Event::Ended(input::Summary { rhythm, ..input::Summary::default() });
         self.schedule_input(
             request.vm,
             LINK_DELAY_MS,
@@ -398,10 +442,11 @@
         );
         self.schedule_input(request.vm, LINK_DELAY_MS, Input::Closed { call: request.call });
         if let Some(open) = self.open_calls.remove(&request.call) {
-            let kind = load::KINDS[self.calls[open.call_index].kind];
+            let kind = self.scenario.kinds[self.calls[open.call_index].kind];
             let since = |ms: u64| ms - self.arrival_ms(open.call_index);
             let is_prompt = open.first_ms.is_some_and(|ms| since(ms) <= kind.objective_ms);
             let is_within_timeout = since(self.now_ms) <= kind.timeout_ms;
+            self.tally.paused += u64::from(open.max_gap_ms > tally::MAX_GAP_MS);
             let outcome =
                 match is_prompt && is_within_timeout && open.max_gap_ms <= tally::MAX_GAP_MS {
                     true => Outcome::InTime,
@@ -412,6 +457,20 @@
         }
     }
 
+    /// Mean relative error of the ratios that the first VM has learned, among the engines of
+    /// uneven speed; those of all engines may have a common factor, which the pace contains.
+    fn speed_error(&self) -> f64 {
+        let pairs = self.engines.iter().enumerate().filter_map(|(number, engine)| {
+            let (_, speed) =
+                self.vms[0].speeds().find(|(target, _)| **target == engine.entry.target)?;
+            Some(speed.prefill * self.scenario.hardware_speed(number))
+        });
+        let pairs: Vec<f64> = pairs.collect();
+        let mean = pairs.iter().sum::<f64>() / pairs.len().max(1) as f64;
+        let errors = pairs.iter().map(|product| (product / mean - 1.0).abs());
+        errors.sum::<f64>() / pairs.len().max(1) as f64
+    }
+
     fn arrival_ms(&self, call_index: usize) -> u64 {
         START_MS + WARM_UP_MS + self.calls[call_index].arrival_ms
     }
@@ -477,7 +536,7 @@
         };
         let generated = &self.calls[open.call_index];
         let elapsed = self.now_ms - self.arrival_ms(open.call_index);
-        let left = load::KINDS[generated.kind].timeout_ms.saturating_sub(elapsed);
+        let left = self.scenario.kinds[generated.kind].timeout_ms.saturating_sub(elapsed);
         let wait = retry_after.map(|wait| u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
         match wait.map(|wait| wait.min(left / MAX_WAIT_DIVISOR)) {
             Some(wait) if open.retries < MAX_RETRIES && left > 0 => {
--- a/crates/experiment/src/load.rs
+++ b/crates/experiment/src/load.rs
@@ -23,6 +23,10 @@
     median_prompt_tokens: f64,
     /// Median length of the answer.
     median_output_tokens: f64,
+    /// Length of the prompt prefix that calls of the kind and model share.
+    shared_tokens: u64,
+    /// Standard deviation of the logarithm of prompt and answer lengths.
+    log_deviation: f64,
 }
 
 /// The kinds, with figures from the data sheets of the users' sites: paid drafts,
@@ -35,6 +39,8 @@
         timeout_ms: 5_000,
         median_prompt_tokens: 1_500.0,
         median_output_tokens: 24.0,
+        shared_tokens: SHARED_PREFIX_TOKENS,
+        log_deviation: LENGTH_LOG_DEVIATION,
     },
     Kind {
         name: "courtesy",
@@ -43,6 +49,8 @@
         timeout_ms: 15_000,
         median_prompt_tokens: 1_500.0,
         median_output_tokens: 24.0,
+        shared_tokens: SHARED_PREFIX_TOKENS,
+        log_deviation: LENGTH_LOG_DEVIATION,
     },
     Kind {
         name: "letter",
@@ -51,6 +59,43 @@
         timeout_ms: 15_000,
         median_prompt_tokens: 900.0,
         median_output_tokens: 150.0,
+        shared_tokens: SHARED_PREFIX_TOKENS,
+        log_deviation: LENGTH_LOG_DEVIATION,
+    },
+];
+
+/// The kinds of a large site with engines of uneven speed: short drafts with long prompts,
+/// courtesy drafts, and long translations. An event comes with every second token.
+pub const LARGE_KINDS: [Kind; 3] = [
+    Kind {
+        name: "draft",
+        share_percent: 70,
+        objective_ms: 800,
+        timeout_ms: 5_000,
+        median_prompt_tokens: 2_400.0,
+        median_output_tokens: 22.0,
+        shared_tokens: 600,
+        log_deviation: 0.45,
+    },
+    Kind {
+        name: "courtesy",
+        share_percent: 10,
+        objective_ms: 6_000,
+        timeout_ms: 15_000,
+        median_prompt_tokens: 2_400.0,
+        median_output_tokens: 22.0,
+        shared_tokens: 600,
+        log_deviation: 0.45,
+    },
+    Kind {
+        name: "letter",
+        share_percent: 20,
+        objective_ms: 600,
+        timeout_ms: 15_000,
+        median_prompt_tokens: 1_500.0,
+        median_output_tokens: 172.0,
+        shared_tokens: 400,
+        log_deviation: 0.3,
     },
 ];
 
@@ -126,7 +171,8 @@
         let interarrival = -rng.random_range(f64::MIN_POSITIVE..1.0).ln() / rate;
         at += time::Duration::from_secs_f64(interarrival);
         let account = sample_index(&mut rng, &weights);
-        let kind = sample_index(&mut rng, &KINDS.map(|kind| f64::from(kind.share_percent)));
+        let kind =
+            sample_index(&mut rng, &scenario.kinds.map(|kind| f64::from(kind.share_percent)));
         let mut demand = [0.0; scenario::MODELS];
         for (place, weight) in demand.iter_mut().enumerate() {
             let rank = (place + scenario::MODELS - shift) % scenario::MODELS;
@@ -134,7 +180,7 @@
         }
         let model = sample_index(&mut rng, &demand);
         let number = calls.len() as u64;
-        let envelope = make_envelope(&mut rng, number, kind, account, model);
+        let envelope = make_envelope(&mut rng, number, scenario.kinds[kind], kind, account, model);
         let vm = rng.random_range(0..scenario.vms);
         let at_ms = u64::try_from(at.as_millis()).unwrap_or(u64::MAX);
         calls.push(Call { arrival_ms: at_ms, vm, kind, account, envelope });
@@ -160,16 +206,16 @@
 fn make_envelope(
     rng: &mut rand::rngs::SmallRng,
     number: u64,
+    spec: Kind,
     kind: usize,
     account: usize,
     model: usize,
 ) -> envelope::Envelope {
-    let spec = KINDS[kind];
     let mut length = |median: f64, max: f64| {
         let normal: f64 = rand_distr::StandardNormal.sample(rng);
-        floor((median * (LENGTH_LOG_DEVIATION * normal).exp()).clamp(2.0, max))
+        floor((median * (spec.log_deviation * normal).exp()).clamp(2.0, max))
     };
-    let prompt = length(spec.median_prompt_tokens, MAX_TOKENS.0).max(SHARED_PREFIX_TOKENS + 16);
+    let prompt = length(spec.median_prompt_tokens, MAX_TOKENS.0).max(spec.shared_tokens + 16);
     let output = length(spec.median_output_tokens, MAX_TOKENS.1);
     let prefix = rng.random_range(0..PREFIXES_PER_KIND) + 10 * kind as u64;
     let work = envelope::Work {
@@ -179,8 +225,8 @@
         output_tokens: output,
         output_estimate: Some(output),
         prompt: vec![
-            envelope::Part { hash: prefix, tokens: SHARED_PREFIX_TOKENS },
-            envelope::Part { hash: 1_000 + number, tokens: prompt - SHARED_PREFIX_TOKENS },
+            envelope::Part { hash: prefix, tokens: spec.shared_tokens },
+            envelope::Part { hash: 1_000 + number, tokens: prompt - spec.shared_tokens },
         ],
     };
     envelope::Envelope {
--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -21,6 +21,9 @@
     /// Run only the scenarios whose names contain this text.
     #[arg(long, default_value = "")]
     only: String,
+    /// Run only the rules whose names contain this text.
+    #[arg(long, default_value = "")]
+    rule: String,
     /// Directory for plots of attainment over time, one SVG file per scenario.
     #[arg(long)]
     plot: Option<path::PathBuf>,
@@ -31,7 +34,7 @@
     let mut out = io::stdout().lock();
     writeln!(
         out,
-        "{:<14} {:<13} {:>7} {:>7} {:>7} {:>7} {:>6} {:>6} {:>6} {:>7} {:>7} {:>8}",
+        "{:<14} {:<13} {:>7} {:>7} {:>7} {:>7} {:>6} {:>6} {:>6} {:>7} {:>7} {:>8} {:>6} {:>6} {:>5}",
         "scene",
         "rule",
         "in time",
@@ -43,18 +46,21 @@
         "failed",
         "p50 ms",
         "p99 ms",
-        "ref. p50"
+        "ref. p50",
+        "paused",
+        "busy",
+        "err"
     )?;
     for mut scenario in scenario::all() {
         if !scenario.name.contains(&command.only) {
             continue;
         }
         scenario.length_s = command.seconds.unwrap_or(scenario.length_s);
-        let runs = run(&scenario, command.seed);
+        let runs = run(&scenario, command.seed, &command.rule);
         for (name, tally) in &runs {
             writeln!(
                 out,
-                "{:<14} {:<13} {:>7.3} {:>7.3} {:>7.3} {:>7.3} {:>6} {:>6} {:>6} {:>7} {:>7} {:>8}",
+                "{:<14} {:<13} {:>7.3} {:>7.3} {:>7.3} {:>7.3} {:>6} {:>6} {:>6} {:>7} {:>7} {:>8} {:>6} {:>6.2} {:>5.2}",
                 scenario.name,
                 name,
                 tally.attainment(),
@@ -67,6 +73,9 @@
                 tally.first_event_ms.value_at_quantile(0.5),
                 tally.first_event_ms.value_at_quantile(0.99),
                 tally.refusal_ms.value_at_quantile(0.5),
+                tally.paused,
+                tally.busiest_engine,
+                tally.speed_error,
             )?;
         }
         if let Some(directory) = &command.plot {
@@ -78,10 +87,11 @@
 }
 
 /// Runs a scenario under all rules in parallel.
-fn run(scenario: &scenario::Scenario, seed: u64) -> Vec<(&'static str, Tally)> {
+fn run(scenario: &scenario::Scenario, seed: u64, only: &str) -> Vec<(&'static str, Tally)> {
     thread::scope(|scope| {
         let runs: Vec<_> = rule::ALL
             .iter()
+            .filter(|rule| rule.name.contains(only))
             .map(|rule| (rule.name, scope.spawn(move || fleet::run(scenario, rule, seed))))
             .collect();
         let joined = runs.into_iter().map(|(name, run)| (name, run.join()));
--- a/crates/experiment/src/scenario.rs
+++ b/crates/experiment/src/scenario.rs
@@ -2,11 +2,22 @@
 
 use std::ops;
 
+use crate::load;
+
 /// Length of a run unless [`Scenario::with_length`] sets another.
 const DEFAULT_LENGTH_S: u64 = 40;
 /// Number of models of every scenario.
 pub const MODELS: usize = 8;
 
+/// Speeds of the engines of a site with uneven ones, relative to the data sheet.
+const SPEEDS: [f64; 3] = [0.7, 1.7, 0.7];
+/// Length of the intervals for which such an engine is slow.
+const NOISE_INTERVAL_MS: u64 = 600;
+/// Share of these intervals in which it is slow.
+const NOISE_PERCENT: u64 = 15;
+/// How many times slower it is then.
+const NOISE_FACTOR: f64 = 2.5;
+
 /// A change that holds for some seconds of a run.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
@@ -31,6 +42,14 @@
     pub engines: usize,
     /// Arrival rate over all VMs, in calls per second.
     pub rate: f64,
+    /// Kinds of calls.
+    pub kinds: [load::Kind; 3],
+    /// Number of data centres.
+    pub centres: usize,
+    /// Decoding steps from one event of a stream to the next.
+    pub stride: u32,
+    /// Whether the engines differ in speed.
+    pub is_uneven: bool,
     /// Length of the run.
     pub length_s: u64,
     /// Changes with the seconds of the run in which they hold.
@@ -39,7 +58,18 @@
 
 impl Scenario {
     fn new(name: &'static str, rate: f64, changes: Vec<(ops::Range<u64>, Change)>) -> Self {
-        Self { name, vms: 5, engines: 12, rate, length_s: DEFAULT_LENGTH_S, changes }
+        Self {
+            name,
+            vms: 5,
+            engines: 12,
+            rate,
+            kinds: load::KINDS,
+            centres: 1,
+            stride: 1,
+            is_uneven: false,
+            length_s: DEFAULT_LENGTH_S,
+            changes,
+        }
     }
 
     /// Sets the length of the run.
@@ -64,6 +94,24 @@
         });
         speeds.fold(1.0, f64::min)
     }
+
+    /// Speed of an engine at `at_ms` because of its hardware and of noise.
+    #[must_use]
+    pub fn uneven_speed(&self, at_ms: u64, engine: usize) -> f64 {
+        if !self.is_uneven {
+            return 1.0;
+        }
+        let seed = route::hash::seed(&engine.to_string());
+        let draw = route::hash::score(seed, &(at_ms / NOISE_INTERVAL_MS).to_string());
+        let is_slow = draw % 100 < NOISE_PERCENT;
+        self.hardware_speed(engine) / if is_slow { NOISE_FACTOR } else { 1.0 }
+    }
+
+    /// Speed of an engine because of its hardware.
+    #[must_use]
+    pub fn hardware_speed(&self, engine: usize) -> f64 {
+        if self.is_uneven { SPEEDS[engine % SPEEDS.len()] } else { 1.0 }
+    }
 }
 
 /// Steady demand at two thirds of the engines' capacity.
@@ -72,6 +120,26 @@
     Scenario::new("calm", 70.0, Vec::new())
 }
 
+/// A large site whose engines differ in speed and are slow now and then.
+#[must_use]
+pub fn uneven() -> Scenario {
+    Scenario {
+        vms: 86,
+        engines: 60,
+        kinds: load::LARGE_KINDS,
+        centres: 4,
+        stride: 2,
+        is_uneven: true,
+        ..Scenario::new("uneven", 265.0, Vec::new())
+    }
+}
+
+/// The same on a small site.
+#[must_use]
+pub fn uneven_small() -> Scenario {
+    Scenario { name: "uneven small", vms: 5, engines: 12, rate: 53.0, centres: 1, ..uneven() }
+}
+
 /// All scenarios, in the order of the table.
 #[must_use]
 pub fn all() -> Vec<Scenario> {
@@ -86,5 +154,7 @@
             vec![(10..20, Change::Speed(0..3, 0.25)), (22..28, Change::Speed(3..5, 0.0))],
         ),
         Scenario::new("overload", 150.0, Vec::new()),
+        uneven_small(),
+        uneven(),
     ]
 }
--- a/crates/experiment/src/tally.rs
+++ b/crates/experiment/src/tally.rs
@@ -59,6 +59,12 @@
     pub failed: u64,
     /// Times from arrival to the first event.
     pub first_event_ms: hdrhistogram::Histogram<u64>,
+    /// Busy time of the busiest engine as a multiple of the mean.
+    pub busiest_engine: f64,
+    /// Mean relative error of the learned speeds.
+    pub speed_error: f64,
+    /// Number of complete answers with a pause over the objective.
+    pub paused: u64,
     /// Times from arrival to the final refusal.
     pub refusal_ms: hdrhistogram::Histogram<u64>,
 }
@@ -85,6 +91,9 @@
             refused: 0,
             failed: 0,
             first_event_ms: histogram(),
+            busiest_engine: 0.0,
+            speed_error: 0.0,
+            paused: 0,
             refusal_ms: histogram(),
         }
     }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -71,6 +71,8 @@
     pub expected_ms: f64,
     /// Whether no other prompt was known to be unread at the target when it was sent.
     pub had_no_backlog: bool,
+    /// Nominal time between two events, in ms; 0 if it is not known.
+    pub nominal_gap_ms: f64,
     /// When the first byte or event arrived; `None` before that.
     pub first_byte_at: Option<ids::Time>,
 }
--- a/crates/relay/src/centre.rs
+++ b/crates/relay/src/centre.rs
@@ -7,7 +7,7 @@
 
 use std::{collections, sync, time};
 
-use crate::{poison, quota, target};
+use crate::{poison, quota, speed, target};
 
 /// How long a report about a data centre is valid. A failed aggregator is replaced
 /// within this time: a heard timeout, until its successor reports.
@@ -73,6 +73,9 @@
     /// What is new about prompt parts that crash engines.
     #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
     pub poison: Vec<poison::Entry>,
+    /// Samples of the targets' speed since the last message that had some.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    pub speeds: Vec<speed::Entry>,
 }
 
 /// State of a data centre, for the aggregators of the others.
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -116,6 +116,8 @@
     pub adapters: u32,
     /// Loads from the weight store a second, over all runners.
     pub loads_per_second: f64,
+    /// Decoding steps from one event of a stream to the next.
+    pub stride: u32,
     /// Models by name.
     pub models: collections::BTreeMap<ids::Model, Model>,
 }
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -51,6 +51,8 @@
         /// Short description of the outcome.
         outcome: &'static str,
     },
+    /// A call was kept away from a target because of the pauses of its streams.
+    PauseAvoided,
     /// An order was sent to a runner.
     Ordered,
 }
--- a/crates/relay/src/input.rs
+++ b/crates/relay/src/input.rs
@@ -4,7 +4,7 @@
 
 use store::table;
 
-use crate::{config, envelope, peer, shutdown, target};
+use crate::{config, envelope, peer, shutdown, speed, target};
 
 /// An event.
 #[derive(Clone, Debug)]
@@ -186,6 +186,8 @@
     pub framing: Framing,
     /// Number of the last complete event of a stream, if any.
     pub last_event: Option<u64>,
+    /// Rhythm of the events of a stream since the last progress.
+    pub rhythm: speed::Rhythm,
 }
 
 /// Progress or end of an attempt.
@@ -212,8 +214,8 @@
     Began,
     /// The first event of a stream was passed on.
     First,
-    /// More of a stream was passed on.
-    Progress,
+    /// More of a stream was passed on, in this rhythm.
+    Progress(speed::Rhythm),
     /// The whole answer was passed on.
     Ended(Summary),
     /// The connection broke; the call may have been executed.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`poison`] finds prompt parts that crash engines, which are blocked then;
 //! - [`target`] holds the targets, with their [`health`] and prompt [`cache`]; [`pace`] is the
 //!   relative speed of models; [`choice`] selects the target with the lowest expected latency;
+//! - [`speed`] learns how fast each target is, from the samples of all VMs;
 //! - [`demand`] and [`placement`] decide which model to load where; the [`planner`] sends
 //!   the orders while this VM holds the [`lease`];
 //! - [`shutdown`] has the times of a graceful shutdown;
@@ -49,6 +50,7 @@
 mod relay;
 pub mod settings;
 pub mod shutdown;
+pub mod speed;
 mod system;
 pub mod target;
 pub mod throughput;
--- a/crates/relay/src/pace.rs
+++ b/crates/relay/src/pace.rs
@@ -17,6 +17,8 @@
 pub struct Pace {
     /// Pace by the size of the weights, in whole MB.
     by_size: collections::BTreeMap<u64, f64>,
+    /// Number of samples by the same size.
+    samples: collections::BTreeMap<u64, u32>,
 }
 
 fn size_mb(weights_mb: f64) -> u64 {
@@ -30,12 +32,20 @@
         self.by_size.get(&size_mb(weights_mb)).copied().unwrap_or(1.0)
     }
 
+    /// Number of samples of models with weights of this size.
+    #[must_use]
+    pub fn samples(&self, weights_mb: f64) -> u32 {
+        self.samples.get(&size_mb(weights_mb)).copied().unwrap_or_default()
+    }
+
     /// Records the actual and expected time to the first token at an engine without
     /// other unread prompts.
     pub fn record(&mut self, weights_mb: f64, took: time::Duration, expected_ms: f64) {
         let ratio = took.as_secs_f64() * 1_000.0 / expected_ms.max(1.0);
         let pace = self.by_size.entry(size_mb(weights_mb)).or_insert(1.0);
         let sample = (*pace * ratio).clamp(MIN_PACE, 1.0);
+        let samples = self.samples.entry(size_mb(weights_mb)).or_default();
+        *samples = samples.saturating_add(1);
         *pace += SAMPLE_WEIGHT * (sample - *pace);
     }
 }
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, sync, time};
 
-use crate::{centre, poison, quota, target};
+use crate::{centre, poison, quota, speed, target};
 
 /// Digest interval of a small fleet; the age of digests bounds the error of loads and
 /// quotas.
@@ -61,7 +61,7 @@
     Members(Members),
     /// State of a data centre, for the aggregators of the others.
     #[serde(rename = "s")]
-    Summary(centre::Summary),
+    Summary(Box<centre::Summary>),
     /// State of the other data centres, for the VMs of the sender's.
     #[serde(rename = "o")]
     Overview(centre::Overview),
@@ -160,6 +160,9 @@
     /// What is new about prompt parts that crash engines.
     #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
     pub poison: Vec<poison::Entry>,
+    /// Samples of the targets' speed since the last digest that had some.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    pub speeds: Vec<speed::Entry>,
 }
 
 /// State of another VM.
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -37,6 +37,9 @@
 /// memory or disk, in load: it takes six to eight seconds longer.
 const FETCH_COST: f64 = 0.3;
 
+/// Least relative speed of a runner that is counted with.
+const MIN_SPEED: f64 = 0.05;
+
 /// A runner as the planner sees it.
 #[derive(Clone, Debug)]
 pub struct Runner {
@@ -50,6 +53,8 @@
     pub cached: collections::BTreeSet<ids::Model>,
     /// Whether it can accept an order.
     pub is_free: bool,
+    /// Its speed relative to the service's median; the same work loads a fast runner less.
+    pub speed: f64,
 }
 
 /// State of all runners of a service, and the demand.
@@ -123,7 +128,7 @@
     /// Load of a runner.
     fn load(&self, runner: &Runner, copies: &collections::BTreeMap<&ids::Model, usize>) -> f64 {
         let work_here = |model| self.work(model) / copies.get(model).copied().unwrap_or(1) as f64;
-        runner.models.iter().map(work_here).sum()
+        runner.models.iter().map(work_here).sum::<f64>() / runner.speed.max(MIN_SPEED)
     }
 
     /// Load of the least loaded runner that holds `model`; infinite if there is none.
@@ -167,7 +172,7 @@
             let Some(evict) = self.evict(runner, needed, &load_without) else {
                 continue;
             };
-            let after = load + added;
+            let after = load + added / runner.speed.max(MIN_SPEED);
             if after >= before {
                 continue;
             }
--- a/crates/relay/src/planner.rs
+++ b/crates/relay/src/planner.rs
@@ -404,6 +404,7 @@
                 models,
                 cached,
                 is_free: record.is_free(now) && row.health.is_healthy(now),
+                speed: row.speed.map_or(1.0, |speed| speed.median / speed.prefill),
             });
         }
         let own = view.demand.iter().filter(|(name, _, _)| *name == service.name);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Input, Output, Settings, call, centre, config, demand, event, lease, output, pace, peer,
-    planner, poison, quota, shutdown, system, target, throughput,
+    planner, poison, quota, shutdown, speed, system, target, throughput,
 };
 
 /// Interval between runs of the systems that scan whole tables.
@@ -100,6 +100,7 @@
     pub(crate) demand: demand::Demand,
     pub(crate) pace: pace::Pace,
     pub(crate) throughput: throughput::Throughput,
+    pub(crate) speed: system::speed::State,
     /// Prompt parts that crash engines.
     pub(crate) poison: poison::Ledger,
     /// Calls that were broken off, while it is not known whether their target, with this
@@ -155,6 +156,7 @@
             demand: demand::Demand::default(),
             pace: pace::Pace::default(),
             throughput: throughput::Throughput::default(),
+            speed: system::speed::State::default(),
             poison: poison::Ledger::default(),
             suspects: collections::BTreeMap::new(),
             stage: Stage::Running,
@@ -187,6 +189,7 @@
         if self.next_tick <= now {
             self.next_tick = now + TICK_INTERVAL;
             system::quarantine::tick(self, now, out);
+            system::speed::tick(self, now);
             system::planning::tick(self, now, out);
             system::gossip::tick(self, now, out);
             system::replication::tick(self, now, out);
@@ -224,6 +227,11 @@
         self.poison.blocked_count()
     }
 
+    /// Learned speeds of the targets; empty if they are not learned.
+    pub fn speeds(&self) -> impl Iterator<Item = (&ids::Target, speed::Estimate)> {
+        self.targets.iter().filter_map(|row| Some((&row.entry.target, row.speed?)))
+    }
+
     /// Number of open calls.
     #[must_use]
     pub fn open_calls(&self) -> usize {
--- a/crates/relay/src/system/attempt.rs
+++ b/crates/relay/src/system/attempt.rs
@@ -6,7 +6,7 @@
     Output, call, event, health,
     input::{self, Event},
     relay::{Relay, line},
-    system::{admission, dispatch, quarantine},
+    system::{admission, dispatch, quarantine, speed},
 };
 
 /// Weight of the latest answer in the moving average of a service's answer time.
@@ -77,7 +77,9 @@
     out: &mut Vec<Output>,
 ) {
     match event {
-        Event::Began | Event::First | Event::Progress => progress(relay, now, attempt, &event, out),
+        Event::Began | Event::First | Event::Progress(_) => {
+            progress(relay, now, attempt, &event, out);
+        }
         Event::Ended(summary) => ended(relay, now, attempt, summary, out),
         Event::Unsent { reason } => {
             let Some((ended, row)) = finish(relay, now, attempt, health::Ending::Broken, out)
@@ -110,7 +112,7 @@
     let Some(row) = relay.calls.attempt(attempt) else {
         return;
     };
-    let is_first = row.first_byte_at.is_none() && !matches!(event, Event::Progress);
+    let is_first = row.first_byte_at.is_none() && !matches!(event, Event::Progress(_));
     let (call, target) = (row.call, row.target.clone());
     let took = now.since(row.sent);
     let expected_ms = row.expected_ms;
@@ -129,7 +131,14 @@
         }
     }
     if is_first_token && had_no_backlog && prompt_tokens >= MIN_SAMPLE_TOKENS {
-        record_pace(relay, call, took, expected_ms);
+        speed::record_first(relay, now, attempt, took, expected_ms, out);
+        let speed = relay.targets.get(&target).and_then(|row| row.speed);
+        // The pace contains what the service's engines have in common.
+        let median = speed.map_or(1.0, |speed| speed.median);
+        record_pace(relay, call, took, expected_ms / median);
+    }
+    if let Event::Progress(rhythm) = event {
+        speed::record_rhythm(relay, now, attempt, *rhythm, out);
     }
     quarantine::progress(relay, now, attempt);
     if let Some(row) = relay.calls.get_mut(call) {
@@ -163,6 +172,7 @@
     summary: input::Summary,
     out: &mut Vec<Output>,
 ) {
+    speed::ended(relay, now, attempt, &summary, out);
     let Some((ended, row)) = finish(relay, now, attempt, health::Ending::Answered, out) else {
         return;
     };
@@ -177,7 +187,7 @@
         }
         out.push(Output::Measure(event::Measure::First(now.since(row.arrived))));
     }
-    let input::Summary { framing, last_event } = summary;
+    let input::Summary { framing, last_event, .. } = summary;
     let inputs = format!(
         "took {took:?} since arrival {:?} framing {framing:?} event {last_event:?}",
         now.since(row.arrived)
--- a/crates/relay/src/system/dispatch.rs
+++ b/crates/relay/src/system/dispatch.rs
@@ -5,7 +5,7 @@
 use crate::{
     Output, call, choice, envelope, event, output, peer,
     relay::{Relay, line, pace_of},
-    system::{admission, attempt, overlay, startup},
+    system::{admission, attempt, overlay, speed, startup},
 };
 
 /// Interval between adapter requests for one call.
@@ -71,6 +71,19 @@
     request_adapters(relay, now, out);
 }
 
+/// Age of the oldest report about other VMs, in ms; 0 if speeds are not learned.
+fn view_age_ms(relay: &Relay, now: ids::Time) -> f64 {
+    if relay.settings.learns_speed { relay.view_age(now).as_secs_f64() * 1_000.0 } else { 0.0 }
+}
+
+/// Smallest gap objective of the streams of a service, in ms; 0 for none.
+fn gap_ms(config: &crate::config::Config, service: &crate::config::Service) -> f64 {
+    let routes = config.routes.iter().filter(|route| {
+        !route.gap.is_zero() && route.split.iter().any(|(name, _)| *name == service.name)
+    });
+    routes.map(|route| route.gap).min().map_or(0.0, |gap| gap.as_secs_f64() * 1_000.0)
+}
+
 fn query<'a>(
     row: &'a call::Row,
     service: &'a crate::config::Service,
@@ -89,6 +102,8 @@
         pace,
         typical_ms,
         place_share,
+        gap_ms: 0.0,
+        view_age_ms: 0.0,
         rule: settings.rule,
         sequence: 0,
     }
@@ -105,6 +120,8 @@
     let typical_ms = relay.calls.get(call).map_or(0.0, |row| relay.typical_ms(&row.service));
     let place_share = startup::place_share(relay, now);
     let pace = relay.calls.get(call).map_or(1.0, |row| relay.pace_of(row));
+    let view_age_ms = view_age_ms(relay, now);
+    let nominal = speed::Nominal::of_call(relay, config, call, pace);
     let Relay { calls, targets, settings, rng, .. } = relay;
     let Some(row) = calls.get(call) else {
         return true;
@@ -113,8 +130,13 @@
         return true;
     };
     let sequence = calls.attempt_count();
-    let query =
-        choice::Query { sequence, ..query(row, service, settings, pace, typical_ms, place_share) };
+    let gap_ms = if settings.learns_speed { gap_ms(config, service) } else { 0.0 };
+    let query = choice::Query {
+        gap_ms,
+        view_age_ms,
+        sequence,
+        ..query(row, service, settings, pace, typical_ms, place_share)
+    };
     let Some(chosen) = choice::choose(targets, now, &query, rng) else {
         return false;
     };
@@ -122,7 +144,8 @@
     let Some(target) = relay.targets.get_mut(&chosen.target) else {
         return false;
     };
-    let had_no_backlog = target.load().prefill == 0;
+    let had_no_backlog = choice::backlog_tokens(target, now) <= 0.0;
+    let nominal_gap_ms = nominal.gap_ms(target);
     target.own.add(chosen.load);
     if let Some(row) = relay.calls.get(call) {
         relay.throughput.record_sent(now, &row.item);
@@ -132,14 +155,18 @@
         let item = work.item();
         target.cache.record(&item, &work.prompt);
     }
+    if chosen.has_avoided_pause {
+        out.push(Output::Measure(event::Measure::PauseAvoided));
+    }
     let inputs = format!(
-        "load {}+{} kv {} prefill {} slowness {:.2} failed {:.2}",
+        "load {}+{} kv {} prefill {} slowness {:.2} failed {:.2}{}",
         target.own.calls,
         target.others.calls,
         target.load().kv,
         target.load().prefill,
         target.health.slowness,
-        target.health.failed
+        target.health.failed,
+        speed::describe(target, now)
     );
     let address = std::sync::Arc::clone(&target.entry.address);
     let born = target.entry.born;
@@ -151,6 +178,7 @@
         sent: now,
         expected_ms: chosen.expected_ms,
         had_no_backlog,
+        nominal_gap_ms,
         first_byte_at: None,
     });
     let Some(row) = relay.calls.get_mut(call) else {
--- a/crates/relay/src/system/gossip.rs
+++ b/crates/relay/src/system/gossip.rs
@@ -5,7 +5,7 @@
 use crate::{
     Output, call, centre, event, peer, quota,
     relay::Relay,
-    system::{overlay, planning, quarantine, replication},
+    system::{overlay, planning, quarantine, replication, speed},
     target,
 };
 
@@ -74,6 +74,7 @@
 
 fn digest(relay: &mut Relay, now: ids::Time) -> peer::Digest {
     let granted = relay.quota.usage(now);
+    let speeds = speed::digest_samples(relay, now);
     let loads = relay.targets.iter().filter(|row| row.own.calls > 0);
     peer::Digest {
         version: relay.version(),
@@ -87,6 +88,7 @@
         adapters: Vec::new(),
         leader_fence: relay.lease.fence(now),
         poison: quarantine::news(relay, now),
+        speeds,
     }
 }
 
@@ -105,11 +107,11 @@
             adapters: planning::neighbours_adapters(relay, now),
             ..summary.sums.clone()
         };
-        let message = peer::Message::Summary(centre::Summary { sums, ..summary.clone() });
+        let message = peer::Message::Summary(Box::new(centre::Summary { sums, ..summary.clone() }));
         out.push(Output::Peer { to: planner_side, message });
     }
     if !others.is_empty() {
-        out.push(Output::Peer { to: others, message: peer::Message::Summary(summary) });
+        out.push(Output::Peer { to: others, message: peer::Message::Summary(Box::new(summary)) });
     }
 }
 
@@ -125,7 +127,8 @@
     let loads = merge_loads(relay.centres.sums(now).flat_map(|sums| &sums.loads));
     let usage = relay.quota.elsewhere_usage(now);
     let poison = quarantine::news(relay, now);
-    let sums = centre::Sums { usage, loads, poison, ..centre::Sums::default() };
+    let speeds = speed::overview_samples(relay, now);
+    let sums = centre::Sums { usage, loads, poison, speeds, ..centre::Sums::default() };
     let overview = centre::Overview { heads, sums };
     let neighbours = relay.peers.neighbours().map(|row| row.member.vm.clone());
     let (planner, others): (Vec<_>, Vec<_>) =
@@ -172,11 +175,13 @@
 /// Sums over the VMs of this data centre.
 fn centre_sums(relay: &mut Relay, now: ids::Time) -> centre::Sums {
     let usage = relay.quota.centre_usage(now);
+    let speeds = speed::summary_samples(relay, now);
     let own = relay.targets.iter().filter(|row| row.own.calls > 0);
     let own: Vec<_> = own.map(|row| (row.entry.target.clone(), row.own)).collect();
     let others = relay.peers.heard_neighbours(now).flat_map(|row| &row.digest.loads);
     let loads = merge_loads(own.iter().chain(others));
-    centre::Sums { usage, loads, poison: quarantine::news(relay, now), ..centre::Sums::default() }
+    let poison = quarantine::news(relay, now);
+    centre::Sums { usage, loads, poison, speeds, ..centre::Sums::default() }
 }
 
 fn merge_loads<'a>(
@@ -221,6 +226,7 @@
     for row in relay.targets.iter_mut() {
         row.others = others.get(&row.entry.target).copied().unwrap_or_default();
     }
+    speed::date_peer_loads(relay, now);
 }
 
 pub(crate) fn receive(
@@ -247,11 +253,13 @@
             if is_neighbour && let Some(row) = relay.peers.record_heard(now, from, incarnation) {
                 let granted = digest.granted.clone();
                 row.digest = digest;
+                let speeds = std::mem::take(&mut row.digest.speeds);
                 relay.poison.merge(now, &std::mem::take(&mut row.digest.poison));
                 let view = overlay::view(relay, now);
                 let reporter = quota::Reporter { vm: from.clone(), incarnation };
                 let source = quota::Source::Vm(from.clone());
                 relay.quota.apply_usage(now, view, &source, &reporter, &granted);
+                speed::merge(relay, now, from, speed::Source::Neighbour, speeds, out);
             }
         }
         peer::Message::Config { version, text } => {
@@ -281,8 +289,8 @@
                 overlay::forward(relay, now, from, peer::Message::Placed(placed), out);
             }
         }
-        peer::Message::Summary(summary) => receive_summary(relay, now, summary, out),
-        peer::Message::Overview(overview) => receive_overview(relay, now, from, &overview),
+        peer::Message::Summary(summary) => receive_summary(relay, now, *summary, out),
+        peer::Message::Overview(overview) => receive_overview(relay, now, from, &overview, out),
     }
 }
 
@@ -297,13 +305,18 @@
     };
     if aggregator != relay.settings.vm {
         // The sender does not know this data centre's aggregator.
-        out.push(Output::Peer { to: vec![aggregator], message: peer::Message::Summary(summary) });
+        out.push(Output::Peer {
+            to: vec![aggregator],
+            message: peer::Message::Summary(Box::new(summary)),
+        });
         return;
     }
     if !relay.centres.accept_summary(now, &summary) {
         return;
     }
     let centre::Summary { head, sums } = summary;
+    let from = head.aggregator.clone();
+    speed::merge(relay, now, &from, speed::Source::Centre, sums.speeds.clone(), out);
     relay.poison.merge(now, &sums.poison);
     relay.peers.record_head(now, time::Duration::ZERO, &head);
     let view = overlay::view(relay, now);
@@ -317,11 +330,14 @@
     now: ids::Time,
     from: &ids::Vm,
     overview: &centre::Overview,
+    out: &mut Vec<Output>,
 ) {
     if overlay::is_aggregator(relay, now) || !relay.centres.accept_overview(now, from, overview) {
         return;
     }
     relay.poison.merge(now, &overview.sums.poison);
+    let speeds = overview.sums.speeds.clone();
+    speed::merge(relay, now, from, speed::Source::Elsewhere, speeds, out);
     for (head, age_ms) in &overview.heads {
         relay.peers.record_head(now, time::Duration::from_millis(*age_ms), head);
     }
--- a/crates/relay/src/system/mod.rs
+++ b/crates/relay/src/system/mod.rs
@@ -9,4 +9,5 @@
 pub(crate) mod quarantine;
 pub(crate) mod replication;
 pub(crate) mod shutdown;
+pub(crate) mod speed;
 pub(crate) mod startup;
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, sync, time};
 
-use crate::{cache, health};
+use crate::{cache, health, speed};
 
 /// A target's own entry in the store.
 #[derive(Clone, Debug, PartialEq)]
@@ -131,6 +131,10 @@
     pub others: Load,
     /// Health derived from recent calls.
     pub health: health::Health,
+    /// Its learned speed; `None` if speeds are not learned.
+    pub speed: Option<speed::Estimate>,
+    /// Mean time at which the other VMs' prefill load was up to date.
+    pub others_at: ids::Time,
     /// Estimate of its prefix cache.
     pub cache: cache::Cache,
     /// Set while its entry is missing after a store outage.
@@ -169,6 +173,8 @@
             own: Load::default(),
             others: Load::default(),
             health: health::Health::default(),
+            speed: None,
+            others_at: ids::Time::default(),
             cache: cache::Cache::default(),
             absence: None,
             corrections: collections::BTreeMap::new(),
--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -18,6 +18,7 @@
         memory_mb: 140.0,
         adapters: 8,
         loads_per_second: 1.0,
+        stride: 1,
         models: models.iter().map(|name| (ids::Model::from(*name), model.clone())).collect(),
     }
 }
@@ -34,6 +35,7 @@
         models: models.iter().map(|name| ids::Model::from(*name)).collect(),
         cached: collections::BTreeSet::new(),
         is_free: true,
+        speed: 1.0,
     };
     placement::Snapshot {
         runners: held.iter().enumerate().map(runner).collect(),
--- a/crates/relay/tests/planner.rs
+++ b/crates/relay/tests/planner.rs
@@ -405,6 +405,7 @@
         models: models.iter().map(|model| (*model).into()).collect(),
         cached: collections::BTreeSet::new(),
         is_free: true,
+        speed: 1.0,
     }
 }
 
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -86,6 +86,7 @@
         memory_mb: 150.0,
         adapters: 2,
         loads_per_second: 1.0,
+        stride: 1,
         models: [model("alpha"), model("beta"), model("gamma")].into(),
     };
     let service =
