--- a/crates/relay/src/speed.rs
+++ b/crates/relay/src/speed.rs
@@ -30,8 +30,11 @@
 const HALF_LIFE_MS: f64 = 3_000.0;
 /// Maximum weight of a bucket, in samples, so that one burst of samples does not decide.
 const MAX_BUCKET_WEIGHT: f64 = 6.0;
-/// Weight of the service's median in the estimate of a target, in samples.
-const MEDIAN_WEIGHT: f64 = 2.0;
+/// Weight of what is expected without new samples in the estimate of a target, in samples.
+const EXPECTED_WEIGHT: f64 = 2.0;
+/// Half-life in ms with which a target without new samples returns to the median: slow
+/// targets get few calls, and would be tried again and again if it were short.
+const MEMORY_HALF_LIFE_MS: f64 = 30_000.0;
 /// Weight of the step time's ratio in the estimate of the prefill rate, in samples: it is
 /// free of waiting, and both depend on the same hardware.
 const STEP_WEIGHT: f64 = 4.0;
@@ -233,13 +236,33 @@
     points.last().map(|(value, _)| *value)
 }
 
+/// A ratio that was measured last, as a logarithm.
+#[derive(Clone, Copy, Debug)]
+struct Remembered {
+    at: ids::Time,
+    value: f64,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Row {
     born: u64,
+    /// Step time when there were enough samples last.
+    remembered: Option<Remembered>,
     steps: Window,
     prefills: Window,
 }
 
+impl Row {
+    /// What the step time is without new samples: the last measured one, which
+    /// approaches the service's `median`.
+    fn expected_step(&self, now: ids::Time, median: f64) -> f64 {
+        self.remembered.map_or(median, |remembered| {
+            let age_ms = now.since(remembered.at).as_secs_f64() * 1_000.0;
+            median + (remembered.value - median) * (-age_ms / MEMORY_HALF_LIFE_MS).exp2()
+        })
+    }
+}
+
 /// What is known of the speed of all targets.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
@@ -278,7 +301,11 @@
             if weight >= MIN_WEIGHT
                 && let Some(median) = quantile(points, 0.5)
             {
-                medians.entry(known.entry.service.clone()).or_default().push((median, 1.0));
+                row.remembered = Some(Remembered { at: now, value: median });
+            }
+            if let Some(remembered) = row.remembered {
+                let values = medians.entry(known.entry.service.clone()).or_default();
+                values.push((remembered.value, 1.0));
             }
         }
         let medians: collections::BTreeMap<_, _> = medians
@@ -290,9 +317,10 @@
                 continue;
             };
             let median = medians.get(&known.entry.service).copied().unwrap_or_default();
+            let expected = row.expected_step(now, median);
             let mut points = row.steps.points(now);
-            points.push((median, MEDIAN_WEIGHT));
-            let step = quantile(points, 0.5).unwrap_or(median);
+            points.push((expected, EXPECTED_WEIGHT));
+            let step = quantile(points, 0.5).unwrap_or(expected);
             let mut points = row.prefills.points(now);
             points.push((step, STEP_WEIGHT));
             let prefill = quantile(points, PREFILL_QUANTILE).unwrap_or(step);
--- a/crates/relay/tests/fleet/mod.rs
+++ b/crates/relay/tests/fleet/mod.rs
@@ -37,6 +37,8 @@
     pub bytes_between_centres: u64,
     pub bytes_by_kind: collections::BTreeMap<&'static str, u64>,
     pub store_calls: collections::BTreeMap<&'static str, u64>,
+    /// Largest number of targets in the speed samples of a digest.
+    pub most_speed_samples: usize,
     /// Messages to a VM without a connection.
     pub unlinked: u64,
     /// Lines that say that a VM is heard again.
@@ -67,6 +69,8 @@
     pub begun: Vec<(usize, output::Begin)>,
     /// VMs that have finished a graceful shutdown.
     pub stopped: Vec<usize>,
+    /// Whether VMs that start learn the speed of targets.
+    pub learns_speed: bool,
     /// Questions whether a target has crashed, with the index of the VM that asks.
     pub probes: Vec<(usize, ids::Target, u64)>,
 }
@@ -121,6 +125,7 @@
             keeps_calls: false,
             begun: Vec::new(),
             stopped: Vec::new(),
+            learns_speed: false,
             probes: Vec::new(),
         };
         (0..size).for_each(|index| fleet.start(index));
@@ -132,8 +137,9 @@
         let vm = &mut self.vms[index];
         vm.incarnation += 1;
         let address = format!("10.0.0.{index}:7000");
-        let settings =
-            Settings::new(vm.name.as_str(), vm.centre.as_str(), vm.incarnation).with_peer(&address);
+        let settings = Settings::new(vm.name.as_str(), vm.centre.as_str(), vm.incarnation)
+            .with_peer(&address)
+            .with_learned_speed(self.learns_speed);
         vm.relay = Some(Relay::new(settings));
         vm.links.clear();
         vm.follow = output::Follow { is_reader: false, watches_members: true, watches_lease: true };
@@ -297,6 +303,10 @@
         let sender = &self.vms[from];
         let (name, centre) = (sender.name.clone(), sender.centre.clone());
         let incarnation = ids::Incarnation::new(sender.incarnation);
+        if let peer::Message::Digest(digest) = message {
+            let most = &mut self.traffic.most_speed_samples;
+            *most = digest.speeds.len().max(*most);
+        }
         let mut size = None;
         for receiver in to {
             if !self.vms[from].links.contains(receiver) {
