--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -467,7 +467,6 @@
         });
         let pairs: Vec<f64> = pairs.collect();
         let mean = pairs.iter().sum::<f64>() / pairs.len().max(1) as f64;
-        if std::env::var("DBG").is_ok() { for (t, s) in self.vms[0].speeds() { eprintln!("{t} {s:?}"); } }
         let errors = pairs.iter().map(|product| (product / mean - 1.0).abs());
         errors.sum::<f64>() / pairs.len().max(1) as f64
     }
--- a/crates/relay/src/choice.rs
+++ b/crates/relay/src/choice.rs
@@ -263,7 +263,7 @@
     };
     let mut rows: Vec<_> = rows.map(draw).collect();
     rows.sort_by(|(one, _), (other, _)| other.total_cmp(one));
-    let share = (FRESH_VIEW_MS / query.view_age_ms.max(1.0)).min(1.0);
+    let share = (FRESH_VIEW_MS / query.view_age_ms.max(1.0)).min(1.0).powi(2);
     let size = (rows.len() as f64 * share).max(MIN_SHORTLIST);
     let size = usize::try_from(time::Duration::from_secs_f64(size).as_secs()).unwrap_or(usize::MAX);
     rows.truncate(size);
