relay: the number of targets that are compared follows the number of VMs

Cause: in the experiment the age of the view hardly tells 5 VMs from 86, while the part of the load that a VM knows at once does. Change: targets x 5 / VMs are compared, at least three, drawn with odds of speed to the power of 0.8.

--- a/crates/relay/src/choice.rs
+++ b/crates/relay/src/choice.rs
@@ -52,10 +52,14 @@
 /// Cost of decoding at a target whose pauses may exceed the objective, as a fraction of
 /// the decoding time.
 const EXPOSURE_COST: f64 = 0.1;
-/// Age of the view up to which all targets are compared, in ms.
-const FRESH_VIEW_MS: f64 = 100.0;
+/// Number of VMs up to which all targets are compared: a VM knows its own calls at once, and
+/// those of the others some hundred ms later.
+const SHORTLIST_VMS: usize = 5;
 /// Minimum number of targets that are compared.
-const MIN_SHORTLIST: f64 = 3.0;
+const MIN_SHORTLIST: usize = 3;
+/// Exponent of the speed in the odds of being compared. The comparison prefers fast targets
+/// again, so odds in proportion to speed would overload them.
+const SPEED_EXPONENT: f64 = 0.8;
 
 /// Rule for selecting targets; all but the default are baselines for experiments.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,8 +99,8 @@
     pub pace: f64,
     /// Gap objective of the streams at the service's targets, in ms; 0 for none.
     pub gap_ms: f64,
-    /// Age of the oldest report about the load of other VMs, in ms.
-    pub view_age_ms: f64,
+    /// Number of VMs that send calls to the targets.
+    pub vms: usize,
     /// Selection rule.
     pub rule: Rule,
     /// Number of attempts so far; selects the target under round robin.
@@ -249,23 +253,21 @@
         + experienced * stream_ms * EXPOSURE_COST
 }
 
-/// Targets to compare, drawn at random in proportion to their speed: fewer of them the
-/// older the view is, since VMs with the same old view would choose the same target.
+/// Targets to compare, drawn at random with better odds for faster ones: fewer of them the
+/// more VMs there are, since VMs with the same old view would choose the same target.
 fn shortlist<'a, R: rand::Rng + ?Sized>(
     rows: impl Iterator<Item = &'a target::Row>,
     query: &Query<'_>,
     rng: &mut R,
 ) -> Vec<&'a target::Row> {
     let draw = |row: &'a target::Row| {
-        let weight = row.speed.map_or(1.0, |speed| 1.0 / speed.prefill);
+        let weight = row.speed.map_or(1.0, |speed| speed.prefill.powf(-SPEED_EXPONENT));
         // The largest of these keys are a random sample with these weights.
         (rng.random_range(f64::MIN_POSITIVE..1.0).ln() / weight, row)
     };
     let mut rows: Vec<_> = rows.map(draw).collect();
     rows.sort_by(|(one, _), (other, _)| other.total_cmp(one));
-    let share = (FRESH_VIEW_MS / query.view_age_ms.max(1.0)).min(1.0).powi(2);
-    let size = (rows.len() as f64 * share).max(MIN_SHORTLIST);
-    let size = usize::try_from(time::Duration::from_secs_f64(size).as_secs()).unwrap_or(usize::MAX);
+    let size = (rows.len() * SHORTLIST_VMS).div_ceil(query.vms.max(1)).max(MIN_SHORTLIST);
     rows.truncate(size);
     rows.into_iter().map(|(_, row)| row).collect()
 }
--- a/crates/relay/src/system/dispatch.rs
+++ b/crates/relay/src/system/dispatch.rs
@@ -71,11 +71,6 @@
     request_adapters(relay, now, out);
 }
 
-/// Age of the oldest report about other VMs, in ms; 0 if speeds are not learned.
-fn view_age_ms(relay: &Relay, now: ids::Time) -> f64 {
-    if relay.settings.learns_speed { relay.view_age(now).as_secs_f64() * 1_000.0 } else { 0.0 }
-}
-
 /// Smallest gap objective of the streams of a service, in ms; 0 for none.
 fn gap_ms(config: &crate::config::Config, service: &crate::config::Service) -> f64 {
     let routes = config.routes.iter().filter(|route| {
@@ -103,7 +98,7 @@
         typical_ms,
         place_share,
         gap_ms: 0.0,
-        view_age_ms: 0.0,
+        vms: 1,
         rule: settings.rule,
         sequence: 0,
     }
@@ -120,7 +115,7 @@
     let typical_ms = relay.calls.get(call).map_or(0.0, |row| relay.typical_ms(&row.service));
     let place_share = startup::place_share(relay, now);
     let pace = relay.calls.get(call).map_or(1.0, |row| relay.pace_of(row));
-    let view_age_ms = view_age_ms(relay, now);
+    let vms = relay.peers.iter().count() + 1;
     let nominal = speed::Nominal::of_call(relay, config, call, pace);
     let Relay { calls, targets, settings, rng, .. } = relay;
     let Some(row) = calls.get(call) else {
@@ -133,7 +128,7 @@
     let gap_ms = if settings.learns_speed { gap_ms(config, service) } else { 0.0 };
     let query = choice::Query {
         gap_ms,
-        view_age_ms,
+        vms,
         sequence,
         ..query(row, service, settings, pace, typical_ms, place_share)
     };
--- a/crates/relay/tests/speed.rs
+++ b/crates/relay/tests/speed.rs
@@ -327,7 +327,7 @@
         place_share: 1.0,
         pace: 1.0,
         gap_ms: 400.0,
-        view_age_ms: 0.0,
+        vms: 1,
         rule: choice::Rule::default(),
         sequence: 0,
     }
@@ -382,10 +382,10 @@
 #[test]
 fn vms_with_the_same_old_view_spread_their_calls_by_speed() {
     let (config, centre, work) = (engine_config(), ids::Centre::from("north"), work(2_400));
-    for (vms, view_age_ms) in [(86, 400.0), (330, 1_300.0)] {
+    for vms in [86_u32, 330] {
         let mut table = targets(60);
         (0..60).for_each(|number| set_speed(&mut table, number, [1.43, 0.59, 1.43][number % 3]));
-        let query = choice::Query { view_age_ms, ..query(&config, &work, &centre) };
+        let query = choice::Query { vms: vms as usize, ..query(&config, &work, &centre) };
         let mut rng = rand::rngs::SmallRng::seed_from_u64(7);
         let mut counts = collections::BTreeMap::<ids::Target, u32>::new();
         let rounds = 60;
