--- a/crates/experiment/tests/rules.rs
+++ b/crates/experiment/tests/rules.rs
@@ -77,3 +77,16 @@
         assert!(Tally::worst_share(end) > 0.95, "{end:?}");
     }
 }
+
+/// Guards against a choice of targets that does not profit from learned speeds where
+/// engines differ.
+#[test]
+fn learned_speeds_serve_more_calls_in_time_at_uneven_engines() {
+    let scenario = scenario::uneven_small().with_length(20);
+    let usual = run(&scenario, rule::DEFAULT);
+    let learned = run(&scenario, rule::LEARNED);
+    let (before, after) = (mean(&usual, Tally::attainment), mean(&learned, Tally::attainment));
+    assert!(after > before + 0.02, "{after} with learned speeds, {before} without");
+    let paused = |tallies: &[Tally]| tallies.iter().map(|tally| tally.paused).sum::<u64>();
+    assert!(paused(&learned) < paused(&usual), "{}, {}", paused(&learned), paused(&usual));
+}
