--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -57,6 +57,12 @@
             metrics::gauge!(metric::LEAVING_TARGETS, "source" => "store").set(by_store as f64);
             metrics::gauge!(metric::LEAVING_TARGETS, "source" => "answer").set(by_answer as f64);
             metrics::gauge!(metric::COLD_TARGETS).set(core.cold_targets() as f64);
+            for (target, speed) in core.speeds() {
+                let target = target.to_string();
+                metrics::gauge!(metric::PREFILL_RATIO, "target" => target.clone())
+                    .set(speed.prefill);
+                metrics::gauge!(metric::STEP_RATIO, "target" => target).set(speed.step);
+            }
             metrics::gauge!(metric::BLOCKED_PARTS).set(core.blocked_parts() as f64);
             metrics::gauge!(metric::DRAINED_CENTRES).set(core.drained_centres() as f64);
             metrics::gauge!(metric::VIEW_AGE).set(core.view_age(now).as_secs_f64());
--- a/crates/daemon/src/relay/metric.rs
+++ b/crates/daemon/src/relay/metric.rs
@@ -45,6 +45,12 @@
 pub const DRAINED_CENTRES: &str = "primroseplank_relay_drained_centres";
 /// Counter of calls that were not sent because their target was drained at that moment.
 pub const WITHHELD_CALLS: &str = "primroseplank_relay_withheld_calls_total";
+/// Gauge of the learned time per prompt token relative to the nominal one, by target.
+pub const PREFILL_RATIO: &str = "primroseplank_relay_target_prefill_ratio";
+/// Gauge of the learned time of a decoding step relative to the nominal one, by target.
+pub const STEP_RATIO: &str = "primroseplank_relay_target_step_ratio";
+/// Counter of calls kept away from a target because of the pauses of its streams.
+pub const PAUSES_AVOIDED: &str = "primroseplank_relay_pauses_avoided_total";
 /// Gauge of open calls.
 pub const OPEN_CALLS: &str = "primroseplank_relay_open_calls";
 /// Counter of calls charged to accounts with a limit, labelled by priority and outcome.
@@ -91,6 +97,21 @@
     metrics::describe_counter!(COLD_CALLS, Unit::Count, "Calls to cold targets, by outcome.");
     metrics::describe_gauge!(DRAINED_CENTRES, Unit::Count, "Data centres that are drained.");
     metrics::describe_counter!(WITHHELD_CALLS, Unit::Count, "Calls not sent because of a drain.");
+    metrics::describe_gauge!(
+        PREFILL_RATIO,
+        Unit::Count,
+        "Learned time per prompt token relative to the nominal one."
+    );
+    metrics::describe_gauge!(
+        STEP_RATIO,
+        Unit::Count,
+        "Learned time of a decoding step relative to the nominal one."
+    );
+    metrics::describe_counter!(
+        PAUSES_AVOIDED,
+        Unit::Count,
+        "Calls kept away from a target because of the pauses of its streams."
+    );
     metrics::describe_gauge!(OPEN_CALLS, Unit::Count, "Calls that are open.");
     metrics::describe_counter!(CHARGED_CALLS, Unit::Count, "Calls charged to quotas.");
     metrics::describe_counter!(CHARGED_UNITS, Unit::Count, "Quota units asked for.");
@@ -145,6 +166,7 @@
         event::Measure::ColdWithheld => {
             metrics::counter!(COLD_CALLS, "outcome" => "withheld").increment(1);
         }
+        event::Measure::PauseAvoided => metrics::counter!(PAUSES_AVOIDED).increment(1),
         event::Measure::Ordered => metrics::counter!(RUNNER_ORDERS).increment(1),
         event::Measure::Withheld => metrics::counter!(WITHHELD_CALLS).increment(1),
     }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -73,6 +73,8 @@
     pub had_no_backlog: bool,
     /// Whether the target was cold when it was sent.
     pub was_cold: bool,
+    /// Nominal time between two events, in ms; 0 if it is not known.
+    pub nominal_gap_ms: f64,
     /// When the first byte or event arrived; `None` before that.
     pub first_byte_at: Option<ids::Time>,
     /// Whether its answer asks for a pause of the target, which is no sign of ill health.
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -64,6 +64,8 @@
     ColdGranted,
     /// A call was refused because all its targets are cold.
     ColdWithheld,
+    /// A call was kept away from a target because of the pauses of its streams.
+    PauseAvoided,
     /// An order was sent to a runner.
     Ordered,
     /// A target has begun a pause of this length.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 //!   relative speed of models; [`choice`] selects the target with the lowest expected latency;
 //! - [`pause`] holds what targets announce: that they leave, or want nothing for a time;
 //! - [`evacuation`] is the set of data centres to whose targets nothing more is sent;
+//! - [`speed`] learns how fast each target is, from the samples of all VMs;
 //! - [`demand`] and [`placement`] decide which model to load where; the [`planner`] sends
 //!   the orders while this VM holds the [`lease`];
 //! - [`shutdown`] has the times of a graceful shutdown;
@@ -55,6 +56,7 @@
 mod relay;
 pub mod settings;
 pub mod shutdown;
+pub mod speed;
 mod system;
 pub mod target;
 pub mod throughput;
--- a/crates/relay/src/planner.rs
+++ b/crates/relay/src/planner.rs
@@ -416,6 +416,7 @@
                 is_free: record.is_free(now)
                     && row.health.is_healthy(now)
                     && row.takes_requests(now),
+                speed: row.speed.map_or(1.0, |speed| speed.median / speed.prefill),
             });
         }
         let own = view.demand.iter().filter(|(name, _, _)| *name == service.name);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Input, Output, Settings, call, centre, cold, config, demand, event, lease, output, pace, peer,
-    planner, poison, quota, shutdown, system, target, throughput,
+    planner, poison, quota, shutdown, speed, system, target, throughput,
 };
 
 /// Interval between runs of the systems that scan whole tables.
@@ -102,6 +102,7 @@
     pub(crate) demand: demand::Demand,
     pub(crate) pace: pace::Pace,
     pub(crate) throughput: throughput::Throughput,
+    pub(crate) speed: system::speed::State,
     /// Prompt parts that crash engines.
     pub(crate) cold: cold::Table,
     /// Targets last logged as cold, with their start and the source of the belief.
@@ -165,6 +166,7 @@
             throughput: throughput::Throughput::default(),
             cold: cold::Table::default(),
             cold_logged: collections::BTreeMap::new(),
+            speed: system::speed::State::default(),
             poison: poison::Ledger::default(),
             suspects: collections::BTreeMap::new(),
             evacuation: system::evacuation::State::default(),
@@ -202,6 +204,7 @@
             system::pause::tick(self, now, out);
             system::cold::tick(self, now, out);
             system::evacuation::tick(self, now, out);
+            system::speed::tick(self, now);
             system::planning::tick(self, now, out);
             system::gossip::tick(self, now, out);
             system::replication::tick(self, now, out);
@@ -271,6 +274,11 @@
         self.evacuation.table.centres().len()
     }
 
+    /// Learned speeds of the targets; empty if they are not learned.
+    pub fn speeds(&self) -> impl Iterator<Item = (&ids::Target, speed::Estimate)> {
+        self.targets.iter().filter_map(|row| Some((&row.entry.target, row.speed?)))
+    }
+
     /// Number of open calls.
     #[must_use]
     pub fn open_calls(&self) -> usize {
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, sync, time};
 
-use crate::{cache, cold, health, pause};
+use crate::{cache, cold, health, pause, speed};
 
 /// A target's own entry in the store.
 #[derive(Clone, Debug, PartialEq)]
@@ -134,6 +134,10 @@
     pub others: Load,
     /// Health derived from recent calls.
     pub health: health::Health,
+    /// Its learned speed; `None` if speeds are not learned.
+    pub speed: Option<speed::Estimate>,
+    /// Mean time at which the other VMs' prefill load was up to date.
+    pub others_at: ids::Time,
     /// Estimate of its prefix cache.
     pub cache: cache::Cache,
     /// What it has announced to this VM in its answers.
@@ -180,6 +184,8 @@
             own: Load::default(),
             others: Load::default(),
             health: health::Health::default(),
+            speed: None,
+            others_at: ids::Time::default(),
             cache: cache::Cache::default(),
             pause: pause::State::default(),
             absence: None,
