--- a/crates/daemon/src/relay/settings.rs
+++ b/crates/daemon/src/relay/settings.rs
@@ -33,18 +33,12 @@
     /// Comma-separated names of the platform's contracts that are in force.
     #[serde(default)]
     pub contracts: String,
-    /// Memory limit of the process, in MB; `None` if the platform states none.
-    #[serde(default)]
-    pub memory_mb: settings::Filled,
     /// Settings of admission.
     #[serde(default)]
     pub admission: Admission,
     /// Settings of the choice of targets.
     #[serde(default)]
     pub routing: Routing,
-    /// Settings of hedged requests.
-    #[serde(default)]
-    pub hedge: Hedge,
     /// Settings of the log.
     #[serde(default)]
     pub log: Log,
@@ -97,17 +91,6 @@
     pub learned_speed: Option<bool>,
 }
 
-/// Limits of hedged requests; 0 turns them off.
-#[derive(Clone, Copy, Debug, Default)]
-#[derive(serde::Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Hedge {
-    /// Maximum number of hedged requests, as a fraction of the calls of their service.
-    pub share: Option<settings::Amount>,
-    /// Maximum work of hedged requests, as a fraction of all work of their service.
-    pub work_share: Option<settings::Amount>,
-}
-
 /// Settings of the log.
 #[derive(Clone, Copy, Debug, Default)]
 #[derive(serde::Deserialize)]
