--- a/crates/daemon/src/relay/settings.rs
+++ b/crates/daemon/src/relay/settings.rs
@@ -86,8 +86,8 @@
 #[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Routing {
-    /// Whether the speed of each engine is learned; by default, where the platform's
-    /// contracts ask for it.
+    /// Whether the speed of each engine is learned; by default not, as it costs more than it
+    /// gains where engines are alike.
     pub learned_speed: Option<bool>,
 }
 
@@ -152,7 +152,7 @@
         let has_pressure = platform::contract::has_pressure(&self.contracts);
         default
             .with_urgency(self.admission.by_urgency.unwrap_or(has_pressure))
-            .with_learned_speed(self.routing.learned_speed.unwrap_or(has_pressure))
+            .with_learned_speed(self.routing.learned_speed.unwrap_or_default())
             .with_peer(&peer.to_string())
             .with_handover(handover)
             .with_retries(retry_share, retry_slack)
