--- a/review/stand-ins-2/platform.rs
+++ b/review/stand-ins-2/platform.rs
@@ -9,7 +9,10 @@
     os::fd::FromRawFd as _,
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -269,6 +272,28 @@
     Ok(address)
 }
 
+/// What the store knows of a connection of one machine.
+struct Open {
+    machine: String,
+    /// Table whose changes it waits for; empty if it waits for none.
+    waits_for: String,
+    stream: TcpStream,
+}
+
+/// The address of the store for one machine, which can be made to refuse new connections.
+#[derive(Clone)]
+pub struct Front {
+    pub address: String,
+    is_closed: Arc<AtomicBool>,
+}
+
+impl Front {
+    /// Refuses new connections, or accepts them again. Open ones are not touched.
+    pub fn refuse(&self, is_closed: bool) {
+        self.is_closed.store(is_closed, Ordering::SeqCst);
+    }
+}
+
 /// A row of the store; without a value it was removed.
 #[derive(Clone, Debug)]
 struct Row {
@@ -280,18 +305,112 @@
 struct Rows {
     rows: BTreeMap<(String, String), Row>,
     version: u64,
+    /// Changes up to this version can't be asked for any more.
+    truncated_at: u64,
 }
 
 /// The platform's store: `rows-get`, `rows-feed` and `rows-tx` as PROTOCOL.md has them.
 #[derive(Clone)]
 pub struct Store {
     state: Arc<(Mutex<Rows>, Condvar)>,
+    open: Arc<Mutex<BTreeMap<u64, Open>>>,
     started: Instant,
 }
 
 impl Store {
     pub fn new() -> Self {
-        Self { state: Arc::default(), started: Instant::now() }
+        Self { state: Arc::default(), open: Arc::default(), started: Instant::now() }
+    }
+
+    /// Serves one machine on an address of its own.
+    pub fn serve_machine(&self, machine: &str) -> io::Result<Front> {
+        static LAST: AtomicU64 = AtomicU64::new(0);
+        let mut listener = Some(TcpListener::bind("127.0.0.1:0")?);
+        let address = listener.as_ref().unwrap().local_addr()?.to_string();
+        let front = Front { address, is_closed: Arc::default() };
+        let (store, own, machine) = (self.clone(), front.clone(), machine.to_owned());
+        thread::spawn(move || {
+            loop {
+                if own.is_closed.load(Ordering::SeqCst) {
+                    listener = None;
+                } else if listener.is_none() {
+                    listener = TcpListener::bind(&own.address).ok();
+                }
+                let accepted = listener.as_ref().and_then(|listener| {
+                    listener.set_nonblocking(true).ok()?;
+                    listener.accept().ok()
+                });
+                let Some((stream, _)) = accepted else {
+                    thread::sleep(Duration::from_millis(2));
+                    continue;
+                };
+                let (store, machine) = (store.clone(), machine.clone());
+                let id = LAST.fetch_add(1, Ordering::SeqCst);
+                thread::spawn(move || {
+                    let _ended = store.serve_connection(id, &machine, stream);
+                    store.open.lock().unwrap().remove(&id);
+                });
+            }
+        });
+        Ok(front)
+    }
+
+    fn serve_connection(&self, id: u64, machine: &str, mut stream: TcpStream) -> io::Result<()> {
+        stream.set_nonblocking(false)?;
+        stream.set_nodelay(true)?;
+        let mut reader = BufReader::new(stream.try_clone()?);
+        let open = Open {
+            machine: machine.to_owned(),
+            waits_for: String::new(),
+            stream: stream.try_clone()?,
+        };
+        self.open.lock().unwrap().insert(id, open);
+        let set = |table: &str| {
+            if let Some(open) = self.open.lock().unwrap().get_mut(&id) {
+                table.clone_into(&mut open.waits_for);
+            }
+        };
+        while let Some(request) = read_message(&mut reader)? {
+            let feed = request.line.split_once("rows-feed?table=").map(|(_, rest)| rest);
+            set(feed.and_then(|rest| rest.split('&').next()).unwrap_or_default());
+            self.answer(&request, &mut stream)?;
+            set("");
+        }
+        Ok(())
+    }
+
+    /// Tables for whose changes a machine waits now.
+    pub fn waits(&self, machine: &str) -> Vec<String> {
+        let open = self.open.lock().unwrap();
+        let own = open.values().filter(|open| open.machine == machine);
+        own.map(|open| open.waits_for.clone()).filter(|table| !table.is_empty()).collect()
+    }
+
+    /// Discards the history and closes the connections that wait for changes, if `is_due`
+    /// holds for the tables for which each machine waits. Returns whether it did.
+    pub fn compact_if(&self, is_due: impl Fn(&str, &[&str]) -> bool) -> bool {
+        let mut rows = self.state.0.lock().unwrap();
+        let open = self.open.lock().unwrap();
+        let mut waits: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+        for open in open.values() {
+            let tables = waits.entry(&open.machine).or_default();
+            if !open.waits_for.is_empty() {
+                tables.push(&open.waits_for);
+            }
+        }
+        if !waits.iter().all(|(machine, tables)| is_due(machine, tables)) {
+            return false;
+        }
+        rows.truncated_at = rows.version;
+        for open in open.values().filter(|open| !open.waits_for.is_empty()) {
+            let _closed = open.stream.shutdown(std::net::Shutdown::Both);
+        }
+        true
+    }
+
+    /// The store's newest version.
+    pub fn version(&self) -> u64 {
+        self.state.0.lock().unwrap().version
     }
 
     /// Writes a row as the operator or a target.
@@ -350,6 +469,9 @@
                 let until = Instant::now() + wait;
                 let mut rows = self.state.0.lock().unwrap();
                 loop {
+                    if after < rows.truncated_at {
+                        break (410, "{}".to_owned());
+                    }
                     let (page, is_empty) =
                         self.page(&rows, field("table"), |_, row| row.version > after);
                     let left = until.saturating_duration_since(Instant::now());
@@ -468,23 +590,26 @@
 
 impl Vm {
     /// Starts the VM `name` before the store at `store`, with the project's own template of
-    /// the settings, and waits until it says that it is ready.
+    /// the settings.
     pub fn start(name: &str, store: &str, bounds: &[(&str, &str)]) -> io::Result<Self> {
         let dir = env::temp_dir().join(format!("review-2-{}-{name}", std::process::id()));
         fs::create_dir_all(&dir)?;
         let mut text = fs::read_to_string("platform/settings.yaml")?;
+        // All VMs of a deployment have one credential, also where each reaches the store through
+        // an address of its own.
+        text = text.replace("primroseplank@{{platform.address}}", "primroseplank@store");
         let free = || -> io::Result<u16> {
             Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.port())
         };
-        let (caller, balancer) = (free()?, free()?);
-        let caller = format!("127.0.0.1:{caller}");
-        let balancer = format!("127.0.0.1:{balancer}");
+        let caller = format!("127.0.0.1:{}", free()?);
+        let balancer = format!("127.0.0.1:{}", free()?);
+        let (peer, metrics) = (free()?.to_string(), free()?.to_string());
         let values = [
             ("nodeName", name),
             ("zone", "z1"),
             ("ip", "127.0.0.1"),
-            ("portRange.0", "0"),
-            ("portRange.1", "0"),
+            ("portRange.0", peer.as_str()),
+            ("portRange.1", metrics.as_str()),
             ("listen.frontend", caller.as_str()),
             ("listen.ready", balancer.as_str()),
             ("platform.address", store),
@@ -492,7 +617,7 @@
         for (field, value) in values.iter().chain(bounds) {
             text = text.replace(&format!("{{{{{field}}}}}"), value);
         }
-        // A placeholder without a value is filled in with nothing.
+        // A placeholder without a value is filled in with nothing, as DEPLOY.md has it.
         while let (Some(from), Some(to)) = (text.find("{{"), text.find("}}")) {
             text.replace_range(from..to + 2, "");
         }
@@ -505,11 +630,15 @@
             .stdout(Stdio::from(log.try_clone()?))
             .stderr(Stdio::from(log))
             .spawn()?;
-        let vm = Self { child, caller, balancer, dir };
+        Ok(Self { child, caller, balancer, dir })
+    }
+
+    /// Waits until it says that it is ready.
+    pub fn wait_until_ready(&self) -> io::Result<()> {
         for _ in 0..100 {
             thread::sleep(Duration::from_millis(100));
-            if vm.is_ready() {
-                return Ok(vm);
+            if self.is_ready() {
+                return Ok(());
             }
         }
         Err(io::Error::other("the VM does not become ready"))
@@ -558,6 +687,18 @@
     }
 }
 
+/// Bounds of a small deployment, as the settings have them.
+pub const BOUNDS: [(&str, &str); 8] = [
+    ("bounds.leaseMs", "3000"),
+    ("bounds.graceS", "8"),
+    ("bounds.retryBudgetRatio", "0.2"),
+    ("bounds.retrySlack", "56"),
+    ("bounds.quotaWindowS", "8"),
+    ("bounds.quotaOverage", "0.1"),
+    ("bounds.quotaSlack", "17000"),
+    ("contracts", "base,drain,config,cost,retry,recover,fleet,stream,engine,tenants,quota,platform"),
+];
+
 /// Whether the disruption is left out.
 pub fn is_calm() -> bool {
     env::var("TROUBLE").is_ok_and(|value| value == "0")
--- a/review/stand-ins-2/stop.rs
+++ b/review/stand-ins-2/stop.rs
@@ -96,17 +96,8 @@
         Ok(true)
     })?;
     platform::register(&store, "i-desk-1", "desk", &target, 6);
-    let bounds = [
-        ("bounds.leaseMs", "3000"),
-        ("bounds.graceS", "8"),
-        ("bounds.retryBudgetRatio", "0.2"),
-        ("bounds.retrySlack", "52"),
-        ("bounds.quotaWindowS", "8"),
-        ("bounds.quotaOverage", "0.1"),
-        ("bounds.quotaSlack", "17000"),
-        ("contracts", "base,drain,config,cost,retry,recover,fleet,tenants,quota,platform"),
-    ];
-    let mut vm = platform::Vm::start("edge-z1-1", &store_address, &bounds)?;
+    let mut vm = platform::Vm::start("edge-z1-1", &store_address, &platform::BOUNDS)?;
+    vm.wait_until_ready()?;
     record.note("the VM is ready");
     let stopped = Arc::new(Mutex::new(None));
     let callers: Vec<_> = (0..CALLERS)
