--- a/review/stand-ins-2/memory.rs
+++ b/review/stand-ins-2/memory.rs
@@ -25,8 +25,8 @@
 /// `limits.memoryMb` of the smallest machine.
 const MEMORY_MB: u64 = 260;
 /// Callers that send at once as a rule, and in the burst (2.4 times as many).
-const USUAL_CALLERS: usize = 32;
-const BURST_CALLERS: usize = 76;
+const USUAL_CALLERS: usize = 40;
+const BURST_CALLERS: usize = 96;
 /// Length of a body: `maxBodyBytes`.
 const BODY_BYTES: usize = 4_194_304;
 /// Time that the target works on a request, as at the slow end of the site's sheet.
@@ -43,10 +43,15 @@
 "tenants":[{"name":"mayors","apiKeys":["key-1"],"priority":0}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
 
+/// Result of a call whose VM had been killed before its long request.
+const NOT_SENT: u16 = u16::MAX;
+
 /// Sends a short request and then, on the same connection, one with a long body. Returns the
 /// status of the second, or 0 if its connection ends without an answer.
 fn call(address: &str, number: usize) -> io::Result<u16> {
-    let mut stream = TcpStream::connect(address)?;
+    let Ok(mut stream) = TcpStream::connect(address) else {
+        return Ok(NOT_SENT);
+    };
     stream.set_read_timeout(Some(Duration::from_secs(20)))?;
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut status = 0;
@@ -61,7 +66,7 @@
         let answer = platform::read_message(&mut reader);
         status = answer.ok().flatten().map_or(0, |answer| answer.status());
         if kind == "short" && (!is_sent || status != 200) {
-            return Err(io::Error::other(format!("status {status} for the short request")));
+            return Ok(NOT_SENT);
         }
     }
     Ok(status)
@@ -72,20 +77,25 @@
     let store = platform::Store::new();
     let store_address = store.serve()?;
     store.put("op", "config", &CONFIG.replace('\n', ""));
-    let runs: Arc<Mutex<BTreeSet<String>>> = Arc::default();
-    let (target_record, target_runs) = (record.clone(), Arc::clone(&runs));
-    let target = platform::serve(move |request, stream| {
+    let arrived: Arc<Mutex<BTreeSet<String>>> = Arc::default();
+    let (target_record, target_arrived) = (record.clone(), Arc::clone(&arrived));
+    let arrives = move |head: &platform::Message| {
+        target_arrived.lock().unwrap().insert(head.header("attempt-id").to_owned());
+    };
+    let target = platform::serve_from_head(arrives, move |request, stream| {
         let id = request.header("attempt-id").to_owned();
         let headers = [("attempt-id", id.as_str()), ("response-signature", "signed")];
         if id.starts_with("long") {
             target_record.note(&format!("target runs {id}, {} bytes", request.body.len()));
-            target_runs.lock().unwrap().insert(id.clone());
             thread::sleep(WORK);
         }
         platform::respond(stream, 200, &headers, b"done")?;
         Ok(true)
     })?;
-    platform::register(&store, "i-desk-1", "desk", &target, 6);
+    // As on the site: four targets with six slots each; here they are one process.
+    for number in 1..=4 {
+        platform::register(&store, &format!("i-desk-{number}"), "desk", &target, 6);
+    }
     let vm = platform::Vm::start("edge-z1-1", &store_address, &platform::BOUNDS)?;
     vm.wait_until_ready()?;
     record.note(&format!("the VM is ready and takes {} MB", vm.memory_mb()));
@@ -123,16 +133,16 @@
         }
         thread::sleep(Duration::from_millis(20));
     }
-    let (mut lost, mut lost_runs) = (0, 0);
+    let (mut lost, mut lost_on_the_way) = (0, 0);
     let results = waiter.join().map_err(|_| io::Error::other("a thread panicked"))?;
     for (number, result) in results.into_iter().enumerate() {
         let status = result.map_err(|_| io::Error::other("a caller panicked"))??;
         lost += usize::from(status == 0);
-        let has_run = runs.lock().unwrap().contains(&format!("long-{number}"));
-        lost_runs += usize::from(status == 0 && has_run);
+        let was_passed_on = arrived.lock().unwrap().contains(&format!("long-{number}"));
+        lost_on_the_way += usize::from(status == 0 && was_passed_on);
     }
-    record.note(&format!("at most {most} MB; {lost} of {count} requests without an answer, {lost_runs} of them run"));
-    Ok(is_killed && lost_runs > TOLERATED)
+    record.note(&format!("at most {most} MB; {lost} of {count} requests without an answer, {lost_on_the_way} of them passed on"));
+    Ok(is_killed && lost_on_the_way > TOLERATED)
 }
 
 fn main() -> ExitCode {
--- a/review/stand-ins-2/platform.rs
+++ b/review/stand-ins-2/platform.rs
@@ -222,6 +222,12 @@
     let Some(mut message) = read_head(reader)? else {
         return Ok(None);
     };
+    read_body(reader, &mut message)?;
+    Ok(Some(message))
+}
+
+/// Reads the body of a message whose head has been read.
+pub fn read_body(reader: &mut impl io::BufRead, message: &mut Message) -> io::Result<()> {
     if message.header("transfer-encoding").contains("chunked") {
         loop {
             let mut size = String::new();
@@ -232,14 +238,13 @@
             chunk.truncate(size);
             message.body.extend_from_slice(&chunk);
             if size == 0 {
-                return Ok(Some(message));
+                return Ok(());
             }
         }
     }
     let length = message.header("content-length").parse().unwrap_or(0);
     message.body = vec![0; length];
-    reader.read_exact(&mut message.body)?;
-    Ok(Some(message))
+    reader.read_exact(&mut message.body)
 }
 
 /// Serves each request of each connection on a free port with `answer`, which writes the
@@ -247,19 +252,30 @@
 pub fn serve<F>(answer: F) -> io::Result<String>
 where
     F: Fn(Message, &mut TcpStream) -> io::Result<bool> + Send + Sync + 'static,
+{
+    serve_from_head(|_head| {}, answer)
+}
+
+/// As [`serve`]; `arrives` is told of each request as soon as its head is there.
+pub fn serve_from_head<H, F>(arrives: H, answer: F) -> io::Result<String>
+where
+    H: Fn(&Message) + Send + Sync + 'static,
+    F: Fn(Message, &mut TcpStream) -> io::Result<bool> + Send + Sync + 'static,
 {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?.to_string();
-    let answer = Arc::new(answer);
+    let (answer, arrives) = (Arc::new(answer), Arc::new(arrives));
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let answer = Arc::clone(&answer);
+            let (answer, arrives) = (Arc::clone(&answer), Arc::clone(&arrives));
             thread::spawn(move || {
                 let _ended = (|| -> io::Result<()> {
                     stream.set_nodelay(true)?;
                     let mut reader = BufReader::new(stream.try_clone()?);
                     let mut writer = stream;
-                    while let Some(request) = read_message(&mut reader)? {
+                    while let Some(mut request) = read_head(&mut reader)? {
+                        arrives(&request);
+                        read_body(&mut reader, &mut request)?;
                         if !answer(request, &mut writer)? {
                             break;
                         }
