--- /dev/null
+++ b/review/stand-in-3.rs
@@ -0,0 +1,715 @@
+//! Stand-ins of the platform's store, of servers and of clients for the scripts of this review,
+//! and the scripts themselves: `stand-in-3 CASE FOLDER`, started in the repository root.
+//! Standard library only. With TROUBLE=0 a case leaves its disruption out.
+
+use std::{
+    collections::BTreeMap,
+    fmt::Write as _,
+    fs,
+    io::{self, BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    os::fd::{AsRawFd, FromRawFd},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::{Arc, Condvar, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+// ---------------------------------------------------------------- JSON and base64
+
+#[derive(Clone, Debug)]
+enum Json {
+    Null,
+    Bool(bool),
+    Number(f64),
+    Text(String),
+    List(Vec<Json>),
+    Object(Vec<(String, Json)>),
+}
+
+impl Json {
+    fn get(&self, name: &str) -> &Json {
+        match self {
+            Json::Object(fields) => {
+                fields.iter().find(|(key, _)| key == name).map_or(&Json::Null, |(_, value)| value)
+            }
+            _ => &Json::Null,
+        }
+    }
+    fn text(&self) -> &str {
+        if let Json::Text(text) = self { text } else { "" }
+    }
+    fn number(&self) -> f64 {
+        if let Json::Number(number) = self { *number } else { 0.0 }
+    }
+    fn list(&self) -> &[Json] {
+        if let Json::List(items) = self { items } else { &[] }
+    }
+}
+
+fn parse_json(bytes: &[u8]) -> Json {
+    let mut at = 0;
+    parse_value(bytes, &mut at)
+}
+
+fn skip_space(bytes: &[u8], at: &mut usize) {
+    while bytes.get(*at).is_some_and(u8::is_ascii_whitespace) {
+        *at += 1;
+    }
+}
+
+fn parse_value(bytes: &[u8], at: &mut usize) -> Json {
+    skip_space(bytes, at);
+    match bytes.get(*at) {
+        Some(b'{') => {
+            *at += 1;
+            let mut fields = Vec::new();
+            loop {
+                skip_space(bytes, at);
+                match bytes.get(*at) {
+                    Some(b'"') => {
+                        let key = parse_text(bytes, at);
+                        skip_space(bytes, at);
+                        *at += 1;
+                        fields.push((key, parse_value(bytes, at)));
+                    }
+                    Some(b',') => *at += 1,
+                    _ => {
+                        *at += 1;
+                        return Json::Object(fields);
+                    }
+                }
+            }
+        }
+        Some(b'[') => {
+            *at += 1;
+            let mut items = Vec::new();
+            loop {
+                skip_space(bytes, at);
+                match bytes.get(*at) {
+                    Some(b']') | None => {
+                        *at += 1;
+                        return Json::List(items);
+                    }
+                    Some(b',') => *at += 1,
+                    _ => items.push(parse_value(bytes, at)),
+                }
+            }
+        }
+        Some(b'"') => Json::Text(parse_text(bytes, at)),
+        Some(b't') => {
+            *at += 4;
+            Json::Bool(true)
+        }
+        Some(b'f') => {
+            *at += 5;
+            Json::Bool(false)
+        }
+        Some(b'n') | None => {
+            *at += 4;
+            Json::Null
+        }
+        _ => {
+            let start = *at;
+            while bytes.get(*at).is_some_and(|byte| b"+-.0123456789eE".contains(byte)) {
+                *at += 1;
+            }
+            *at = (*at).max(start + 1);
+            let text = std::str::from_utf8(&bytes[start..*at]).unwrap_or("0");
+            Json::Number(text.parse().unwrap_or(0.0))
+        }
+    }
+}
+
+fn parse_text(bytes: &[u8], at: &mut usize) -> String {
+    *at += 1;
+    let mut text = Vec::new();
+    while let Some(&byte) = bytes.get(*at) {
+        *at += 1;
+        match byte {
+            b'"' => break,
+            b'\\' => {
+                let escaped = bytes.get(*at).copied().unwrap_or(b'"');
+                *at += 1;
+                match escaped {
+                    b'n' => text.push(b'\n'),
+                    b't' => text.push(b'\t'),
+                    b'u' => {
+                        let code = std::str::from_utf8(&bytes[*at..*at + 4]).unwrap_or("0020");
+                        *at += 4;
+                        let code = u32::from_str_radix(code, 16).unwrap_or(32);
+                        let mut buffer = [0; 4];
+                        let letter = char::from_u32(code).unwrap_or(' ');
+                        text.extend_from_slice(letter.encode_utf8(&mut buffer).as_bytes());
+                    }
+                    other => text.push(other),
+                }
+            }
+            other => text.push(other),
+        }
+    }
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+fn quote(text: &str) -> String {
+    let mut quoted = String::from("\"");
+    for letter in text.chars() {
+        match letter {
+            '"' => quoted.push_str("\\\""),
+            '\\' => quoted.push_str("\\\\"),
+            '\n' => quoted.push_str("\\n"),
+            other => quoted.push(other),
+        }
+    }
+    quoted.push('"');
+    quoted
+}
+
+const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+fn to_base64(bytes: &[u8]) -> String {
+    let mut text = String::new();
+    for chunk in bytes.chunks(3) {
+        let number = chunk.iter().fold(0_u32, |sum, byte| sum << 8 | u32::from(*byte))
+            << (8 * (3 - chunk.len()));
+        for index in 0..4 {
+            if index <= chunk.len() {
+                text.push(char::from(DIGITS[(number >> (18 - 6 * index) & 63) as usize]));
+            } else {
+                text.push('=');
+            }
+        }
+    }
+    text
+}
+
+fn from_base64(text: &str) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let (mut sum, mut bits) = (0_u32, 0);
+    for digit in text.bytes().filter_map(|byte| DIGITS.iter().position(|known| *known == byte)) {
+        sum = sum << 6 | digit as u32;
+        bits += 6;
+        if bits >= 8 {
+            bits -= 8;
+            bytes.push((sum >> bits) as u8);
+            sum &= (1 << bits) - 1;
+        }
+    }
+    bytes
+}
+
+// ---------------------------------------------------------------- HTTP
+
+#[derive(Clone, Debug, Default)]
+struct Head {
+    first: String,
+    fields: Vec<(String, String)>,
+}
+
+impl Head {
+    fn field(&self, name: &str) -> Option<&str> {
+        let found = self.fields.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+    fn word(&self, index: usize) -> &str {
+        self.first.split(' ').nth(index).unwrap_or("")
+    }
+    fn status(&self) -> u16 {
+        self.word(1).parse().unwrap_or(0)
+    }
+}
+
+/// Reads a head; `None` at the end of the connection.
+fn read_head(reader: &mut impl BufRead) -> io::Result<Option<Head>> {
+    let mut head = Head::default();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line)? == 0 {
+            return Ok(None);
+        }
+        let line = line.trim_end();
+        if line.is_empty() {
+            if head.first.is_empty() {
+                continue;
+            }
+            return Ok(Some(head));
+        }
+        if head.first.is_empty() {
+            head.first = line.to_owned();
+        } else if let Some((name, value)) = line.split_once(':') {
+            head.fields.push((name.trim().to_owned(), value.trim().to_owned()));
+        }
+    }
+}
+
+fn read_body(reader: &mut impl BufRead, head: &Head) -> io::Result<Vec<u8>> {
+    let length = head.field("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body)?;
+    Ok(body)
+}
+
+fn query<'a>(path: &'a str, name: &str) -> Option<&'a str> {
+    let (_, query) = path.split_once('?')?;
+    query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+}
+
+// ---------------------------------------------------------------- the platform's store
+
+type Key = (String, String, String);
+
+#[derive(Default)]
+struct Rows {
+    rows: BTreeMap<Key, (Option<String>, u64)>,
+    version: u64,
+}
+
+struct Store {
+    rows: Mutex<Rows>,
+    changed: Condvar,
+    started: Instant,
+}
+
+impl Store {
+    fn start() -> io::Result<(Arc<Self>, SocketAddr)> {
+        let store = Arc::new(Self {
+            rows: Mutex::default(),
+            changed: Condvar::new(),
+            started: Instant::now(),
+        });
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let served = Arc::clone(&store);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = Arc::clone(&served);
+                thread::spawn(move || store.serve(stream));
+            }
+        });
+        Ok((store, address))
+    }
+
+    /// Writes a row as the operator or a server.
+    fn put(&self, table: &str, key: &str, text: &str) {
+        let mut rows = self.rows.lock().unwrap();
+        rows.version += 1;
+        let version = rows.version;
+        let key = (table.to_owned(), String::new(), key.to_owned());
+        rows.rows.insert(key, (Some(to_base64(text.as_bytes())), version));
+        drop(rows);
+        self.changed.notify_all();
+    }
+
+    fn get(&self, table: &str, key: &str) -> Option<String> {
+        let rows = self.rows.lock().unwrap();
+        let value = rows.rows.get(&(table.to_owned(), String::new(), key.to_owned()))?.0.clone()?;
+        Some(String::from_utf8_lossy(&from_base64(&value)).into_owned())
+    }
+
+    fn serve(&self, stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut reader = BufReader::new(stream.try_clone()?);
+        let mut writer = stream;
+        while let Some(head) = read_head(&mut reader)? {
+            let body = read_body(&mut reader, &head)?;
+            thread::sleep(Duration::from_millis(4));
+            let (status, text) = self.answer(&head, &body);
+            write!(
+                writer,
+                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{text}",
+                text.len()
+            )?;
+        }
+        Ok(())
+    }
+
+    fn answer(&self, head: &Head, body: &[u8]) -> (u16, String) {
+        let path = head.word(1);
+        match path.split('?').next().unwrap_or("") {
+            "/primroseplank/rows-get" => self.read(path),
+            "/primroseplank/rows-feed" => self.feed(path),
+            "/primroseplank/rows-tx" => self.write(&parse_json(body)),
+            _ => (404, "{}".to_owned()),
+        }
+    }
+
+    fn page(&self, rows: &Rows, found: &[(&Key, &(Option<String>, u64))]) -> String {
+        let mut text = String::from("{\"rows\":[");
+        for (index, (key, (value, version))) in found.iter().enumerate() {
+            let comma = if index > 0 { "," } else { "" };
+            let value = match value {
+                Some(value) => format!("\"value\":{}", quote(value)),
+                None => "\"removed\":true".to_owned(),
+            };
+            let _ = write!(
+                text,
+                "{comma}{{\"table\":{},\"part\":{},\"key\":{},\"ver\":{version},{value}}}",
+                quote(&key.0),
+                quote(&key.1),
+                quote(&key.2)
+            );
+        }
+        let now_ms = 1 + self.started.elapsed().as_millis();
+        let _ = write!(text, "],\"hasMore\":false,\"ver\":{},\"nowMs\":{now_ms}}}", rows.version);
+        text
+    }
+
+    fn read(&self, path: &str) -> (u16, String) {
+        let table = query(path, "table").unwrap_or("");
+        let from = query(path, "from").unwrap_or("").replace("%00", "\0");
+        let rows = self.rows.lock().unwrap();
+        let found: Vec<_> = rows
+            .rows
+            .iter()
+            .filter(|(key, row)| key.0 == table && key.2 >= from && row.0.is_some())
+            .collect();
+        (200, self.page(&rows, &found))
+    }
+
+    fn feed(&self, path: &str) -> (u16, String) {
+        let table = query(path, "table").unwrap_or("").to_owned();
+        let after: u64 = query(path, "after").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let wait = query(path, "waitMs").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let until = Instant::now() + Duration::from_millis(wait);
+        let mut rows = self.rows.lock().unwrap();
+        loop {
+            let mut found: Vec<_> =
+                rows.rows.iter().filter(|(key, row)| key.0 == table && row.1 > after).collect();
+            let left = until.saturating_duration_since(Instant::now());
+            if !found.is_empty() || left.is_zero() {
+                found.sort_by_key(|(_, row)| row.1);
+                return (200, self.page(&rows, &found));
+            }
+            rows = self.changed.wait_timeout(rows, left).unwrap().0;
+        }
+    }
+
+    fn write(&self, body: &Json) -> (u16, String) {
+        let key = |row: &Json| {
+            let text = |name| row.get(name).text().to_owned();
+            (text("table"), text("part"), text("key"))
+        };
+        let mut rows = self.rows.lock().unwrap();
+        let expected = body.get("expected").list();
+        let is_conflict = expected.iter().any(|row| {
+            let found = rows.rows.get(&key(row)).filter(|found| found.0.is_some());
+            found.map_or(0, |found| found.1) != row.get("ver").number() as u64
+        });
+        if is_conflict {
+            let keys: Vec<_> = expected.iter().map(key).collect();
+            let found: Vec<_> = rows.rows.iter().filter(|(known, _)| keys.contains(known)).collect();
+            return (412, self.page(&rows, &found));
+        }
+        rows.version += 1;
+        let version = rows.version;
+        for row in body.get("put").list() {
+            rows.rows.insert(key(row), (Some(row.get("value").text().to_owned()), version));
+        }
+        for row in body.get("remove").list() {
+            rows.rows.insert(key(row), (None, version));
+        }
+        drop(rows);
+        self.changed.notify_all();
+        let now_ms = 1 + self.started.elapsed().as_millis();
+        (200, format!("{{\"ver\":{version},\"nowMs\":{now_ms}}}"))
+    }
+}
+
+// ---------------------------------------------------------------- processes of the system
+
+struct Vm {
+    child: Child,
+    caller: SocketAddr,
+    balancer: SocketAddr,
+}
+
+impl Vm {
+    /// Starts the program of the deploy file with the platform's template filled in.
+    fn start(folder: &Path, name: &str, zone: &str, store: SocketAddr) -> io::Result<Self> {
+        let mut text = fs::read_to_string("platform/settings.yaml")?;
+        // The bounds of the site `mscx-plank`.
+        for (field, value) in [
+            ("nodeName", name),
+            ("zone", zone),
+            ("ip}}:{{portRange.0", "127.0.0.1:0"),
+            ("ip}}:{{portRange.1", "127.0.0.1:0"),
+            ("listen.frontend", "127.0.0.1:0"),
+            ("listen.ready", "127.0.0.1:0"),
+            ("platform.address", &store.to_string()),
+            ("bounds.leaseMs", "3000"),
+            ("bounds.graceS", "8"),
+            ("bounds.retryBudgetRatio", "0.2"),
+            ("bounds.retrySlack", "52"),
+            ("bounds.quotaWindowS", "8"),
+            ("bounds.quotaOverage", "0.1"),
+            ("bounds.quotaSlack", "17000"),
+            ("bounds.coldOverage", ""),
+            ("bounds.coldSlack", ""),
+            ("contracts", "base,drain,config,cost,retry,recover,fleet,stream,engine,tenants,quota,platform"),
+        ] {
+            text = text.replace(&format!("{{{{{field}}}}}"), value);
+        }
+        let file = folder.join(format!("{name}.yaml"));
+        fs::write(&file, text)?;
+        let log = folder.join(format!("{name}.log"));
+        let out = fs::File::create(&log)?;
+        let child = Command::new("target/release/primroseplankd")
+            .args(["--relay", "--settings"])
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stderr(out.try_clone()?)
+            .stdout(out)
+            .spawn()?;
+        let mut vm = Self { child, caller: ([127, 0, 0, 1], 0).into(), balancer: ([127, 0, 0, 1], 0).into() };
+        let until = Instant::now() + Duration::from_secs(10);
+        while Instant::now() < until {
+            let text = fs::read_to_string(&log).unwrap_or_default();
+            let listening = text.lines().find(|line| line.contains("\"listening\""));
+            if let Some(line) = listening {
+                let line = parse_json(line.as_bytes());
+                let address = |name| line.get(name).text().parse().map_err(io::Error::other);
+                (vm.caller, vm.balancer) = (address("caller")?, address("balancer")?);
+                return Ok(vm);
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        Err(io::Error::other("the VM does not listen"))
+    }
+
+    fn is_ready(&self) -> bool {
+        let ask = || -> io::Result<u16> {
+            let mut stream = TcpStream::connect(self.balancer)?;
+            stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+            write!(stream, "GET /primroseplank/readyz HTTP/1.1\r\nHost: x\r\n\r\n")?;
+            Ok(read_head(&mut BufReader::new(stream))?.unwrap_or_default().status())
+        };
+        matches!(ask(), Ok(200))
+    }
+
+    fn wait_ready(&self) -> io::Result<()> {
+        let until = Instant::now() + Duration::from_secs(15);
+        while Instant::now() < until {
+            if self.is_ready() {
+                return Ok(());
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        Err(io::Error::other("the VM is not ready"))
+    }
+
+    fn signal(&self, name: &str) {
+        let _ = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+    }
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+// ---------------------------------------------------------------- record
+
+#[derive(Clone)]
+struct Record {
+    started: Instant,
+    lines: Arc<Mutex<fs::File>>,
+}
+
+impl Record {
+    fn new(folder: &Path) -> io::Result<Self> {
+        let file = fs::File::create(folder.join("record.txt"))?;
+        Ok(Self { started: Instant::now(), lines: Arc::new(Mutex::new(file)) })
+    }
+    fn note(&self, text: &str) {
+        let at = self.started.elapsed().as_secs_f64();
+        let mut lines = self.lines.lock().unwrap();
+        let _ = writeln!(lines, "{at:9.3} s  {text}");
+        println!("{at:9.3} s  {text}");
+    }
+}
+
+// ---------------------------------------------------------------- helpers of cases
+
+/// A configuration with one plain service.
+fn plain_config(version: u64, kind: &str, timeout_ms: u64, attempts: u64) -> String {
+    format!(
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"r-1\",\"host\":\"desk.example\",\
+         \"pathPrefix\":\"/desk/\",\"routeKind\":\"{kind}\",\"timeoutMs\":{timeout_ms},\
+         \"targetLatencyMs\":800,\"priority\":1,\"service\":\"desk\",\"maxAttempts\":{attempts},\
+         \"public\":false,\"sticky\":false,\"resumable\":false}}],\
+         \"services\":[{{\"name\":\"desk\",\"healthPath\":\"/healthz\",\"maxConns\":96,\
+         \"protocol\":\"h1\",\"tls\":false}}],\
+         \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\
+         \"idleTimeoutMs\":15000}},\
+         \"tenants\":[{{\"name\":\"hule930\",\"apiKeys\":[\"key-1\"],\"priority\":1,\
+         \"unit\":\"tokens\",\"uncachedTokens\":200,\"ratePerS\":0,\"burst\":0}}]}}"
+    )
+}
+
+fn entry(service: &str, address: SocketAddr, sequence: u64, state: &str) -> String {
+    format!(
+        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"north\",\"version\":\"1\",\
+         \"slots\":6,\"state\":\"{state}\",\"coldLeftMs\":0,\"seq\":{sequence},\"born\":1700000000000}}"
+    )
+}
+
+const SOL_SOCKET: i32 = 1;
+const SO_RCVBUF: i32 = 8;
+const IPPROTO_TCP: i32 = 6;
+const TCP_MAXSEG: i32 = 2;
+
+unsafe extern "C" {
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+    fn connect(socket: i32, address: *const u8, length: u32) -> i32;
+}
+
+/// Connects like a client on a network: with segments of an Ethernet and a small window.
+fn connect_as_remote(to: SocketAddr) -> io::Result<TcpStream> {
+    const AF_INET: i32 = 2;
+    const SOCK_STREAM: i32 = 1;
+    // SAFETY: a plain system call; the result is checked.
+    let descriptor = unsafe { socket(AF_INET, SOCK_STREAM, 0) };
+    if descriptor < 0 {
+        return Err(io::Error::last_os_error());
+    }
+    // SAFETY: the descriptor is new and owned here only.
+    let stream = unsafe { TcpStream::from_raw_fd(descriptor) };
+    set_option(stream.as_raw_fd(), IPPROTO_TCP, TCP_MAXSEG, 1_460);
+    set_option(stream.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, 65_536);
+    let SocketAddr::V4(to) = to else {
+        return Err(io::Error::other("not an IPv4 address"));
+    };
+    let mut address = [0_u8; 16];
+    address[..2].copy_from_slice(&(AF_INET as u16).to_ne_bytes());
+    address[2..4].copy_from_slice(&to.port().to_be_bytes());
+    address[4..8].copy_from_slice(&to.ip().octets());
+    // SAFETY: the pointer is to a `sockaddr_in` of the stated length.
+    if unsafe { connect(stream.as_raw_fd(), address.as_ptr(), 16) } != 0 {
+        return Err(io::Error::last_os_error());
+    }
+    Ok(stream)
+}
+
+fn set_option(socket: i32, level: i32, name: i32, value: i32) {
+    // SAFETY: the pointer is to an `int` of the stated length, as these options expect.
+    unsafe { setsockopt(socket, level, name, &raw const value, 4) };
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let (case, folder) = (arguments[1].as_str(), PathBuf::from(&arguments[2]));
+    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let temporary = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
+    let run = || -> io::Result<bool> {
+        fs::create_dir_all(&temporary)?;
+        let record = Record::new(&folder)?;
+        match case {
+            "slow-reader" => slow_reader(&temporary, &record, has_trouble),
+            _ => Err(io::Error::other("unknown case")),
+        }
+    };
+    let result = run();
+    let _ = fs::remove_dir_all(&temporary);
+    std::process::exit(match result {
+        Ok(true) => 0,
+        Ok(false) => 1,
+        Err(cause) => {
+            eprintln!("the case could not run: {cause}");
+            2
+        }
+    });
+}
+
+// ---------------------------------------------------------------- case: a slow reader at a SIGTERM
+
+const ANSWER_BYTES: usize = 4_000_000;
+const READ_BYTES_PER_S: usize = 700_000;
+
+/// A server that answers each request at once with [`ANSWER_BYTES`].
+fn serve_desk(stream: TcpStream, record: &Record) -> io::Result<()> {
+    let mut reader = BufReader::new(stream.try_clone()?);
+    let mut writer = stream;
+    while let Some(head) = read_head(&mut reader)? {
+        read_body(&mut reader, &head)?;
+        if head.word(1) == "/healthz" {
+            write!(writer, "HTTP/1.1 200 OK\r\nInstance-Id: i-desk-1\r\nContent-Length: 0\r\n\r\n")?;
+            continue;
+        }
+        let id = head.field("attempt-id").unwrap_or("").to_owned();
+        record.note(&format!("server i-desk-1 runs {id}"));
+        write!(
+            writer,
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: 3e1b.07.5a2\r\n\
+             Content-Type: application/octet-stream\r\nContent-Length: {ANSWER_BYTES}\r\n\r\n"
+        )?;
+        writer.write_all(&vec![b'a'; ANSWER_BYTES])?;
+        record.note(&format!("server i-desk-1 has sent its whole answer to {id}"));
+    }
+    Ok(())
+}
+
+fn slow_reader(temporary: &Path, record: &Record, has_trouble: bool) -> io::Result<bool> {
+    let (store, store_address) = Store::start()?;
+    let desk = TcpListener::bind("127.0.0.1:0")?;
+    let desk_address = desk.local_addr()?;
+    let desk_record = record.clone();
+    thread::spawn(move || {
+        for stream in desk.incoming().flatten() {
+            let record = desk_record.clone();
+            thread::spawn(move || serve_desk(stream, &record));
+        }
+    });
+    store.put("servers", "i-desk-1", &entry("desk", desk_address, 1, "ready"));
+    store.put("op", "config", &plain_config(7, "idempotent", 15_000, 1));
+    let mut vm = Vm::start(temporary, "edge-north-1", "north", store_address)?;
+    vm.wait_ready()?;
+    record.note("the VM is ready");
+    let stream = connect_as_remote(vm.caller)?;
+    stream.set_read_timeout(Some(Duration::from_secs(20)))?;
+    thread::sleep(Duration::from_millis(200));
+    if has_trouble {
+        record.note("SIGTERM to the VM; graceS is 8");
+        vm.signal("TERM");
+    }
+    thread::sleep(Duration::from_secs(1));
+    write!(
+        &stream,
+        "GET /desk/list HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: 9c41d07be2a35f68\r\n\
+         Deadline-Ms: 15000\r\nAuthorization: Bearer key-1\r\n\r\n"
+    )?;
+    record.note("client sent 9c41d07be2a35f68 on its open connection; it reads 700 kB/s");
+    let started = Instant::now();
+    let mut reader = BufReader::with_capacity(16_384, stream);
+    let head = read_head(&mut reader)?.ok_or_else(|| io::Error::other("no answer"))?;
+    record.note(&format!("client got the head: {}", head.first));
+    let length: usize = head.field("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let mut received = 0;
+    let mut buffer = vec![0; 10_000];
+    let end = loop {
+        if received >= length {
+            break "complete".to_owned();
+        }
+        let due = started + Duration::from_secs_f64(received as f64 / READ_BYTES_PER_S as f64);
+        thread::sleep(due.saturating_duration_since(Instant::now()).min(Duration::from_millis(50)));
+        if Instant::now() < due {
+            continue;
+        }
+        match reader.read(&mut buffer) {
+            Ok(0) => break "closed by the VM".to_owned(),
+            Ok(count) => received += count,
+            Err(cause) => break format!("broken: {cause}"),
+        }
+    };
+    let took = started.elapsed();
+    record.note(&format!("the answer ended after {took:?}: {end}, {received} of {length} bytes"));
+    if let Ok(Some(status)) = vm.child.try_wait() {
+        record.note(&format!("the VM has exited: {status}"));
+    }
+    let is_whole = received == ANSWER_BYTES && head.status() == 200;
+    record.note(if is_whole { "LOST held" } else { "LOST broken" });
+    Ok(is_whole)
+}
