--- a/review/stand-in-3.rs
+++ b/review/stand-in-3.rs
@@ -427,12 +427,28 @@
 impl Vm {
     /// Starts the program of the deploy file with the platform's template filled in.
     fn start(folder: &Path, name: &str, zone: &str, store: SocketAddr) -> io::Result<Self> {
+        Self::start_behind(folder, name, zone, store, None)
+    }
+
+    /// Starts it so that the others reach its port `peer.0` by the address `peer.1`.
+    fn start_behind(
+        folder: &Path,
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        peer: Option<(SocketAddr, SocketAddr)>,
+    ) -> io::Result<Self> {
         let mut text = fs::read_to_string("platform/settings.yaml")?;
+        let mut peer_address = "127.0.0.1:0".to_owned();
+        if let Some((address, advertised)) = peer {
+            peer_address = address.to_string();
+            text = text.replace("peer:\n", &format!("peer:\n  advertised: \"{advertised}\"\n"));
+        }
         // The bounds of the site `mscx-plank`.
         for (field, value) in [
             ("nodeName", name),
             ("zone", zone),
-            ("ip}}:{{portRange.0", "127.0.0.1:0"),
+            ("ip}}:{{portRange.0", &peer_address),
             ("ip}}:{{portRange.1", "127.0.0.1:0"),
             ("listen.frontend", "127.0.0.1:0"),
             ("listen.ready", "127.0.0.1:0"),
@@ -609,6 +625,7 @@
         let record = Record::new(&folder)?;
         match case {
             "slow-reader" => slow_reader(&temporary, &record, has_trouble),
+            "silent-links" => silent_links(&temporary, &record, has_trouble),
             _ => Err(io::Error::other("unknown case")),
         }
     };
@@ -689,7 +706,12 @@
     let length: usize = head.field("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
     let mut received = 0;
     let mut buffer = vec![0; 10_000];
+    let mut has_exited = false;
     let end = loop {
+        if let (false, Ok(Some(status))) = (has_exited, vm.child.try_wait()) {
+            has_exited = true;
+            record.note(&format!("the VM has exited: {status}; the client has {received} bytes"));
+        }
         if received >= length {
             break "complete".to_owned();
         }
@@ -706,10 +728,166 @@
     };
     let took = started.elapsed();
     record.note(&format!("the answer ended after {took:?}: {end}, {received} of {length} bytes"));
-    if let Ok(Some(status)) = vm.child.try_wait() {
-        record.note(&format!("the VM has exited: {status}"));
-    }
     let is_whole = received == ANSWER_BYTES && head.status() == 200;
     record.note(if is_whole { "LOST held" } else { "LOST broken" });
     Ok(is_whole)
 }
+
+// ---------------------------------------------------------------- case: silent connections between VMs
+
+/// A link in front of a VM's peer port. Connections that are open may go silent for good;
+/// new ones work.
+struct PeerLink {
+    address: SocketAddr,
+    open: Mutex<Vec<(String, Arc<std::sync::atomic::AtomicBool>)>>,
+}
+
+impl PeerLink {
+    fn start(to: SocketAddr) -> io::Result<Arc<Self>> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let link = Arc::new(Self { address: listener.local_addr()?, open: Mutex::default() });
+        let own = Arc::clone(&link);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let link = Arc::clone(&own);
+                thread::spawn(move || link.serve(stream, to));
+            }
+        });
+        Ok(link)
+    }
+
+    fn serve(&self, near: TcpStream, to: SocketAddr) -> io::Result<()> {
+        let far = TcpStream::connect(to)?;
+        near.set_nodelay(true)?;
+        far.set_nodelay(true)?;
+        // The handshake names the VM that has dialled.
+        let mut first = vec![0; 4_096];
+        let mut near_reader = near.try_clone()?;
+        let count = near_reader.read(&mut first)?;
+        let text = String::from_utf8_lossy(&first[..count]).to_lowercase();
+        let name = text.lines().find_map(|line| line.strip_prefix("x-vm:")).unwrap_or("").trim().to_owned();
+        let is_silent = Arc::new(std::sync::atomic::AtomicBool::new(false));
+        self.open.lock().unwrap().push((name, Arc::clone(&is_silent)));
+        let mut far_writer = far.try_clone()?;
+        far_writer.write_all(&first[..count])?;
+        let back_silent = Arc::clone(&is_silent);
+        let (mut far_reader, mut near_writer) = (far, near.try_clone()?);
+        thread::spawn(move || pump(&mut far_reader, &mut near_writer, &back_silent));
+        pump(&mut near_reader, &mut far_writer, &is_silent);
+        Ok(())
+    }
+
+    /// Makes the connections that `dialler` has opened go silent; returns their number.
+    fn silence(&self, dialler: &str) -> usize {
+        let open = self.open.lock().unwrap();
+        let own = open.iter().filter(|(name, _)| name == dialler);
+        own.map(|(_, is_silent)| is_silent.store(true, std::sync::atomic::Ordering::SeqCst)).count()
+    }
+}
+
+fn pump(from: &mut TcpStream, to: &mut TcpStream, is_silent: &std::sync::atomic::AtomicBool) {
+    let mut buffer = vec![0; 65_536];
+    while let Ok(count) = from.read(&mut buffer) {
+        let drops = is_silent.load(std::sync::atomic::Ordering::SeqCst);
+        if count == 0 {
+            if !drops {
+                let _ = to.shutdown(std::net::Shutdown::Write);
+            }
+            return;
+        }
+        if !drops && to.write_all(&buffer[..count]).is_err() {
+            return;
+        }
+    }
+}
+
+fn free_port() -> io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
+
+/// A server that runs what it gets and notes the tenant.
+fn serve_small(stream: TcpStream, record: &Record) -> io::Result<()> {
+    let mut reader = BufReader::new(stream.try_clone()?);
+    let mut writer = stream;
+    while let Some(head) = read_head(&mut reader)? {
+        read_body(&mut reader, &head)?;
+        let id = head.field("attempt-id").unwrap_or("").to_owned();
+        if head.word(1) != "/healthz" {
+            let tenant = head.field("tenant").unwrap_or("");
+            record.note(&format!("server i-desk-1 runs {id} of {tenant}"));
+        }
+        write!(
+            writer,
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: 3e1b.07.5a2\r\n\
+             Content-Length: 2\r\n\r\nok"
+        )?;
+    }
+    Ok(())
+}
+
+/// Sends one request with the key; returns the status.
+fn ask(vm: &Vm, id: &str, key: &str) -> io::Result<u16> {
+    let stream = TcpStream::connect(vm.caller)?;
+    stream.set_read_timeout(Some(Duration::from_secs(5)))?;
+    write!(
+        &stream,
+        "GET /desk/list HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {id}\r\n\
+         Deadline-Ms: 1500\r\nAuthorization: Bearer {key}\r\n\r\n"
+    )?;
+    Ok(read_head(&mut BufReader::new(stream))?.unwrap_or_default().status())
+}
+
+fn silent_links(temporary: &Path, record: &Record, has_trouble: bool) -> io::Result<bool> {
+    let (store, store_address) = Store::start()?;
+    let desk = TcpListener::bind("127.0.0.1:0")?;
+    let desk_address = desk.local_addr()?;
+    let desk_record = record.clone();
+    thread::spawn(move || {
+        for stream in desk.incoming().flatten() {
+            let record = desk_record.clone();
+            thread::spawn(move || serve_small(stream, &record));
+        }
+    });
+    store.put("servers", "i-desk-1", &entry("desk", desk_address, 1, "ready"));
+    let config = plain_config(7, "idempotent", 1_500, 1);
+    let with_keys = |version: u64, keys: &str| {
+        config.replace("\"version\":7", &format!("\"version\":{version}")).replace("\"key-1\"", keys)
+    };
+    store.put("op", "config", &with_keys(7, "\"key-1\",\"key-2\""));
+    let mut links = Vec::new();
+    let mut vms = Vec::new();
+    for name in ["edge-north-1", "edge-north-2", "edge-north-3", "edge-north-4"] {
+        let port = free_port()?;
+        let link = PeerLink::start(port)?;
+        vms.push(Vm::start_behind(temporary, name, "north", store_address, Some((port, link.address)))?);
+        links.push(link);
+    }
+    for vm in &vms {
+        vm.wait_ready()?;
+    }
+    thread::sleep(Duration::from_secs(5));
+    let silent = "edge-north-4";
+    if has_trouble {
+        let count: usize = links.iter().map(|link| link.silence(silent)).sum();
+        record.note(&format!("{count} open connections that {silent} has dialled go silent"));
+    }
+    thread::sleep(Duration::from_secs(4));
+    store.put("op", "config", &with_keys(11, "\"key-1\""));
+    record.note("the store acknowledges version 11, without the key key-2");
+    thread::sleep(Duration::from_secs(4));
+    let mut late = 0;
+    for round in 0..20 {
+        for (index, vm) in vms.iter().enumerate() {
+            let id = format!("{:016x}", round * 16 + index + 1);
+            let status = ask(vm, &id, "key-2")?;
+            if status != 401 {
+                late += 1;
+                record.note(&format!("edge-north-{} answers {id} with key-2: {status}", index + 1));
+            }
+        }
+        thread::sleep(Duration::from_millis(500));
+    }
+    record.note(&format!("{late} of 80 requests with the removed key were not refused"));
+    record.note(if late == 0 { "CONFIG held" } else { "CONFIG broken" });
+    Ok(late == 0)
+}
