--- a/review/stand-in-3.rs
+++ b/review/stand-in-3.rs
@@ -8,7 +8,6 @@
     fs,
     io::{self, BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    os::fd::{AsRawFd, FromRawFd},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{Arc, Condvar, Mutex},
@@ -572,49 +571,6 @@
     )
 }
 
-const SOL_SOCKET: i32 = 1;
-const SO_RCVBUF: i32 = 8;
-const IPPROTO_TCP: i32 = 6;
-const TCP_MAXSEG: i32 = 2;
-
-unsafe extern "C" {
-    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
-    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
-    fn connect(socket: i32, address: *const u8, length: u32) -> i32;
-}
-
-/// Connects like a client on a network: with segments of an Ethernet and a small window.
-fn connect_as_remote(to: SocketAddr) -> io::Result<TcpStream> {
-    const AF_INET: i32 = 2;
-    const SOCK_STREAM: i32 = 1;
-    // SAFETY: a plain system call; the result is checked.
-    let descriptor = unsafe { socket(AF_INET, SOCK_STREAM, 0) };
-    if descriptor < 0 {
-        return Err(io::Error::last_os_error());
-    }
-    // SAFETY: the descriptor is new and owned here only.
-    let stream = unsafe { TcpStream::from_raw_fd(descriptor) };
-    set_option(stream.as_raw_fd(), IPPROTO_TCP, TCP_MAXSEG, 1_460);
-    set_option(stream.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, 65_536);
-    let SocketAddr::V4(to) = to else {
-        return Err(io::Error::other("not an IPv4 address"));
-    };
-    let mut address = [0_u8; 16];
-    address[..2].copy_from_slice(&(AF_INET as u16).to_ne_bytes());
-    address[2..4].copy_from_slice(&to.port().to_be_bytes());
-    address[4..8].copy_from_slice(&to.ip().octets());
-    // SAFETY: the pointer is to a `sockaddr_in` of the stated length.
-    if unsafe { connect(stream.as_raw_fd(), address.as_ptr(), 16) } != 0 {
-        return Err(io::Error::last_os_error());
-    }
-    Ok(stream)
-}
-
-fn set_option(socket: i32, level: i32, name: i32, value: i32) {
-    // SAFETY: the pointer is to an `int` of the stated length, as these options expect.
-    unsafe { setsockopt(socket, level, name, &raw const value, 4) };
-}
-
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let (case, folder) = (arguments[1].as_str(), PathBuf::from(&arguments[2]));
@@ -624,8 +580,8 @@
         fs::create_dir_all(&temporary)?;
         let record = Record::new(&folder)?;
         match case {
-            "slow-reader" => slow_reader(&temporary, &record, has_trouble),
             "silent-links" => silent_links(&temporary, &record, has_trouble),
+            "slow-runners" => slow_runners(&temporary, &record, has_trouble),
             _ => Err(io::Error::other("unknown case")),
         }
     };
@@ -641,98 +597,6 @@
     });
 }
 
-// ---------------------------------------------------------------- case: a slow reader at a SIGTERM
-
-const ANSWER_BYTES: usize = 4_000_000;
-const READ_BYTES_PER_S: usize = 700_000;
-
-/// A server that answers each request at once with [`ANSWER_BYTES`].
-fn serve_desk(stream: TcpStream, record: &Record) -> io::Result<()> {
-    let mut reader = BufReader::new(stream.try_clone()?);
-    let mut writer = stream;
-    while let Some(head) = read_head(&mut reader)? {
-        read_body(&mut reader, &head)?;
-        if head.word(1) == "/healthz" {
-            write!(writer, "HTTP/1.1 200 OK\r\nInstance-Id: i-desk-1\r\nContent-Length: 0\r\n\r\n")?;
-            continue;
-        }
-        let id = head.field("attempt-id").unwrap_or("").to_owned();
-        record.note(&format!("server i-desk-1 runs {id}"));
-        write!(
-            writer,
-            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: 3e1b.07.5a2\r\n\
-             Content-Type: application/octet-stream\r\nContent-Length: {ANSWER_BYTES}\r\n\r\n"
-        )?;
-        writer.write_all(&vec![b'a'; ANSWER_BYTES])?;
-        record.note(&format!("server i-desk-1 has sent its whole answer to {id}"));
-    }
-    Ok(())
-}
-
-fn slow_reader(temporary: &Path, record: &Record, has_trouble: bool) -> io::Result<bool> {
-    let (store, store_address) = Store::start()?;
-    let desk = TcpListener::bind("127.0.0.1:0")?;
-    let desk_address = desk.local_addr()?;
-    let desk_record = record.clone();
-    thread::spawn(move || {
-        for stream in desk.incoming().flatten() {
-            let record = desk_record.clone();
-            thread::spawn(move || serve_desk(stream, &record));
-        }
-    });
-    store.put("servers", "i-desk-1", &entry("desk", desk_address, 1, "ready"));
-    store.put("op", "config", &plain_config(7, "idempotent", 15_000, 1));
-    let mut vm = Vm::start(temporary, "edge-north-1", "north", store_address)?;
-    vm.wait_ready()?;
-    record.note("the VM is ready");
-    let stream = connect_as_remote(vm.caller)?;
-    stream.set_read_timeout(Some(Duration::from_secs(20)))?;
-    thread::sleep(Duration::from_millis(200));
-    if has_trouble {
-        record.note("SIGTERM to the VM; graceS is 8");
-        vm.signal("TERM");
-    }
-    thread::sleep(Duration::from_secs(1));
-    write!(
-        &stream,
-        "GET /desk/list HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: 9c41d07be2a35f68\r\n\
-         Deadline-Ms: 15000\r\nAuthorization: Bearer key-1\r\n\r\n"
-    )?;
-    record.note("client sent 9c41d07be2a35f68 on its open connection; it reads 700 kB/s");
-    let started = Instant::now();
-    let mut reader = BufReader::with_capacity(16_384, stream);
-    let head = read_head(&mut reader)?.ok_or_else(|| io::Error::other("no answer"))?;
-    record.note(&format!("client got the head: {}", head.first));
-    let length: usize = head.field("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
-    let mut received = 0;
-    let mut buffer = vec![0; 10_000];
-    let mut has_exited = false;
-    let end = loop {
-        if let (false, Ok(Some(status))) = (has_exited, vm.child.try_wait()) {
-            has_exited = true;
-            record.note(&format!("the VM has exited: {status}; the client has {received} bytes"));
-        }
-        if received >= length {
-            break "complete".to_owned();
-        }
-        let due = started + Duration::from_secs_f64(received as f64 / READ_BYTES_PER_S as f64);
-        thread::sleep(due.saturating_duration_since(Instant::now()).min(Duration::from_millis(50)));
-        if Instant::now() < due {
-            continue;
-        }
-        match reader.read(&mut buffer) {
-            Ok(0) => break "closed by the VM".to_owned(),
-            Ok(count) => received += count,
-            Err(cause) => break format!("broken: {cause}"),
-        }
-    };
-    let took = started.elapsed();
-    record.note(&format!("the answer ended after {took:?}: {end}, {received} of {length} bytes"));
-    let is_whole = received == ANSWER_BYTES && head.status() == 200;
-    record.note(if is_whole { "LOST held" } else { "LOST broken" });
-    Ok(is_whole)
-}
-
 // ---------------------------------------------------------------- case: silent connections between VMs
 
 /// A link in front of a VM's peer port. Connections that are open may go silent for good;
@@ -891,3 +755,155 @@
     record.note(if late == 0 { "CONFIG held" } else { "CONFIG broken" });
     Ok(late == 0)
 }
+
+// ---------------------------------------------------------------- case: runners that read slowly
+
+/// Memory of a machine of the site, in kB: `memoryMb` 260, taken as MiB.
+const MEMORY_KB: u64 = 260 * 1_024;
+/// Body of a request; `maxBodyBytes` is 4,194,304.
+const BODY_BYTES: usize = 4_000_000;
+/// How fast a runner reads a body when it reads slowly.
+const READ_BYTES_PER_S: usize = 500_000;
+/// Requests that one VM gets, and the time between two of them.
+const REQUESTS: usize = 100;
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// A runner that reads the body of a request and answers with a stream of two events.
+fn serve_writer(stream: TcpStream, record: &Record, passed: &Mutex<Vec<String>>, is_slow: bool) -> io::Result<()> {
+    let mut reader = BufReader::with_capacity(16_384, stream.try_clone()?);
+    let mut writer = stream;
+    while let Some(head) = read_head(&mut reader)? {
+        let id = head.field("attempt-id").unwrap_or("").to_owned();
+        let length: usize = head.field("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+        if length > 0 {
+            passed.lock().unwrap().push(id.clone());
+            record.note(&format!("runner i-writer-1 has the head of {id}"));
+        }
+        let started = Instant::now();
+        let mut received = 0;
+        let mut buffer = vec![0; 16_384];
+        while received < length {
+            let most = buffer.len().min(length - received);
+            reader.read_exact(&mut buffer[..most])?;
+            received += most;
+            if is_slow {
+                let due = started + Duration::from_secs_f64(received as f64 / READ_BYTES_PER_S as f64);
+                thread::sleep(due.saturating_duration_since(Instant::now()));
+            }
+        }
+        let events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+        write!(
+            writer,
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: 3e1b.07.5a2\r\n\
+             Content-Type: text/event-stream\r\nContent-Length: {}\r\n\r\n{events}",
+            events.len()
+        )?;
+    }
+    Ok(())
+}
+
+/// Sends a request with a body of `bytes` bytes over a kept connection; returns how it ended.
+fn ask_writer(stream: &TcpStream, id: &str, bytes: usize) -> Result<u16, String> {
+    let text = |cause: io::Error| format!("no answer: {cause}");
+    let mut writer = stream;
+    write!(
+        writer,
+        "POST /desk/draft HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: 15000\r\n\
+         Authorization: Bearer key-1\r\nContent-Length: {bytes}\r\n\r\n"
+    )
+    .map_err(text)?;
+    writer.write_all(&vec![b'x'; bytes]).map_err(text)?;
+    let mut reader = BufReader::new(stream);
+    let head = read_head(&mut reader).map_err(text)?.ok_or("no answer: closed")?;
+    // Reads to the end of the chunked answer.
+    let mut line = String::new();
+    while head.status() == 200 && line.trim_end() != "0" {
+        line.clear();
+        if reader.read_line(&mut line).map_err(text)? == 0 {
+            return Err("cut in the answer".to_owned());
+        }
+    }
+    if head.status() == 200 {
+        reader.read_line(&mut line).map_err(text)?;
+    }
+    Ok(head.status())
+}
+
+fn resident_kb(process: u32) -> u64 {
+    let text = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|line| line.trim().split(' ').next()?.parse().ok()).unwrap_or(0)
+}
+
+fn slow_runners(temporary: &Path, record: &Record, has_trouble: bool) -> io::Result<bool> {
+    let (store, store_address) = Store::start()?;
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    let passed = Arc::new(Mutex::new(Vec::new()));
+    let (runner_record, runner_passed) = (record.clone(), Arc::clone(&passed));
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (record, passed) = (runner_record.clone(), Arc::clone(&runner_passed));
+            thread::spawn(move || serve_writer(stream, &record, &passed, has_trouble));
+        }
+    });
+    let config = plain_config(7, "streaming", 15_000, 1).replace("\"maxConns\":96", "\"maxConns\":360");
+    let row = entry("desk", address, 1, "ready").replace("\"slots\":6", "\"slots\":64");
+    store.put("servers", "i-writer-1", &row);
+    store.put("op", "config", &config);
+    let mut vm = Vm::start_behind(temporary, "edge-north-1", "north", store_address, None)?;
+    vm.wait_ready()?;
+    thread::sleep(Duration::from_secs(2));
+    let process = vm.child.id();
+    record.note(&format!("the VM is ready, with {} kB", resident_kb(process)));
+    let ends = Arc::new(Mutex::new(Vec::new()));
+    let started = Instant::now();
+    let mut clients = Vec::new();
+    for index in 0..REQUESTS {
+        let (ends, record, caller) = (Arc::clone(&ends), record.clone(), vm.caller);
+        clients.push(thread::spawn(move || -> io::Result<()> {
+            let due = started + INTERVAL * u32::try_from(index).unwrap_or(0);
+            thread::sleep(due.saturating_duration_since(Instant::now()));
+            let Ok(stream) = TcpStream::connect(caller) else {
+                return Ok(());
+            };
+            stream.set_read_timeout(Some(Duration::from_secs(16)))?;
+            // The connection has been used before.
+            if ask_writer(&stream, &format!("{:016x}", 4_096 + index), 0) != Ok(200) {
+                return Ok(());
+            }
+            let id = format!("{:016x}", index + 1);
+            record.note(&format!("client sends {id} with {BODY_BYTES} bytes on its kept connection"));
+            let end = ask_writer(&stream, &id, BODY_BYTES);
+            record.note(&format!("client of {id}: {end:?}"));
+            ends.lock().unwrap().push((id, end));
+            Ok(())
+        }));
+    }
+    // The platform kills a process that exceeds its memory.
+    let mut most = 0;
+    while started.elapsed() < Duration::from_secs(28) && clients.iter().any(|client| !client.is_finished()) {
+        let resident = resident_kb(process);
+        most = most.max(resident);
+        if resident > MEMORY_KB {
+            record.note(&format!("the platform kills the VM: it has {resident} kB of {MEMORY_KB}"));
+            vm.child.kill()?;
+            break;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+    record.note(&format!("the VM has had {most} kB at most"));
+    let passed = passed.lock().unwrap();
+    let ends = ends.lock().unwrap();
+    let is_lost = |(id, end): &&(String, Result<u16, String>)| {
+        passed.contains(id) && end.as_ref().is_err_and(|reason| reason.starts_with("no answer"))
+    };
+    let lost = ends.iter().filter(is_lost).count();
+    let served = ends.iter().filter(|(_, end)| *end == Ok(200)).count();
+    record.note(&format!("{served} of {REQUESTS} served; {lost} were passed on and got no answer, 3 are tolerated"));
+    record.note(if lost > 3 { "LOST broken" } else { "LOST held" });
+    Ok(lost <= 3)
+}
