--- a/review/stand-in-3.rs
+++ b/review/stand-in-3.rs
@@ -20,7 +20,7 @@
 #[derive(Clone, Debug)]
 enum Json {
     Null,
-    Bool(bool),
+    Bool,
     Number(f64),
     Text(String),
     List(Vec<Json>),
@@ -99,11 +99,11 @@
         Some(b'"') => Json::Text(parse_text(bytes, at)),
         Some(b't') => {
             *at += 4;
-            Json::Bool(true)
+            Json::Bool
         }
         Some(b'f') => {
             *at += 5;
-            Json::Bool(false)
+            Json::Bool
         }
         Some(b'n') | None => {
             *at += 4;
@@ -183,21 +183,6 @@
     text
 }
 
-fn from_base64(text: &str) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    let (mut sum, mut bits) = (0_u32, 0);
-    for digit in text.bytes().filter_map(|byte| DIGITS.iter().position(|known| *known == byte)) {
-        sum = sum << 6 | digit as u32;
-        bits += 6;
-        if bits >= 8 {
-            bits -= 8;
-            bytes.push((sum >> bits) as u8);
-            sum &= (1 << bits) - 1;
-        }
-    }
-    bytes
-}
-
 // ---------------------------------------------------------------- HTTP
 
 #[derive(Clone, Debug, Default)]
@@ -300,12 +285,6 @@
         self.changed.notify_all();
     }
 
-    fn get(&self, table: &str, key: &str) -> Option<String> {
-        let rows = self.rows.lock().unwrap();
-        let value = rows.rows.get(&(table.to_owned(), String::new(), key.to_owned()))?.0.clone()?;
-        Some(String::from_utf8_lossy(&from_base64(&value)).into_owned())
-    }
-
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
@@ -397,7 +376,8 @@
         });
         if is_conflict {
             let keys: Vec<_> = expected.iter().map(key).collect();
-            let found: Vec<_> = rows.rows.iter().filter(|(known, _)| keys.contains(known)).collect();
+            let found: Vec<_> =
+                rows.rows.iter().filter(|(known, _)| keys.contains(known)).collect();
             return (412, self.page(&rows, &found));
         }
         rows.version += 1;
@@ -424,13 +404,9 @@
 }
 
 impl Vm {
-    /// Starts the program of the deploy file with the platform's template filled in.
-    fn start(folder: &Path, name: &str, zone: &str, store: SocketAddr) -> io::Result<Self> {
-        Self::start_behind(folder, name, zone, store, None)
-    }
-
-    /// Starts it so that the others reach its port `peer.0` by the address `peer.1`.
-    fn start_behind(
+    /// Starts the program of the deploy file with the platform's template filled in. If `peer`
+    /// is given, the others reach its port `peer.0` by the address `peer.1`.
+    fn start(
         folder: &Path,
         name: &str,
         zone: &str,
@@ -461,7 +437,10 @@
             ("bounds.quotaSlack", "17000"),
             ("bounds.coldOverage", ""),
             ("bounds.coldSlack", ""),
-            ("contracts", "base,drain,config,cost,retry,recover,fleet,stream,engine,tenants,quota,platform"),
+            (
+                "contracts",
+                "base,drain,config,cost,retry,recover,fleet,stream,engine,tenants,quota,platform",
+            ),
         ] {
             text = text.replace(&format!("{{{{{field}}}}}"), value);
         }
@@ -476,7 +455,11 @@
             .stderr(out.try_clone()?)
             .stdout(out)
             .spawn()?;
-        let mut vm = Self { child, caller: ([127, 0, 0, 1], 0).into(), balancer: ([127, 0, 0, 1], 0).into() };
+        let mut vm = Self {
+            child,
+            caller: ([127, 0, 0, 1], 0).into(),
+            balancer: ([127, 0, 0, 1], 0).into(),
+        };
         let until = Instant::now() + Duration::from_secs(10);
         while Instant::now() < until {
             let text = fs::read_to_string(&log).unwrap_or_default();
@@ -512,10 +495,6 @@
         }
         Err(io::Error::other("the VM is not ready"))
     }
-
-    fn signal(&self, name: &str) {
-        let _ = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
-    }
 }
 
 impl Drop for Vm {
@@ -629,7 +608,12 @@
         let mut near_reader = near.try_clone()?;
         let count = near_reader.read(&mut first)?;
         let text = String::from_utf8_lossy(&first[..count]).to_lowercase();
-        let name = text.lines().find_map(|line| line.strip_prefix("x-vm:")).unwrap_or("").trim().to_owned();
+        let name = text
+            .lines()
+            .find_map(|line| line.strip_prefix("x-vm:"))
+            .unwrap_or("")
+            .trim()
+            .to_owned();
         let is_silent = Arc::new(std::sync::atomic::AtomicBool::new(false));
         self.open.lock().unwrap().push((name, Arc::clone(&is_silent)));
         let mut far_writer = far.try_clone()?;
@@ -715,7 +699,9 @@
     store.put("servers", "i-desk-1", &entry("desk", desk_address, 1, "ready"));
     let config = plain_config(7, "idempotent", 1_500, 1);
     let with_keys = |version: u64, keys: &str| {
-        config.replace("\"version\":7", &format!("\"version\":{version}")).replace("\"key-1\"", keys)
+        config
+            .replace("\"version\":7", &format!("\"version\":{version}"))
+            .replace("\"key-1\"", keys)
     };
     store.put("op", "config", &with_keys(7, "\"key-1\",\"key-2\""));
     let mut links = Vec::new();
@@ -723,7 +709,7 @@
     for name in ["edge-north-1", "edge-north-2", "edge-north-3", "edge-north-4"] {
         let port = free_port()?;
         let link = PeerLink::start(port)?;
-        vms.push(Vm::start_behind(temporary, name, "north", store_address, Some((port, link.address)))?);
+        vms.push(Vm::start(temporary, name, "north", store_address, Some((port, link.address)))?);
         links.push(link);
     }
     for vm in &vms {
@@ -769,12 +755,18 @@
 const INTERVAL: Duration = Duration::from_millis(100);
 
 /// A runner that reads the body of a request and answers with a stream of two events.
-fn serve_writer(stream: TcpStream, record: &Record, passed: &Mutex<Vec<String>>, is_slow: bool) -> io::Result<()> {
+fn serve_writer(
+    stream: TcpStream,
+    record: &Record,
+    passed: &Mutex<Vec<String>>,
+    is_slow: bool,
+) -> io::Result<()> {
     let mut reader = BufReader::with_capacity(16_384, stream.try_clone()?);
     let mut writer = stream;
     while let Some(head) = read_head(&mut reader)? {
         let id = head.field("attempt-id").unwrap_or("").to_owned();
-        let length: usize = head.field("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let length: usize =
+            head.field("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
         if length > 0 {
             passed.lock().unwrap().push(id.clone());
             record.note(&format!("runner i-writer-1 has the head of {id}"));
@@ -787,7 +779,8 @@
             reader.read_exact(&mut buffer[..most])?;
             received += most;
             if is_slow {
-                let due = started + Duration::from_secs_f64(received as f64 / READ_BYTES_PER_S as f64);
+                let due =
+                    started + Duration::from_secs_f64(received as f64 / READ_BYTES_PER_S as f64);
                 thread::sleep(due.saturating_duration_since(Instant::now()));
             }
         }
@@ -847,11 +840,12 @@
             thread::spawn(move || serve_writer(stream, &record, &passed, has_trouble));
         }
     });
-    let config = plain_config(7, "streaming", 15_000, 1).replace("\"maxConns\":96", "\"maxConns\":360");
+    let config =
+        plain_config(7, "streaming", 15_000, 1).replace("\"maxConns\":96", "\"maxConns\":360");
     let row = entry("desk", address, 1, "ready").replace("\"slots\":6", "\"slots\":64");
     store.put("servers", "i-writer-1", &row);
     store.put("op", "config", &config);
-    let mut vm = Vm::start_behind(temporary, "edge-north-1", "north", store_address, None)?;
+    let mut vm = Vm::start(temporary, "edge-north-1", "north", store_address, None)?;
     vm.wait_ready()?;
     thread::sleep(Duration::from_secs(2));
     let process = vm.child.id();
@@ -873,7 +867,8 @@
                 return Ok(());
             }
             let id = format!("{:016x}", index + 1);
-            record.note(&format!("client sends {id} with {BODY_BYTES} bytes on its kept connection"));
+            record
+                .note(&format!("client sends {id} with {BODY_BYTES} bytes on its kept connection"));
             let end = ask_writer(&stream, &id, BODY_BYTES);
             record.note(&format!("client of {id}: {end:?}"));
             ends.lock().unwrap().push((id, end));
@@ -882,7 +877,9 @@
     }
     // The platform kills a process that exceeds its memory.
     let mut most = 0;
-    while started.elapsed() < Duration::from_secs(28) && clients.iter().any(|client| !client.is_finished()) {
+    while started.elapsed() < Duration::from_secs(28)
+        && clients.iter().any(|client| !client.is_finished())
+    {
         let resident = resident_kb(process);
         most = most.max(resident);
         if resident > MEMORY_KB {
@@ -903,7 +900,9 @@
     };
     let lost = ends.iter().filter(is_lost).count();
     let served = ends.iter().filter(|(_, end)| *end == Ok(200)).count();
-    record.note(&format!("{served} of {REQUESTS} served; {lost} were passed on and got no answer, 3 are tolerated"));
+    record.note(&format!(
+        "{served} of {REQUESTS} served; {lost} were passed on and got no answer, 3 are tolerated"
+    ));
     record.note(if lost > 3 { "LOST broken" } else { "LOST held" });
     Ok(lost <= 3)
 }
