--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the scripts in review/11 to review/15.
+# Builds the stand-in of the script in review/13.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/release
