Take the order of a VM's incarnations from the store

Cause: an incarnation is the time of day at the start of a process, and a VM dropped every message of a lower incarnation than the highest that it had heard. A process that starts after its clock was set back has a lower one.

Change: the row in the store tells which incarnation runs; the ones before it have ended, and only their messages are ignored. The same holds for summaries of a data centre's aggregator, which were dropped for the same reason. The first ignored message of an incarnation is logged.

The tests cover fleets of 5 and 36 VMs, also the aggregator of a data centre, late messages of an ended incarnation, and a row that is read late. Before the change the fleet of 5 stayed at `Together { heard: 4, all: 5 }` and the test failed.

--- a/crates/relay/src/centre.rs
+++ b/crates/relay/src/centre.rs
@@ -133,14 +133,15 @@
 }
 
 impl Table {
-    /// Accepts a summary, unless it is out of date or a preferred aggregator reports
-    /// about the same data centre. Returns whether it was accepted.
+    /// Accepts a summary of an aggregator that runs, unless it is out of date or a preferred
+    /// aggregator reports about the same data centre. Returns whether it was accepted.
     pub fn accept_summary(&mut self, now: ids::Time, summary: &Summary) -> bool {
         let Summary { head, sums } = summary;
         if let Some(row) = self.rows.get(&head.centre) {
             let known = &row.head;
             let is_late = known.aggregator == head.aggregator
-                && (known.incarnation, known.sequence) >= (head.incarnation, head.sequence);
+                && known.incarnation == head.incarnation
+                && known.sequence >= head.sequence;
             if is_late || !replaces(now, &known.aggregator, row.at, &head.aggregator) {
                 return false;
             }
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -15,6 +15,9 @@
 const MIN_HEARD_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 /// Silence after which a VM counts as unreachable, in digest intervals.
 const HEARD_TIMEOUT_INTERVALS: u32 = 4;
+/// Number of ended incarnations that are remembered for each VM: messages of theirs may
+/// still arrive.
+const MAX_ENDED: usize = 8;
 /// Largest fleet in which all VMs exchange digests. In a larger one, those of
 /// different data centres exchange summaries instead.
 const MAX_MESH_VMS: usize = 16;
@@ -190,8 +193,12 @@
 pub struct Row {
     /// Its name, incarnation and address, from the store.
     pub member: member::Member,
-    /// The latest incarnation heard.
+    /// The incarnation that runs, as far as is known.
     pub incarnation: ids::Incarnation,
+    /// Incarnations that ended before it, the latest last.
+    ended: collections::VecDeque<ids::Incarnation>,
+    /// The last incarnation whose messages were ignored.
+    ignored: Option<ids::Incarnation>,
     /// Whether this VM exchanges digests with it.
     pub is_neighbour: bool,
     /// When it was heard last, directly or by the aggregator of its data centre.
@@ -208,6 +215,8 @@
     fn new(now: ids::Time, member: member::Member) -> Self {
         Self {
             incarnation: member.incarnation,
+            ended: collections::VecDeque::new(),
+            ignored: None,
             is_neighbour: true,
             last_heard: None,
             heard_until: ids::Time::default(),
@@ -222,6 +231,29 @@
     pub fn is_heard(&self, now: ids::Time) -> bool {
         self.last_heard.is_some() && now <= self.heard_until
     }
+
+    /// Whether an incarnation is the one that runs, or a later one.
+    ///
+    /// Incarnations are times of day, so a clock that was set back gives a later one a lower
+    /// number. Only the order of the store's rows tells; until its row is known, such an
+    /// incarnation passes for an earlier one.
+    fn admits(&self, incarnation: ids::Incarnation) -> bool {
+        incarnation >= self.incarnation && !self.ended.contains(&incarnation)
+    }
+
+    /// Replaces the incarnation that runs.
+    fn restart(&mut self, incarnation: ids::Incarnation) {
+        if incarnation == self.incarnation {
+            return;
+        }
+        self.ended.retain(|ended| *ended != incarnation);
+        self.ended.push_back(self.incarnation);
+        if self.ended.len() > MAX_ENDED {
+            self.ended.pop_front();
+        }
+        self.incarnation = incarnation;
+        self.digest = Digest::default();
+    }
 }
 
 /// The other VMs.
@@ -252,7 +284,12 @@
             let known = before.remove(&member.vm);
             changed |= known.as_ref().is_none_or(|row| row.member != member);
             let row = match known {
-                Some(row) => Row { member: member.clone(), ..row },
+                Some(mut row) => {
+                    if row.member.incarnation != member.incarnation {
+                        row.restart(member.incarnation);
+                    }
+                    Row { member: member.clone(), ..row }
+                }
                 None => Row::new(now, member.clone()),
             };
             self.rows.insert(member.vm, row);
@@ -275,19 +312,31 @@
         incarnation: ids::Incarnation,
     ) -> Option<&mut Row> {
         let timeout = self.heard_timeout();
-        let row = self.rows.get_mut(from)?;
-        if incarnation < row.incarnation {
-            return None;
-        }
-        if incarnation > row.incarnation {
-            row.incarnation = incarnation;
-            row.digest = Digest::default();
-        }
+        let row = self.rows.get_mut(from).filter(|row| row.admits(incarnation))?;
+        row.restart(incarnation);
         row.last_heard = Some(now);
         row.heard_until = row.heard_until.max(now + timeout);
         Some(row)
     }
 
+    /// Records that a message of a VM was ignored. Returns the incarnation that runs instead,
+    /// if this is the first message of `incarnation` that is ignored.
+    pub fn record_ignored(
+        &mut self,
+        from: &ids::Vm,
+        incarnation: ids::Incarnation,
+    ) -> Option<ids::Incarnation> {
+        let row = self.rows.get_mut(from)?;
+        (row.ignored.replace(incarnation) != Some(incarnation)).then_some(row.incarnation)
+    }
+
+    /// Whether a message of a VM's incarnation is current. A VM without a row cannot be
+    /// judged, so its messages count as current.
+    #[must_use]
+    pub fn admits(&self, vm: &ids::Vm, incarnation: ids::Incarnation) -> bool {
+        self.rows.get(vm).is_none_or(|row| row.admits(incarnation))
+    }
+
     /// Records what an aggregator reports about the VMs of its data centre.
     pub fn record_head(&mut self, now: ids::Time, age: time::Duration, head: &centre::Head) {
         let remote = self.rows.values_mut().filter(|row| !row.is_neighbour);
--- a/crates/relay/src/system/gossip.rs
+++ b/crates/relay/src/system/gossip.rs
@@ -242,6 +242,11 @@
 ) {
     let was_heard = relay.peers.get(from).is_some_and(|row| row.is_heard(now));
     let Some(row) = relay.peers.record_heard(now, from, incarnation) else {
+        if let Some(current) = relay.peers.record_ignored(from, incarnation) {
+            let inputs = format!("incarnation {incarnation}, current {current}");
+            let line = event::Event::new("peer", from, "message ignored").with_inputs(inputs);
+            out.push(Output::Log(line));
+        }
         return;
     };
     let is_neighbour = row.is_neighbour;
@@ -315,7 +320,8 @@
         });
         return;
     }
-    if !relay.centres.accept_summary(now, &summary) {
+    let is_current = relay.peers.admits(&summary.head.aggregator, summary.head.incarnation);
+    if !is_current || !relay.centres.accept_summary(now, &summary) {
         return;
     }
     let centre::Summary { head, sums } = summary;
--- a/crates/relay/tests/fleet/mod.rs
+++ b/crates/relay/tests/fleet/mod.rs
@@ -169,8 +169,13 @@
 
     /// Starts a VM's process anew.
     pub fn start(&mut self, index: usize) {
+        self.start_as(index, self.vms[index].incarnation + 1);
+    }
+
+    /// Starts a VM's process anew, as this incarnation.
+    pub fn start_as(&mut self, index: usize, incarnation: u64) {
         let vm = &mut self.vms[index];
-        vm.incarnation += 1;
+        vm.incarnation = incarnation;
         let address = format!("10.0.0.{index}:7000");
         let settings = Settings::new(vm.name.as_str(), vm.centre.as_str(), vm.incarnation)
             .with_peer(&address)
--- a/crates/relay/tests/large.rs
+++ b/crates/relay/tests/large.rs
@@ -310,6 +310,31 @@
     }
 }
 
+/// Guards against a VM that is not heard, and told nothing, after a restart with its clock set
+/// back: incarnations are times of day.
+#[test]
+fn a_vm_that_restarts_as_a_lower_incarnation_is_told_of_changes() {
+    // The first VM of its data centre: the aggregator in the large fleet.
+    for (size, restarted) in [(5, "vm-2-0"), (36, "vm-2-0"), (36, "vm-2-3")] {
+        let mut fleet = started(size);
+        let restarted = fleet.index_of(restarted);
+        for incarnation in [2_000, 1_000] {
+            fleet.kill(restarted);
+            fleet.run(300, |_| {});
+            fleet.start_as(restarted, incarnation);
+            fleet.run(1_000, |_| {});
+        }
+        fleet.run(2_000, |_| {});
+        assert!(are_together(&fleet, size, size), "{size} VMs: {:?}", fleet.views());
+        fleet.configure(config(2));
+        fleet.run(2_000, |_| {});
+        for vm in fleet.running() {
+            let relay = vm.relay.as_ref().expect("it runs");
+            assert_eq!(relay.version(), ids::Version::new(2), "{size} VMs, {}", vm.name);
+        }
+    }
+}
+
 #[test]
 fn vms_that_all_start_again_share_one_view_while_calls_are_held() {
     // Time after its start in which a VM holds calls back.
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -73,6 +73,53 @@
     assert_eq!(sent.iter().filter(is_targets).count(), 1);
 }
 
+fn member_as(name: &str, incarnation: u64) -> member::Member {
+    relay::Settings::new(name, "north", incarnation).with_peer("127.0.0.1:9").member()
+}
+
+/// Receives a digest of the VM `vm-2` without a configuration, from one of its incarnations.
+fn receive_as(world: &mut World, incarnation: u64) -> Seen {
+    let incarnation = ids::Incarnation::new(incarnation);
+    world.step([Input::Peer { from: "vm-2".into(), incarnation, message: digest(0, None) }])
+}
+
+/// Guards against a configuration that is never sent to a VM whose clock was set back between
+/// two starts, and against late messages of the start that the store's row has replaced.
+#[test]
+fn the_row_of_a_vm_tells_which_of_its_incarnations_runs() {
+    let mut world = World::new(vec![desk("d-1")]);
+    let members = |version, incarnation| Input::Members {
+        version: ids::Version::new(version),
+        members: vec![member("vm-1"), member_as("vm-2", incarnation)],
+    };
+    world.step([members(1, 1)]);
+    // Its clock is ahead, and it is heard before its row is read.
+    receive_as(&mut world, 2_000);
+    world.wait(2_000);
+    world.step([members(2, 1_000)]);
+    for _ in 0..10 {
+        receive_as(&mut world, 2_000);
+        assert!(copies(&world.wait(100).messages) == (0, 0), "it has ended");
+    }
+    receive_as(&mut world, 1_000);
+    let sent = world.wait(1_000).messages;
+    assert!(copies(&sent).1 > 0, "it runs and has no configuration");
+}
+
+/// Guards against a VM that is ignored for good because an older state of its row was read
+/// after it was heard.
+#[test]
+fn an_incarnation_that_was_heard_before_an_older_row_was_read_is_heard_again() {
+    let mut world = World::new(vec![desk("d-1")]);
+    for (version, incarnation) in [(1, 1), (2, 2), (3, 3)] {
+        let members = vec![member("vm-1"), member_as("vm-2", incarnation)];
+        world.step([Input::Members { version: ids::Version::new(version), members }]);
+        receive_as(&mut world, 3);
+    }
+    let sent = world.wait(1_000).messages;
+    assert!(copies(&sent).1 > 0, "it runs and has no configuration");
+}
+
 /// Numbers of complete copies of the targets and of the configuration in `messages`.
 fn copies(messages: &[(ids::Vm, peer::Message)]) -> (usize, usize) {
     let is_targets = |message: &&peer::Message| matches!(message, peer::Message::Targets(copy) if copy.since.is_none());
