Rely only on readers that reach this VM

Cause: a VM does not read the store while it hears that two others do. It did not ask whether what they read reaches it. The cut VM stayed the aggregator, as its own data centre heard it. The other aggregators probed the VMs of the data centre once it was silent; these forwarded the summaries to it, and it told its data centre of young reads elsewhere. Changes do not take that way. A VM that hears the others but is not heard by them is in the same state.

Change: a digest names the neighbours that its sender does not hear, and the head of a data centre those that its aggregator has heard lately. A reader counts only if each VM on the way to this one says that it hears the next. In a large fleet the VMs of a data centre that lack readers take turns, two at a time. VMs of the version before tell nothing of the kind and count as before.

The tests that cut an aggregator off (36 and 118 VMs) and that make a VM unheard (5 and 36 VMs) failed before the change.

--- a/crates/relay/src/centre.rs
+++ b/crates/relay/src/centre.rs
@@ -12,6 +12,9 @@
 /// How long a report about a data centre is valid. A failed aggregator is replaced
 /// within this time: a heard timeout, until its successor reports.
 pub const LIFETIME: time::Duration = time::Duration::from_millis(2_500);
+/// Silence of a data centre after which it counts as not reached: the time in which a failed
+/// aggregator is replaced.
+const REACHED_TIMEOUT: time::Duration = time::Duration::from_millis(1_600);
 /// Silence of a reporter after which another VM's reports are accepted in place of its.
 const REPORTER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
@@ -52,6 +55,10 @@
     /// The planner and its fencing token, if it is in this data centre.
     #[serde(rename = "f")]
     pub leader: Option<(ids::Vm, ids::Fence)>,
+    /// Data centres that the aggregator hears, so that what it learns reaches them; `None` if
+    /// it is of a version that does not tell.
+    #[serde(rename = "rc", default, skip_serializing_if = "Option::is_none")]
+    pub reached: Option<Vec<ids::Centre>>,
     /// Store version of the drained data centres that the aggregator knows; `None` if it is
     /// of a version that does not know any.
     #[serde(rename = "ev", default, skip_serializing_if = "Option::is_none")]
@@ -184,6 +191,21 @@
         self.rows.get(centre).filter(|row| now.since(row.at) <= REPORTER_TIMEOUT)
     }
 
+    /// The data centres that an aggregator with this table reaches.
+    #[must_use]
+    pub fn reached(&self, now: ids::Time) -> Vec<ids::Centre> {
+        let is_reached = |row: &&Row| now.since(row.at) <= REACHED_TIMEOUT;
+        self.rows.values().filter(is_reached).map(|row| row.head.centre.clone()).collect()
+    }
+
+    /// Whether the aggregator of `from` reaches the data centre `to`. One that does not tell is
+    /// taken to do so while it is heard.
+    #[must_use]
+    pub fn reaches(&self, now: ids::Time, from: &ids::Centre, to: &ids::Centre) -> bool {
+        let row = self.rows.get(from).filter(|row| now.since(row.at) <= LIFETIME);
+        row.is_some_and(|row| row.head.reached.as_ref().is_none_or(|reached| reached.contains(to)))
+    }
+
     /// When a data centre was last reported about.
     #[must_use]
     pub fn last_heard(&self, centre: &ids::Centre) -> Option<ids::Time> {
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -161,6 +161,9 @@
     /// Hash of the names of the neighbours that it hears, and of its own.
     #[serde(rename = "h")]
     pub heard_hash: u64,
+    /// Neighbours that it does not hear.
+    #[serde(rename = "n", default, skip_serializing_if = "Vec::is_empty")]
+    pub silent: Vec<ids::Vm>,
     /// Its usage of the accounts' quotas.
     #[serde(rename = "q")]
     pub granted: Vec<quota::Usage>,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -116,6 +116,8 @@
     pub(crate) stage: Stage,
     pub(crate) store_down_since: Option<ids::Time>,
     pub(crate) gossip: system::gossip::Schedule,
+    /// Since when too few other VMs read the store for this one.
+    pub(crate) readers_lacking_since: Option<ids::Time>,
     /// When this VM last read the store directly.
     pub(crate) last_read: Option<ids::Time>,
     /// Store version of the last known change of the targets.
@@ -173,6 +175,7 @@
             stage: Stage::Running,
             store_down_since: None,
             gossip: system::gossip::Schedule::default(),
+            readers_lacking_since: None,
             last_read: None,
             targets_version: ids::Version::default(),
             progress: Progress::default(),
--- a/crates/relay/src/system/gossip.rs
+++ b/crates/relay/src/system/gossip.rs
@@ -77,12 +77,14 @@
     let granted = relay.quota.usage(now);
     let speeds = speed::digest_samples(relay, now);
     let loads = relay.targets.iter().filter(|row| row.own.calls > 0);
+    let silent = relay.peers.neighbours().filter(|row| !row.is_heard(now));
     peer::Digest {
         version: relay.version(),
         read_age: replication::read_age(relay, now),
         targets: relay.targets_version,
         members: relay.peers.version(),
         heard_hash: relay.peers.heard_hash(now, &relay.settings.vm),
+        silent: silent.map(|row| row.member.vm.clone()).collect(),
         granted,
         loads: loads.map(|row| (row.entry.target.clone(), row.own)).collect(),
         demand: Vec::new(),
@@ -156,7 +158,9 @@
     let own_fence = relay.lease.fence(now).map(|fence| (own_vm.clone(), fence));
     let neighbours = || relay.peers.heard_neighbours(now);
     let vm = |row: &peer::Row| row.member.vm.clone();
-    let readers = neighbours().filter_map(|row| Some((vm(row), row.digest.read_age?)));
+    let readers = neighbours()
+        .filter(|row| overlay::reaches_this(relay, now, row))
+        .filter_map(|row| Some((vm(row), row.digest.read_age?)));
     let leaders = neighbours().filter_map(|row| Some((vm(row), row.digest.leader_fence?)));
     let silent = relay.peers.neighbours().filter(|row| !row.is_heard(now));
     centre::Head {
@@ -171,6 +175,7 @@
         centres_hash: relay.centres.hash(now, &relay.settings.centre),
         readers: readers.chain(own_age).collect(),
         leader: leaders.chain(own_fence).max_by_key(|(_, fence)| *fence),
+        reached: Some(relay.centres.reached(now)),
         evacuations: Some(relay.evacuation.table.version()),
     }
 }
--- a/crates/relay/src/system/overlay.rs
+++ b/crates/relay/src/system/overlay.rs
@@ -121,6 +121,19 @@
     }
 }
 
+/// Whether what another VM learns reaches this one: each VM on the way hears the next, and says
+/// so itself. A VM sends changes only to those that it hears.
+pub(crate) fn reaches_this(relay: &Relay, now: ids::Time, from: &peer::Row) -> bool {
+    let own = &relay.settings.vm;
+    if from.is_neighbour {
+        return !from.digest.silent.contains(own);
+    }
+    let aggregator = aggregator(relay, now).filter(|aggregator| aggregator != own);
+    let aggregator = aggregator.and_then(|aggregator| relay.peers.get(&aggregator));
+    relay.centres.reaches(now, &from.member.centre, &relay.settings.centre)
+        && aggregator.is_none_or(|row| !row.digest.silent.contains(own))
+}
+
 /// Sends a message to the planner, directly or by way of the aggregators.
 pub(crate) fn send_to_planner(
     relay: &Relay,
--- a/crates/relay/src/system/replication.rs
+++ b/crates/relay/src/system/replication.rs
@@ -1,9 +1,13 @@
 //! Reading of the store, and distribution of the contents to other VMs.
 //!
 //! Each request to the store has a cost, so only a few VMs (readers) watch its tables
-//! and pass changes on to the others at once. A VM becomes a reader if it hears of too
-//! few others, so a reader that has stopped, is cut off or is refused by the store is
-//! replaced as soon as its digests show it.
+//! and pass changes on to the others at once. A VM becomes a reader if it knows of too
+//! few others that read the store and reach it, so a reader that has stopped, is cut off
+//! or is refused by the store is replaced as soon as its digests show it.
+//!
+//! To hear a reader is not enough: a VM that others do not hear is sent no changes. So
+//! digests name the VMs that their sender does not hear, and the heads of data centres
+//! those that their aggregator does.
 //!
 //! In a large fleet, aggregators pass changes on to the other data centres and to the
 //! VMs of their own, and also to those that lag behind.
@@ -29,6 +33,9 @@
 /// Time after which a VM's digests confirm changes sent to it, in digest intervals: they
 /// pass through two aggregators, and the confirmation too.
 const SETTLE_INTERVALS: u32 = 4;
+/// Delay per pair of VMs of a data centre until further ones read the store, unless those
+/// before them do by then: to connect, to read and to tell.
+const READER_DELAY: time::Duration = time::Duration::from_millis(400);
 /// Number of VMs that read the store at once when they start in a large fleet.
 const FIRST_READERS: usize = READERS;
 /// Time after its start in which a VM that has no row yet does not know the size of the
@@ -85,12 +92,19 @@
 }
 
 pub(crate) fn tick(relay: &mut Relay, now: ids::Time, out: &mut Vec<Output>) {
-    let is_reader = |row: &&peer::Row| {
+    let reads = |row: &&peer::Row| {
         let read_age = row.digest.read_age.map(time::Duration::from_millis);
         read_age.is_some_and(|read_age| read_age <= MAX_READ_AGE)
             && row.member.vm < relay.settings.vm
     };
-    let readers = relay.peers.heard(now).filter(is_reader).count();
+    let reading = relay.peers.heard(now).filter(reads).count();
+    let reaches = |row: &&peer::Row| overlay::reaches_this(relay, now, row);
+    let readers = relay.peers.heard(now).filter(reads).filter(reaches).count();
+    if readers < READERS {
+        relay.readers_lacking_since.get_or_insert(now);
+    } else {
+        relay.readers_lacking_since = None;
+    }
     let is_led = relay.peers.leader(now).is_some() || relay.lease.fence(now).is_some();
     if is_led {
         relay.led_at = Some(now);
@@ -103,7 +117,7 @@
     };
     if relay.follow != Some(follow) {
         relay.follow = Some(follow);
-        let inputs = format!("other readers {readers} led {is_led}");
+        let inputs = format!("other readers {readers} of {reading} heard, led {is_led}");
         let outcome = if follow.is_reader { "reading" } else { "told by others" };
         let line = event::Event::new("store", &relay.settings.vm, outcome).with_inputs(inputs);
         out.push(Output::Log(line));
@@ -120,7 +134,13 @@
     if relay.peers.is_mesh() {
         return true;
     }
-    let rank = relay.peers.iter().filter(|row| row.member.vm < relay.settings.vm).count();
+    let precedes = |row: &&peer::Row| row.member.vm < relay.settings.vm;
+    let pairs = relay.peers.heard_neighbours(now).filter(precedes).count() / READERS;
+    let delay = READER_DELAY.saturating_mul(u32::try_from(pairs).unwrap_or(u32::MAX));
+    if relay.readers_lacking_since.is_none_or(|since| now.since(since) < delay) {
+        return false;
+    }
+    let rank = relay.peers.iter().filter(precedes).count();
     let steps = u32::try_from(rank).unwrap_or(u32::MAX);
     let delay = START_DELAY_PER_RANK.saturating_mul(steps).min(MAX_START_DELAY);
     rank < FIRST_READERS || age(relay, now) >= delay
--- a/crates/relay/tests/fleet/mod.rs
+++ b/crates/relay/tests/fleet/mod.rs
@@ -28,6 +28,8 @@
     inbox: Vec<Input>,
     /// Other VMs whose messages it does not receive.
     pub deaf_to: collections::BTreeSet<ids::Vm>,
+    /// Whether it reaches the store.
+    pub has_store: bool,
 }
 
 /// Counters of the traffic of a fleet.
@@ -133,6 +135,7 @@
             polled_at: ids::Time::default(),
             inbox: Vec::new(),
             deaf_to: collections::BTreeSet::new(),
+            has_store: true,
         };
         let vms: Vec<_> = (0..size).map(vm).collect();
         let indices = vms.iter().enumerate().map(|(index, vm)| (vm.name.clone(), index));
@@ -193,6 +196,19 @@
         self.vms[index].relay = None;
     }
 
+    /// Cuts a VM off from the store and from the VMs of other data centres.
+    pub fn cut_off(&mut self, index: usize) {
+        let (name, centre) = (self.vms[index].name.clone(), self.vms[index].centre.clone());
+        let others = self.vms.iter_mut().filter(|vm| vm.centre != centre);
+        let others = others.map(|vm| {
+            vm.deaf_to.insert(name.clone());
+            vm.name.clone()
+        });
+        let others = others.collect::<Vec<_>>();
+        self.vms[index].deaf_to.extend(others);
+        self.vms[index].has_store = false;
+    }
+
     pub fn index_of(&self, name: &str) -> usize {
         self.vms.iter().position(|vm| vm.name.as_str() == name).expect("a VM of this name")
     }
@@ -225,7 +241,7 @@
         self.targets.push(entry);
         let version = ids::Version::new(self.version);
         for index in 0..self.vms.len() {
-            if self.vms[index].follow.is_reader {
+            if self.vms[index].follow.is_reader && self.vms[index].has_store {
                 let changes = vec![change.clone()];
                 let targets = input::Targets { is_full: false, version, changes };
                 self.deliver(index, Input::Targets(targets));
@@ -258,7 +274,7 @@
         let version = ids::Version::new(self.version);
         let change = target::Change { target, version, entry: None };
         for index in 0..self.vms.len() {
-            if self.vms[index].follow.is_reader {
+            if self.vms[index].follow.is_reader && self.vms[index].has_store {
                 let changes = vec![change.clone()];
                 let targets = input::Targets { is_full: false, version, changes };
                 self.deliver(index, Input::Targets(targets));
@@ -402,6 +418,11 @@
     }
 
     fn write(&mut self, index: usize, op: ids::Op, write: store::table::Write) {
+        if !self.vms[index].has_store {
+            let fault = store::Fault::new("write", &write.key, store::Kind::Unknown, "cut off");
+            self.deliver(index, Input::Written { op, result: Err(fault) });
+            return;
+        }
         *self.traffic.store_calls.entry("writes").or_default() += 1;
         self.version += 1;
         let version = ids::Version::new(self.version);
@@ -430,7 +451,7 @@
     fn serve_store(&mut self) {
         let members: Vec<_> = self.members.values().map(|(_, member)| member.clone()).collect();
         for index in 0..self.vms.len() {
-            if self.vms[index].relay.is_none() {
+            if self.vms[index].relay.is_none() || !self.vms[index].has_store {
                 continue;
             }
             let (now, version) = (self.now, ids::Version::new(self.version));
--- a/crates/relay/tests/large.rs
+++ b/crates/relay/tests/large.rs
@@ -54,13 +54,18 @@
 
 /// Calls that arrive evenly at the running VMs at `times` the rate of the account.
 fn arrivals(times: f64) -> impl FnMut(&mut Fleet) {
+    arrivals_except(times, usize::MAX)
+}
+
+/// Calls that arrive evenly at the running VMs but for one.
+fn arrivals_except(times: f64, except: usize) -> impl FnMut(&mut Fleet) {
     let (mut owed, mut next) = (0.0, 0_usize);
     move |fleet| {
         owed += times * RATE * 0.02 / CALL_UNITS as f64;
         while owed >= 1.0 {
             owed -= 1.0;
-            let running: Vec<_> =
-                (0..fleet.vms.len()).filter(|index| fleet.vms[*index].relay.is_some()).collect();
+            let is_used = |index: &usize| *index != except && fleet.vms[*index].relay.is_some();
+            let running: Vec<_> = (0..fleet.vms.len()).filter(is_used).collect();
             // A stride that is coprime to the size mixes the data centres.
             next += 7;
             fleet.arrive(running[next % running.len()], paid_draft());
@@ -335,6 +340,53 @@
     }
 }
 
+/// Time after which each VM that reaches the store goes by a change, in ms.
+const APPLY_MS: u64 = 3_000;
+
+/// Guards against a data centre that stays on an old configuration, and sends calls to targets
+/// that have left, because its aggregator is told by its own VMs that others read the store.
+#[test]
+fn a_data_centre_whose_aggregator_is_cut_off_is_told_of_changes() {
+    for (size, cut) in [(36, "vm-2-0"), (36, "vm-0-0"), (36, "vm-0-1"), (118, "vm-2-0")] {
+        let mut fleet = started_with(size, 4);
+        fleet.run(3_000, |_| {});
+        let cut = fleet.index_of(cut);
+        fleet.cut_off(cut);
+        fleet.run(40, |_| {});
+        fleet.configure(config(2));
+        let left = remove_busiest(&mut fleet);
+        fleet.run(APPLY_MS - 200, arrivals_except(0.5, cut));
+        fleet.sent.clear();
+        fleet.run(2_000, arrivals_except(0.5, cut));
+        assert_eq!(fleet.sent.get(&left), None, "{size} VMs, VM {cut}");
+        for (index, vm) in fleet.vms.iter().enumerate().filter(|(index, _)| *index != cut) {
+            let version = vm.relay.as_ref().expect("it runs").version();
+            assert_eq!(version.get(), 2, "{size} VMs, VM {cut} cut off, VM {index}");
+        }
+    }
+}
+
+/// Guards against a VM that hears the readers, but is told nothing as they do not hear it.
+#[test]
+fn a_vm_that_nobody_hears_reads_the_store_itself() {
+    for (size, unheard) in [(5, "vm-4-0"), (36, "vm-2-0"), (36, "vm-2-3"), (36, "vm-0-0")] {
+        let mut fleet = started(size);
+        let unheard = fleet.index_of(unheard);
+        let name = fleet.vms[unheard].name.clone();
+        fleet.vms.iter_mut().for_each(|vm| {
+            vm.deaf_to.insert(name.clone());
+        });
+        // The others have noticed.
+        fleet.run(3_000, |_| {});
+        fleet.configure(config(2));
+        fleet.run(2_000, |_| {});
+        for vm in fleet.running() {
+            let version = vm.relay.as_ref().expect("it runs").version();
+            assert_eq!(version.get(), 2, "{size} VMs, {name} unheard, {}", vm.name);
+        }
+    }
+}
+
 #[test]
 fn vms_that_all_start_again_share_one_view_while_calls_are_held() {
     // Time after its start in which a VM holds calls back.
