Pass no answer on whose status ends no request

It does not: the HTTP client rejects statuses below 100 and those that are no three digits, and the call ends as broken off. But a target that answered 101 to a call, or 600 to 999, was taken to have answered: the caller got that status as a failure of the target, and a 101 ends HTTP on its connection.

Change: an answer counts only with a status from 200 to 599, for calls and for the system's own requests. Another one leaves open whether the call has run.

--- a/crates/daemon/src/relay/exchange.rs
+++ b/crates/daemon/src/relay/exchange.rs
@@ -114,6 +114,9 @@
         Err(event) => return Outcome::NoAnswer(event),
     };
     let (head, body) = response.into_parts();
+    if !is_final(head.status) {
+        return broken("the answer has a status that ends no request");
+    }
     let answer = answer::decode(&head, &request.id);
     let echo_matches = match answer.echo {
         answer::Echo::Matching => true,
@@ -191,6 +194,12 @@
     }
 }
 
+/// Whether an answer with this status ends a request. HTTP has no statuses from 600 on; those
+/// below 200 announce an answer, or a change of protocols that nobody asked for.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Whether the status by itself claims that the request has not run.
 const fn implies_not_run(status: StatusCode) -> bool {
     matches!(
@@ -284,6 +293,9 @@
         let response =
             connection.sender.send_request(request).await.map_err(|cause| cause.to_string())?;
         let (head, body) = response.into_parts();
+        if !is_final(head.status) {
+            return Err(format!("the status {} ends no request", head.status.as_u16()));
+        }
         let answer::Answer { echo, keep_alive, notice, .. } = answer::decode(&head, "");
         // Only answers to calls carry an id: this one is a late copy of an earlier answer.
         if echo != answer::Echo::Missing {
