Wait at a stop until callers have read their answers

Cause: a call ends for the core when its answer is complete in the VM. Once all calls had ended, the process waited 0.2 s and exited, whether or not the connections of the callers still wrote.

Change: after the core has stopped, the process waits until the connections that were open when idle ones were closed have ended, at most until the time at which remaining calls are ended. Connections that come later carry refusals only, and are not waited for.

--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -59,6 +59,37 @@
     pub limits: watch::Receiver<relay::config::Limits>,
     /// Stage of a planned stop.
     pub stop: watch::Receiver<Stage>,
+    /// The connections whose answers a planned stop waits for.
+    pub connections: Connections,
+}
+
+/// Number of open connections of callers. Clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct Connections(watch::Sender<usize>);
+
+impl Connections {
+    /// Counts a connection until the returned guard is dropped.
+    #[must_use]
+    fn open(&self) -> Open {
+        self.0.send_modify(|count| *count += 1);
+        Open(self.clone())
+    }
+
+    /// Waits until all connections are closed, so that their answers are written.
+    pub async fn closed(&self) {
+        // The sender lives as long as `self`.
+        drop(self.0.subscribe().wait_for(|count| *count == 0).await);
+    }
+}
+
+/// An open connection of a caller.
+#[derive(Debug)]
+struct Open(Connections);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.0.send_modify(|count| *count -= 1);
+    }
 }
 
 impl State {
@@ -100,7 +131,9 @@
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES));
     let mut connection = builder.serve_connection(rt::TokioIo::new(stream), service);
     // A connection that comes after the others were closed gets a refusal rather than no answer.
+    // The stop does not wait for it: its caller may never send a request.
     let is_late = *stop.borrow() == Stage::Closed;
+    let _open = (!is_late).then(|| state.connections.open());
     // Drops the guard that `wait_for` returns: it must not be held while the connection closes.
     let closed = async { stop.wait_for(|stage| *stage == Stage::Closed).await.is_ok() };
     let result = tokio::select! {
--- a/crates/daemon/src/relay/process.rs
+++ b/crates/daemon/src/relay/process.rs
@@ -63,6 +63,7 @@
     let address: sync::Arc<str> = settings.store.address.to_string().into();
     let calls = calls::Table::default();
     let pool = pool::Pool::default();
+    let connections = front::Connections::default();
     let identity = peer::link::Identity {
         vm: settings.vm.as_str().into(),
         incarnation: ids::Incarnation::new(incarnation),
@@ -86,6 +87,7 @@
         pool,
         limits: current_limits,
         stop: stop_stage,
+        connections: connections.clone(),
     };
     tokio::spawn(driver::run(Relay::new(core), inputs, effects, limits));
     let mut addresses = vec![address_of(&caller_listener)?, address_of(&balancer_listener)?];
@@ -114,6 +116,7 @@
         store = %address,
     );
     signals.wait_for_stop(file).await;
+    let signalled = tokio::time::Instant::now();
     // The grace period may have changed since the start.
     let shutdown = reload(file).as_ref().unwrap_or(settings).shutdown();
     inbox.send(Input::Stop(shutdown));
@@ -123,6 +126,16 @@
     if has_stopped.wait_for(|stopped| *stopped).await.is_err() {
         return Err(error::Error::system("stop", &"core", &"it ended before its calls"));
     }
+    // The core counts a call as ended when its answer is complete here; the caller may still
+    // be reading it.
+    let ends_at = signalled + shutdown.ended_after;
+    if tokio::time::timeout_at(ends_at, connections.closed()).await.is_err() {
+        tracing::warn!(
+            step = "stop",
+            outcome = "answers not read",
+            reason = "callers had not read their answers before the end of the grace period",
+        );
+    }
     tokio::time::sleep(shutdown.flush).await;
     Ok(())
 }
