--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -89,8 +89,8 @@
     Ok(listener)
 }
 
-/// Returns a number that increases with every start of the process: ms since the
-/// Unix epoch.
+/// Returns the number of a start of the process: ms since the Unix epoch. It is lower than that
+/// of an earlier start if the clock was set back in between.
 #[must_use]
 pub fn incarnation() -> u64 {
     let age = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
--- a/crates/member/tests/changes.rs
+++ b/crates/member/tests/changes.rs
@@ -191,6 +191,18 @@
     fleet.run_until(2_000, |fleet| fleet.serving_count() == 5);
 }
 
+/// Guards against a VM that never serves again after a restart with its clock set back:
+/// incarnations are times of day.
+#[test]
+fn a_vm_that_restarts_as_a_lower_incarnation_rejoins() {
+    let mut fleet = Fleet::serving(3, 16);
+    let before = fleet.vms[2].incarnation;
+    fleet.kill(2);
+    fleet.run(1_000);
+    fleet.start_as(2, ids::Incarnation::new(before.get() - 500));
+    fleet.run_until(30_000, |fleet| fleet.serves(2));
+}
+
 #[test]
 fn leaving_during_an_outage_times_out() {
     let mut fleet = Fleet::serving(5, 13);
--- a/crates/member/tests/fleet/mod.rs
+++ b/crates/member/tests/fleet/mod.rs
@@ -180,7 +180,12 @@
     }
 
     pub fn start(&mut self, vm: usize) {
-        self.vms[vm].incarnation = ids::Incarnation::new(self.now + vm as u64);
+        self.start_as(vm, ids::Incarnation::new(self.now + vm as u64));
+    }
+
+    /// Starts a VM as this incarnation.
+    pub fn start_as(&mut self, vm: usize, incarnation: ids::Incarnation) {
+        self.vms[vm].incarnation = incarnation;
         let mut config = member::Config::new(self.member(vm), 1);
         if self.large {
             config.max_staleness = time::Duration::from_secs(5);
