--- a/crates/relay/src/system/overlay.rs
+++ b/crates/relay/src/system/overlay.rs
@@ -122,7 +122,7 @@
 }
 
 /// Whether what another VM learns reaches this one: each VM on the way hears the next, and says
-/// so itself. A VM sends changes only to those that it hears.
+/// so itself. Configurations and complete copies are only sent to VMs that are heard.
 pub(crate) fn reaches_this(relay: &Relay, now: ids::Time, from: &peer::Row) -> bool {
     let own = &relay.settings.vm;
     if from.is_neighbour {
