Leave an interval between a change of a table and the next poll

Cause: a VM that follows a table polls anew an interval after the last poll began. With one target, which rewrites its entry every 1.2 s, most polls have waited longer than the interval when the change comes, so the next one begins at once. Each change was read by itself, at some 1.25 polls a second and reader.

Change: after changes, the next poll begins a whole interval later, however long they took to come. The longest time in which a change is not read is the interval, as before. Where many targets write, polls are answered at once and nothing changes.

--- a/crates/daemon/src/relay/rows.rs
+++ b/crates/daemon/src/relay/rows.rs
@@ -17,8 +17,8 @@
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 /// Timeout for connecting to the store.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
-/// Minimum interval between two polls of the targets. A target that leaves, like
-/// a new configuration, must be known within two seconds.
+/// Minimum interval between two polls of the targets, and between a change and the next poll.
+/// A target that leaves, like a new configuration, must be known within two seconds.
 const TARGETS_POLL_INTERVAL: time::Duration = time::Duration::from_millis(400);
 /// Minimum interval between two polls of the configuration.
 const CONFIG_POLL_INTERVAL: time::Duration = time::Duration::from_millis(200);
@@ -136,7 +136,7 @@
     const TABLE: &'static str;
     /// The table, if it is read for all VMs.
     const SHARED: Option<input::Table>;
-    /// Minimum interval between two polls.
+    /// Minimum interval between two polls, and between a change and the next poll.
     const POLL_INTERVAL: time::Duration;
     /// How long the store is asked to hold a long poll.
     const LONG_POLL_WAIT: time::Duration = LONG_POLL_WAIT;
@@ -226,22 +226,24 @@
             None => read_table(&mut connection, F::TABLE).await.map(|page| {
                 let version = page.version;
                 follower.apply(page, true);
-                Some(version)
+                (Some(version), true)
             }),
             Some(version) => {
                 let page =
                     poll_changes(&mut connection, F::TABLE, version, F::LONG_POLL_WAIT).await;
                 page.map(|page| {
-                    let mut page = page?;
+                    let Some(mut page) = page else {
+                        return (None, false);
+                    };
                     page.version = page.version.max(version);
-                    let version = page.version;
+                    let (version, has_changes) = (page.version, !page.rows.is_empty());
                     follower.apply(page, false);
-                    Some(version)
+                    (Some(version), has_changes)
                 })
             }
         };
         match result {
-            Ok(version) => {
+            Ok((version, has_changes)) => {
                 availability.record_success();
                 backoff = *BACKOFF.start();
                 if version.is_none() {
@@ -252,7 +254,7 @@
                     );
                 }
                 known_version = version;
-                tokio::time::sleep(F::POLL_INTERVAL.saturating_sub(started.elapsed())).await;
+                tokio::time::sleep(pause(F::POLL_INTERVAL, started.elapsed(), has_changes)).await;
             }
             Err(reason) => {
                 availability.record_failure(&reason);
@@ -269,6 +271,13 @@
     }
 }
 
+/// Returns how long to wait after an answer until the next poll of a table, which took
+/// `elapsed`. After changes it is the whole interval, however long they took to come: rows that
+/// are rewritten again and again are then read together rather than one by one.
+fn pause(interval: time::Duration, elapsed: time::Duration, has_changes: bool) -> time::Duration {
+    if has_changes { interval } else { interval.saturating_sub(elapsed) }
+}
+
 /// Reads a whole table and joins its pages into one.
 async fn read_table(connection: &mut Connection, table: &str) -> Result<platform::rows::Page> {
     let mut whole: Option<platform::rows::Page> = None;
