--- a/crates/relay/tests/fleet/mod.rs
+++ b/crates/relay/tests/fleet/mod.rs
@@ -32,6 +32,8 @@
     pub has_store: bool,
     /// Tables of the store that it cannot read.
     pub unread: collections::BTreeSet<input::Table>,
+    /// Whether its process is suspended. What arrives meanwhile waits.
+    pub is_frozen: bool,
 }
 
 /// Counters of the traffic of a fleet.
@@ -139,6 +141,7 @@
             deaf_to: collections::BTreeSet::new(),
             has_store: true,
             unread: collections::BTreeSet::new(),
+            is_frozen: false,
         };
         let vms: Vec<_> = (0..size).map(vm).collect();
         let indices = vms.iter().enumerate().map(|(index, vm)| (vm.name.clone(), index));
@@ -324,6 +327,9 @@
     fn step(&mut self, index: usize) {
         let mut outputs = Vec::new();
         let vm = &mut self.vms[index];
+        if vm.is_frozen {
+            return;
+        }
         let inputs = std::mem::take(&mut vm.inbox);
         let Some(relay) = &mut vm.relay else {
             return;
