--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -65,6 +65,7 @@
             }
             metrics::gauge!(metric::BLOCKED_PARTS).set(core.blocked_parts() as f64);
             metrics::gauge!(metric::DRAINED_CENTRES).set(core.drained_centres() as f64);
+            metrics::gauge!(metric::STORE_ERA).set(core.store_era().get() as f64);
             metrics::gauge!(metric::VIEW_AGE).set(core.view_age(now).as_secs_f64());
             metrics::gauge!(metric::WAITING_FOR_UNITS).set(core.calls_waiting_for_units() as f64);
             metrics::gauge!(metric::GRANTED_RATIO).set(core.granted_ratio(now).unwrap_or(1.0));
--- a/crates/daemon/src/relay/effect.rs
+++ b/crates/daemon/src/relay/effect.rs
@@ -34,6 +34,8 @@
     pub subscriptions: rows::Subscriptions,
     /// Writes to the store.
     pub writer: rows::Writer,
+    /// The store's era.
+    pub era: rows::Era,
     /// Readiness that the balancer sees.
     pub ready: watch::Sender<bool>,
     /// Stage of a planned stop.
@@ -67,6 +69,7 @@
             Output::Members(members) => self.links.set_members(members),
             Output::Reconnect { to } => self.links.reconnect(&to),
             Output::Follow(follow) => self.subscriptions.set(follow),
+            Output::Era(era) => self.era.learn(era),
             Output::Decode { text } => rows::decode_config(&self.inbox, text),
             Output::Write { op, write } => self.write(op, write),
             Output::Order { op, order } => self.order(op, order),
--- a/crates/daemon/src/relay/metric.rs
+++ b/crates/daemon/src/relay/metric.rs
@@ -30,6 +30,8 @@
 pub const STORE_REQUESTS: &str = "primroseplank_relay_store_requests_total";
 /// Gauge of the age of the oldest report about reachable VMs, in seconds.
 pub const VIEW_AGE: &str = "primroseplank_relay_view_age_seconds";
+/// Gauge of the store's era, as far as this VM knows.
+pub const STORE_ERA: &str = "primroseplank_relay_store_era";
 /// Gauge of prompt parts that are blocked because they crash engines.
 pub const BLOCKED_PARTS: &str = "primroseplank_relay_blocked_prompt_parts";
 /// Gauge of targets that leave, labelled by where that is known from.
@@ -85,6 +87,11 @@
     metrics::describe_counter!(PEER_MESSAGES, Unit::Count, "Messages to other VMs, by kind.");
     metrics::describe_counter!(PEER_BYTES, Unit::Bytes, "Bytes sent to other VMs, by kind.");
     metrics::describe_counter!(STORE_REQUESTS, Unit::Count, "Requests to the store.");
+    metrics::describe_gauge!(
+        STORE_ERA,
+        Unit::Count,
+        "Times that the store has come back from a copy; 0 if it does not state that."
+    );
     metrics::describe_gauge!(
         VIEW_AGE,
         Unit::Seconds,
--- a/crates/daemon/src/relay/process.rs
+++ b/crates/daemon/src/relay/process.rs
@@ -61,6 +61,7 @@
     let (stopped, mut has_stopped) = watch::channel(false);
     let (limits, current_limits) = watch::channel(config::Limits::default());
     let address: sync::Arc<str> = settings.store.address.to_string().into();
+    let era = rows::Era::new(&inbox);
     let calls = calls::Table::default();
     let pool = pool::Pool::default();
     let connections = front::Connections::default();
@@ -75,8 +76,9 @@
         inbox: inbox.clone(),
         pool: pool.clone(),
         links: peer::Links::new(identity),
-        subscriptions: rows::start(&address, &inbox),
-        writer: rows::Writer::new(&address),
+        subscriptions: rows::start(&address, &era, &inbox),
+        writer: rows::Writer::new(&address, &era),
+        era,
         ready,
         stop: stop.clone(),
         stopped,
--- a/crates/daemon/src/relay/rows.rs
+++ b/crates/daemon/src/relay/rows.rs
@@ -3,7 +3,7 @@
 use std::{collections, sync, time};
 
 use http_body_util::{BodyExt as _, Full, Limited};
-use relay::{Input, input, target};
+use relay::{Input, input, membership, target};
 use tokio::sync::{Mutex, watch};
 
 use crate::relay::{inbox, metric, pool};
@@ -34,6 +34,71 @@
 
 type Result<T, E = String> = std::result::Result<T, E>;
 
+/// The store's era as far as this process knows: the highest that an answer or another VM has
+/// stated. Clones share it.
+#[derive(Clone, Debug)]
+pub struct Era {
+    current: sync::Arc<watch::Sender<ids::Era>>,
+    inbox: inbox::Inbox,
+}
+
+impl Era {
+    /// Creates the first era.
+    #[must_use]
+    pub fn new(inbox: &inbox::Inbox) -> Self {
+        Self { current: sync::Arc::new(watch::Sender::default()), inbox: inbox.clone() }
+    }
+
+    /// Begins an era that another VM has stated, unless a later one is known.
+    pub fn learn(&self, era: ids::Era) {
+        let _is_later = self.raise(era);
+    }
+
+    /// Begins an era, unless it or a later one is known. Returns whether it did.
+    fn raise(&self, era: ids::Era) -> bool {
+        self.current.send_if_modified(|current| {
+            let is_later = *current < era;
+            *current = era.max(*current);
+            is_later
+        })
+    }
+
+    fn get(&self) -> ids::Era {
+        *self.current.borrow()
+    }
+
+    /// Waits until `era` has ended.
+    async fn ended(&self, era: ids::Era) {
+        let mut current = self.current.subscribe();
+        // The sender lives as long as this.
+        drop(current.wait_for(|current| *current > era).await);
+    }
+
+    /// Returns the era of an answer with these headers.
+    fn of_answer(&self, headers: &http::HeaderMap) -> Result<ids::Era> {
+        let stated = platform::rows::decode_era(headers).unwrap_or_else(|fault| {
+            tracing::warn!(step = "store", %fault, "ignoring the era of an answer");
+            None
+        });
+        let current = self.get();
+        let era = stated.unwrap_or(current);
+        if self.raise(era) {
+            self.inbox.send(Input::Era(era));
+        } else if era < current {
+            return Err(format!("late answer of era {era}, which has ended; now it is {current}"));
+        }
+        Ok(era)
+    }
+}
+
+/// An answer of the store.
+#[derive(Debug)]
+struct Answer {
+    status: u16,
+    era: ids::Era,
+    body: bytes::Bytes,
+}
+
 /// One keep-alive connection to the store, opened on demand.
 #[derive(Debug)]
 struct Connection {
@@ -41,22 +106,23 @@
     sender: Option<pool::Sender>,
     /// Table that the requests concern, for metrics.
     table: &'static str,
+    era: Era,
 }
 
 impl Connection {
-    fn new(address: &sync::Arc<str>, table: &'static str) -> Self {
-        Self { address: sync::Arc::clone(address), sender: None, table }
+    fn new(address: &sync::Arc<str>, table: &'static str, era: &Era) -> Self {
+        Self { address: sync::Arc::clone(address), sender: None, table, era: era.clone() }
     }
 
-    /// Sends a request and returns status and body. After a failure, the next
-    /// request opens a new connection.
+    /// Sends a request and returns the answer. After a failure, the next request
+    /// opens a new connection.
     async fn request(
         &mut self,
         method: http::Method,
         path: &str,
         body: Vec<u8>,
         timeout: time::Duration,
-    ) -> Result<(u16, bytes::Bytes)> {
+    ) -> Result<Answer> {
         let Some(mut sender) = self.sender().await? else {
             return Err("the store closed the connection".to_owned());
         };
@@ -72,9 +138,10 @@
         let exchange = async {
             let response = sender.send_request(request).await.map_err(|cause| cause.to_string())?;
             let status = response.status().as_u16();
+            let era = self.era.of_answer(response.headers())?;
             let whole = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
             let body = whole.map_err(|cause| cause.to_string())?.to_bytes();
-            Ok((status, body))
+            Ok(Answer { status, era, body })
         };
         let answer: Result<_> = tokio::time::timeout(timeout, exchange)
             .await
@@ -107,8 +174,9 @@
 impl Writer {
     /// Creates a writer to the store at `address`, without connecting yet.
     #[must_use]
-    pub fn new(address: &sync::Arc<str>) -> Self {
-        Self { connection: sync::Arc::new(Mutex::new(Connection::new(address, "transaction"))) }
+    pub fn new(address: &sync::Arc<str>, era: &Era) -> Self {
+        let connection = Connection::new(address, "transaction", era);
+        Self { connection: sync::Arc::new(Mutex::new(connection)) }
     }
 
     /// Writes one row.
@@ -123,10 +191,10 @@
             .request(http::Method::POST, platform::rows::TRANSACTION_PATH, body, ANSWER_TIMEOUT)
             .await;
         drop(connection);
-        let (status, body) = answer.map_err(|reason| {
+        let Answer { status, era, body } = answer.map_err(|reason| {
             store::Fault::new("write", &write.key, store::Kind::Unknown, &reason)
         })?;
-        platform::rows::decode_written(&write.key, status, &body)
+        platform::rows::decode_written(&write.key, era, status, &body)
     }
 }
 
@@ -196,65 +264,69 @@
 /// Spawns a task that follows a table while `enabled`.
 fn spawn<F: Follow + 'static>(
     follower: F,
-    address: &sync::Arc<str>,
+    connection: Connection,
     inbox: &inbox::Inbox,
     enabled: watch::Receiver<bool>,
 ) {
     let availability = Availability::new::<F>(inbox);
-    tokio::spawn(follow(follower, sync::Arc::clone(address), availability, enabled));
+    tokio::spawn(follow(follower, connection, availability, enabled));
 }
 
 async fn follow<F: Follow>(
     mut follower: F,
-    address: sync::Arc<str>,
+    mut connection: Connection,
     mut availability: Availability,
     mut enabled: watch::Receiver<bool>,
 ) {
-    let mut connection = Connection::new(&address, F::TABLE);
     let mut backoff = *BACKOFF.start();
-    let mut known_version: Option<ids::Version> = None;
+    let mut known: Option<ids::Revision> = None;
     loop {
         if !*enabled.borrow() {
             // After a long pause the table is smaller than its changes, so it is read anew.
-            known_version = None;
+            known = None;
             if enabled.wait_for(|is_enabled| *is_enabled).await.is_err() {
                 return;
             }
         }
         let started = time::Instant::now();
-        let result = match known_version {
-            None => read_table(&mut connection, F::TABLE).await.map(|page| {
-                let version = page.version;
-                follower.apply(page, true);
-                (Some(version), true)
-            }),
-            Some(version) => {
-                let page =
-                    poll_changes(&mut connection, F::TABLE, version, F::LONG_POLL_WAIT).await;
-                page.map(|page| {
-                    let Some(mut page) = page else {
-                        return (None, false);
-                    };
-                    page.version = page.version.max(version);
-                    let (version, has_changes) = (page.version, !page.rows.is_empty());
-                    follower.apply(page, false);
-                    (Some(version), has_changes)
-                })
-            }
+        let era = connection.era.clone();
+        let current = era.get();
+        // What was read in an earlier era is not what the store's changes start from.
+        known = known.filter(|revision| revision.era() == current);
+        let result = match known {
+            None => read_table(&mut connection, F::TABLE).await.map(Some),
+            Some(known) => tokio::select! {
+                result = poll(&mut connection, F::TABLE, known, F::LONG_POLL_WAIT) => result,
+                () = era.ended(current) => {
+                    tracing::info!(
+                        step = "store",
+                        peer = F::TABLE,
+                        "the store has come back from a copy; reading the whole table"
+                    );
+                    continue;
+                }
+            },
         };
         match result {
-            Ok((version, has_changes)) => {
+            // Read just before the era ended.
+            Ok(Some(page)) if page.revision.era() < era.get() => {}
+            Ok(page) => {
                 availability.record_success();
                 backoff = *BACKOFF.start();
-                if version.is_none() {
+                let has_changes = page.as_ref().is_some_and(|page| !page.rows.is_empty());
+                let is_full = known.is_none();
+                known = page.as_ref().map(|page| page.revision);
+                if let Some(page) = page {
+                    follower.apply(page, is_full);
+                } else {
                     tracing::info!(
                         step = "store",
                         peer = F::TABLE,
-                        "the history of changes has expired; reading the whole table"
+                        "the store does not have the changes; reading the whole table"
                     );
                 }
-                known_version = version;
-                tokio::time::sleep(pause(F::POLL_INTERVAL, started.elapsed(), has_changes)).await;
+                let pause = pause(F::POLL_INTERVAL, started.elapsed(), has_changes || is_full);
+                tokio::time::sleep(pause).await;
             }
             Err(reason) => {
                 availability.record_failure(&reason);
@@ -285,14 +357,17 @@
         let last = whole.as_ref().and_then(|page| page.rows.last());
         let after = last.map(|row| sync::Arc::clone(&row.key));
         let path = platform::rows::read_path(table, after.as_deref());
-        let (status, body) =
+        let Answer { status, era, body } =
             connection.request(http::Method::GET, &path, Vec::new(), ANSWER_TIMEOUT).await?;
         if status != http::StatusCode::OK {
             return Err(format!("status {status}"));
         }
-        let page = decode_page(table, &body)?;
+        let page = decode_page(table, era, &body)?;
+        if whole.as_ref().is_some_and(|read| read.revision.era() != era) {
+            return Err("the store has come back from a copy between two pages".to_owned());
+        }
         let is_last = !page.has_more || page.rows.is_empty();
-        // Keeps the version of the first page, so that later changes are not missed.
+        // Keeps the revision of the first page, so that later changes are not missed.
         let read = match whole.take() {
             Some(mut read) => {
                 read.rows.extend(page.rows);
@@ -307,16 +382,15 @@
     }
 }
 
-/// Polls for changes of a table after `version`. Returns `None` if the store no
-/// longer has them.
-async fn poll_changes(
+/// Polls for changes of a table after `known`. Returns `None` if the store does not have them.
+async fn poll(
     connection: &mut Connection,
     table: &str,
-    version: ids::Version,
+    known: ids::Revision,
     wait: time::Duration,
 ) -> Result<Option<platform::rows::Page>> {
-    let path = platform::rows::watch_path(table, version, wait);
-    let (status, body) =
+    let path = platform::rows::watch_path(table, known.version(), wait);
+    let Answer { status, era, body } =
         connection.request(http::Method::GET, &path, Vec::new(), wait + ANSWER_TIMEOUT).await?;
     if status == platform::rows::HISTORY_EXPIRED_STATUS {
         return Ok(None);
@@ -324,12 +398,16 @@
     if status != http::StatusCode::OK {
         return Err(format!("status {status}"));
     }
-    decode_page(table, &body).map(Some)
+    if era != known.era() {
+        return Ok(None);
+    }
+    let page = decode_page(table, era, &body)?;
+    Ok(Some(platform::rows::Page { revision: page.revision.max(known), ..page }))
 }
 
 /// Decodes a page and logs the rows that cannot be decoded.
-fn decode_page(table: &str, body: &[u8]) -> Result<platform::rows::Page> {
-    let page = platform::rows::decode_page(table, body).map_err(|fault| fault.to_string())?;
+fn decode_page(table: &str, era: ids::Era, body: &[u8]) -> Result<platform::rows::Page> {
+    let page = platform::rows::decode_page(table, era, body).map_err(|fault| fault.to_string())?;
     for fault in &page.faults {
         tracing::warn!(
             step = "store",
@@ -376,7 +454,7 @@
             );
         }
         if let Some(centres) = change.centres {
-            self.inbox.send(Input::Evacuations { version: page.version, centres });
+            self.inbox.send(Input::Evacuations { revision: page.revision, centres });
         }
     }
 }
@@ -417,7 +495,7 @@
     const POLL_INTERVAL: time::Duration = TARGETS_POLL_INTERVAL;
 
     fn apply(&mut self, page: platform::rows::Page, is_full: bool) {
-        let platform::rows::Page { rows, version, .. } = page;
+        let platform::rows::Page { rows, revision, .. } = page;
         if rows.is_empty() && !is_full {
             return;
         }
@@ -435,10 +513,10 @@
                 }
             };
             let entry = row.value.as_ref().and_then(decode);
-            target::Change { target: (*row.key).into(), version: row.version, entry }
+            target::Change { target: (*row.key).into(), revision: row.revision, entry }
         });
         let changes = changes.collect();
-        self.inbox.send(Input::Targets(input::Targets { is_full, version, changes }));
+        self.inbox.send(Input::Targets(input::Targets { is_full, revision, changes }));
     }
 }
 
@@ -458,7 +536,7 @@
         if is_full {
             self.rows.clear();
         }
-        let version = page.version;
+        let revision = page.revision;
         for row in page.rows {
             let key = sync::Arc::clone(&row.key);
             match row.into_table_row() {
@@ -466,10 +544,13 @@
                 None => self.rows.remove(&key),
             };
         }
-        let members = self.rows.values().filter(|row| row.key.starts_with(relay::MEMBER_PREFIX));
-        let members = members
+        let rows = self.rows.values().filter(|row| row.key.starts_with(relay::MEMBER_PREFIX));
+        let rows = rows
             .filter_map(|row| match serde_json::from_str(&row.value) {
-                Ok(member) => Some(member),
+                Ok(member) => {
+                    let revision = ids::Revision::new(revision.era(), row.version);
+                    Some(membership::Row { member, revision })
+                }
                 Err(cause) => {
                     tracing::warn!(
                         step = "peer",
@@ -481,7 +562,7 @@
                 }
             })
             .collect();
-        self.inbox.send(Input::Members { version, members });
+        self.inbox.send(Input::Members { revision, rows });
     }
 }
 
@@ -496,11 +577,11 @@
     const POLL_INTERVAL: time::Duration = SYSTEM_POLL_INTERVAL;
 
     fn apply(&mut self, page: platform::rows::Page, is_full: bool) {
-        let clock_ms = page.clock_ms;
+        let (era, clock_ms) = (page.revision.era(), page.clock_ms);
         let row = page.rows.into_iter().rfind(|row| &*row.key == relay::lease::KEY);
         if row.is_some() || is_full {
             let row = row.and_then(platform::rows::Row::into_table_row);
-            self.inbox.send(Input::Lease { row, clock_ms });
+            self.inbox.send(Input::Lease { row, era, clock_ms });
         }
     }
 }
@@ -524,16 +605,20 @@
 
 /// Spawns a task for each table, which follows it while its subscription is enabled.
 #[must_use]
-pub fn start(address: &sync::Arc<str>, inbox: &inbox::Inbox) -> Subscriptions {
+pub fn start(address: &sync::Arc<str>, era: &Era, inbox: &inbox::Inbox) -> Subscriptions {
     let (reader, reader_enabled) = watch::channel(true);
-    let (lease, lease_enabled) = watch::channel(true);
-    let (members, members_enabled) = watch::channel(true);
+    let (watches_lease, lease_enabled) = watch::channel(true);
+    let (watches_members, members_enabled) = watch::channel(true);
     let evacuations = platform::evacuation::Rows::default();
     let config = Config { inbox: inbox.clone(), evacuations };
     let rows = collections::BTreeMap::new();
-    spawn(config, address, inbox, reader_enabled.clone());
-    spawn(Targets { inbox: inbox.clone() }, address, inbox, reader_enabled);
-    spawn(Lease { inbox: inbox.clone() }, address, inbox, lease_enabled);
-    spawn(Members { inbox: inbox.clone(), rows }, address, inbox, members_enabled);
-    Subscriptions { reader, lease, members }
+    let targets = Targets { inbox: inbox.clone() };
+    let lease = Lease { inbox: inbox.clone() };
+    let members = Members { inbox: inbox.clone(), rows };
+    let connection = |table| Connection::new(address, table, era);
+    spawn(config, connection(Config::TABLE), inbox, reader_enabled.clone());
+    spawn(targets, connection(Targets::TABLE), inbox, reader_enabled);
+    spawn(lease, connection(Lease::TABLE), inbox, lease_enabled);
+    spawn(members, connection(Members::TABLE), inbox, members_enabled);
+    Subscriptions { reader, lease: watches_lease, members: watches_members }
 }
--- a/crates/experiment/src/engine.rs
+++ b/crates/experiment/src/engine.rs
@@ -48,11 +48,11 @@
 }
 
 impl Engine {
-    /// The change in the store that publishes its entry at `version`.
+    /// The change in the store that publishes its entry at `revision`.
     #[must_use]
-    pub fn change(&self, version: ids::Version) -> target::Change {
+    pub fn change(&self, revision: ids::Revision) -> target::Change {
         let entry = Some(self.entry.clone());
-        target::Change { target: self.entry.target.clone(), version, entry }
+        target::Change { target: self.entry.target.clone(), revision, entry }
     }
 
     /// Creates engine `number` with `models` loaded.
--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, sync, time};
 
-use relay::{Input, Output, Relay, Settings, config, input, lease, output};
+use relay::{Input, Output, Relay, Settings, config, input, lease, membership, output};
 use standin::batch;
 use store::table;
 
@@ -225,12 +225,14 @@
         let config = sync::Arc::new(configuration(scenario));
         let members: Vec<_> = (0..scenario.vms).map(|number| settings(number).member()).collect();
         let inputs = (0..scenario.vms).map(|_| {
-            let version = ids::Version::new(1);
-            let changes = engines.iter().map(|engine| engine.change(version)).collect();
-            let targets = input::Targets { is_full: true, version, changes };
+            let revision = ids::Revision::from(1);
+            let changes = engines.iter().map(|engine| engine.change(revision)).collect();
+            let targets = input::Targets { is_full: true, revision, changes };
+            let row =
+                |member: &member::Member| membership::Row { member: member.clone(), revision };
             vec![
-                Input::Members { version: ids::Version::new(1), members: members.clone() },
-                Input::Lease { row: None, clock_ms: 0 },
+                Input::Members { revision, rows: members.iter().map(row).collect() },
+                Input::Lease { row: None, era: ids::Era::default(), clock_ms: 0 },
                 Input::Config { text: "".into(), config: sync::Arc::clone(&config) },
                 Input::Targets(targets),
             ]
@@ -377,9 +379,9 @@
             }
             if self.engines[number].complete_order(now) {
                 self.version += 1;
-                let version = ids::Version::new(self.version);
-                let changes = vec![self.engines[number].change(version)];
-                let targets = input::Targets { is_full: false, version, changes };
+                let revision = self.version.into();
+                let changes = vec![self.engines[number].change(revision)];
+                let targets = input::Targets { is_full: false, revision, changes };
                 for vm in 0..self.vms.len() {
                     self.schedule_input(vm, ENTRY_DELAY_MS, Input::Targets(targets.clone()));
                 }
@@ -575,13 +577,13 @@
                     self.schedule_input(
                         other,
                         STORE_DELAY_MS,
-                        Input::Lease { row: row.clone(), clock_ms: 0 },
+                        Input::Lease { row: row.clone(), era: ids::Era::default(), clock_ms: 0 },
                     );
                 }
             }
-            input::Written::Done { version, clock_ms: 0 }
+            input::Written::Done { revision: self.version.into(), clock_ms: 0 }
         } else {
-            input::Written::Conflict(found)
+            input::Written::Conflict { row: found, era: ids::Era::default() }
         };
         self.schedule_input(vm, STORE_DELAY_MS, Input::Written { op, result: Ok(result) });
     }
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -18,9 +18,11 @@
 mod digest;
 mod name;
 mod number;
+mod revision;
 mod time;
 
 pub use digest::{Digest, Error, Result};
 pub use name::{Account, Adapter, Centre, Key, Model, Service, Target, Vm};
-pub use number::{Attempt, Call, Fence, Incarnation, Op, Version};
+pub use number::{Attempt, Call, Era, Fence, Incarnation, Op, Version};
+pub use revision::Revision;
 pub use time::Time;
--- a/crates/ids/src/number.rs
+++ b/crates/ids/src/number.rs
@@ -60,6 +60,10 @@
     Op
 }
 number! {
-    /// Version of the head, or of a row in the table service.
+    /// Version of the head, of a configuration, or of a row in a table service.
     Version
 }
+number! {
+    /// Number of times a store has come back from an older copy of itself; 0 if it does not say.
+    Era
+}
--- a/crates/relay/src/centre.rs
+++ b/crates/relay/src/centre.rs
@@ -37,12 +37,12 @@
     /// Version of the configuration in force at the aggregator.
     #[serde(rename = "v")]
     pub version: ids::Version,
-    /// Store version of the last change of the targets that the aggregator knows.
+    /// Store revision of the last change of the targets that the aggregator knows.
     #[serde(rename = "t")]
-    pub targets: ids::Version,
-    /// Store version of the membership that the aggregator knows.
+    pub targets: ids::Revision,
+    /// Store revision of the membership that the aggregator knows.
     #[serde(rename = "e")]
-    pub members: ids::Version,
+    pub members: ids::Revision,
     /// VMs of the data centre that the aggregator does not hear.
     #[serde(rename = "x")]
     pub silent: Vec<ids::Vm>,
@@ -55,14 +55,18 @@
     /// The planner and its fencing token, if it is in this data centre.
     #[serde(rename = "f")]
     pub leader: Option<(ids::Vm, ids::Fence)>,
+    /// The store's era, and the lowest version that the store has stated in it, as far as the
+    /// aggregator knows; `None` in the first era.
+    #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
+    pub era: Option<ids::Revision>,
     /// Data centres that the aggregator hears, so that what it learns reaches them; `None` if
     /// it is of a version that does not tell.
     #[serde(rename = "rc", default, skip_serializing_if = "Option::is_none")]
     pub reached: Option<Vec<ids::Centre>>,
-    /// Store version of the drained data centres that the aggregator knows; `None` if it is
+    /// Store revision of the drained data centres that the aggregator knows; `None` if it is
     /// of a version that does not know any.
     #[serde(rename = "ev", default, skip_serializing_if = "Option::is_none")]
-    pub evacuations: Option<ids::Version>,
+    pub evacuations: Option<ids::Revision>,
 }
 
 /// Sums over several VMs.
--- a/crates/relay/src/cold.rs
+++ b/crates/relay/src/cold.rs
@@ -133,14 +133,14 @@
 }
 
 /// Assumes that an instance is cold for `start` because the drain of its data centre ended
-/// with the store version `ended`, unless its entry is newer.
+/// with the store revision `ended`, unless its entry is newer.
 pub fn assume_cold(
     row: &mut target::Row,
     now: ids::Time,
     start: time::Duration,
-    ended: ids::Version,
+    ended: ids::Revision,
 ) {
-    if row.version <= ended && row.cold.left(now) < start {
+    if row.revision <= ended && row.cold.left(now) < start {
         row.cold.assume(now, start, Source::Evacuation);
     }
 }
@@ -210,7 +210,7 @@
 }
 
 /// Versions of the membership and of the configuration.
-type Basis = (ids::Version, ids::Version);
+type Basis = (ids::Revision, ids::Version);
 
 /// What this VM may send to cold targets.
 #[derive(Clone, Debug, Default)]
@@ -238,7 +238,7 @@
             self.owned.clear();
             return;
         };
-        let basis = (members.version, config);
+        let basis = (members.revision, config);
         let known = self.basis.filter(|(known, _)| *known == basis);
         let (_, known_since) = *self.basis.insert(known.unwrap_or((basis, now)));
         let mut before = std::mem::take(&mut self.owned);
--- a/crates/relay/src/input.rs
+++ b/crates/relay/src/input.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use crate::{config, envelope, pause, peer, shutdown, speed, target};
+use crate::{config, envelope, membership, pause, peer, shutdown, speed, target};
 
 /// An event.
 #[derive(Clone, Debug)]
@@ -39,28 +39,32 @@
     Targets(Targets),
     /// The drained data centres were read from the store.
     Evacuations {
-        /// Store version of the read.
-        version: ids::Version,
+        /// Store revision of the read.
+        revision: ids::Revision,
         /// All data centres to whose targets nothing more may be sent.
         centres: std::collections::BTreeSet<ids::Centre>,
     },
     /// The rows of the VMs were read from the store.
     Members {
-        /// Store version of the read.
-        version: ids::Version,
-        /// The VMs, including this one once its row is written.
-        members: Vec<member::Member>,
+        /// Store revision of the read.
+        revision: ids::Revision,
+        /// The rows, including this VM's once it is written.
+        rows: Vec<membership::Row>,
     },
     /// The row of the planner's lease was read from the store.
     Lease {
         /// The row, if there is one.
         row: Option<store::table::Row>,
+        /// The store's era at the read.
+        era: ids::Era,
         /// The store's clock at the read, in ms; 0 if unknown.
         clock_ms: u64,
     },
     /// The store answered a read of a table, whether or not the table has changed. Follows
     /// what was read.
     Read(Table),
+    /// An answer of the store has stated a later era than was known. Precedes what was read.
+    Era(ids::Era),
     /// The store became reachable or unreachable.
     Store {
         /// Whether it is reachable.
@@ -134,8 +138,8 @@
 pub struct Targets {
     /// Whether `changes` lists all targets rather than recent changes.
     pub is_full: bool,
-    /// Store version of the read.
-    pub version: ids::Version,
+    /// Store revision of the read.
+    pub revision: ids::Revision,
     /// Changes, in the order in which they were made.
     pub changes: Vec<target::Change>,
 }
@@ -145,13 +149,18 @@
 pub enum Written {
     /// The write was applied.
     Done {
-        /// New version of the row.
-        version: ids::Version,
+        /// New revision of the row.
+        revision: ids::Revision,
         /// The store's clock at the write, in ms; 0 if unknown.
         clock_ms: u64,
     },
-    /// The expected version did not match; carries the current row.
-    Conflict(Option<store::table::Row>),
+    /// The row did not have the expected version.
+    Conflict {
+        /// The row as it is.
+        row: Option<store::table::Row>,
+        /// The store's era at the write.
+        era: ids::Era,
+    },
 }
 
 /// A runner's reply to an order.
--- a/crates/relay/src/lease.rs
+++ b/crates/relay/src/lease.rs
@@ -5,6 +5,12 @@
 //! changed for `TAKEOVER_AFTER`. A new holder sends orders only when the last
 //! possible order of the previous holder is at least the handover time required
 //! by the platform in the past.
+//!
+//! When the store comes back from a copy, the row may be that of an earlier holder, and a write
+//! of before may still be applied to it. So a lease ends with the era in which it was
+//! taken, and fencing tokens begin with the era: those of a new era are higher than all
+//! of the ones before. The VM that held the lease at the end goes on at once; no other
+//! can have taken it since. Any other one waits as after an unknown holder.
 
 use std::{sync, time};
 
@@ -35,6 +41,9 @@
     pub vm: ids::Vm,
     /// Its incarnation.
     pub incarnation: ids::Incarnation,
+    /// Era of the store in which it took the lease.
+    #[serde(default, skip_serializing_if = "is_first_era")]
+    pub era: ids::Era,
     /// Its fencing token, higher than those of all previous holders.
     pub fence: ids::Fence,
     /// Number of renewals since another VM held the lease; each renewal changes the row.
@@ -47,6 +56,11 @@
     pub poison: Vec<poison::Entry>,
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature is serde's")]
+fn is_first_era(era: &ids::Era) -> bool {
+    *era == ids::Era::default()
+}
+
 /// What is saved in the row besides the lease.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Saved {
@@ -75,7 +89,8 @@
 /// The last observed state of the row.
 #[derive(Clone, Debug)]
 struct Seen {
-    version: ids::Version,
+    /// Its revision; version 0 if the row did not exist.
+    revision: ids::Revision,
     holder: Option<Holder>,
     /// When this version was first observed.
     since: ids::Time,
@@ -97,6 +112,10 @@
     /// Minimum time between the last order of one holder and the first of the next.
     handover: time::Duration,
     seen: Option<Seen>,
+    /// The store's era.
+    era: ids::Era,
+    /// Whether this VM held the lease when the era began.
+    was_last_holder: bool,
     /// The store's clock, in ms, at a time of this VM's clock.
     clock: Option<(ids::Time, u64)>,
     pending: Option<Pending>,
@@ -116,6 +135,8 @@
             incarnation,
             handover,
             seen: None,
+            era: ids::Era::default(),
+            was_last_holder: false,
             clock: None,
             pending: None,
             next_try: ids::Time::default(),
@@ -124,6 +145,24 @@
         }
     }
 
+    /// Ends the lease, as the store has come back from a copy. What it answers to writes of
+    /// before is not waited for: the row tells what holds.
+    pub fn begin_era(&mut self, now: ids::Time, era: ids::Era) {
+        if era > self.era {
+            self.was_last_holder = self.fence(now).is_some();
+            self.era = era;
+            self.pending = None;
+            self.next_try = now;
+        }
+    }
+
+    /// Whether this VM goes on with the lease that it held when the era began, as soon as the
+    /// store has written that.
+    #[must_use]
+    pub fn is_resuming(&self, now: ids::Time) -> bool {
+        self.was_last_holder && now < self.held_until
+    }
+
     /// Whether the row has been observed.
     #[must_use]
     pub const fn is_seen(&self) -> bool {
@@ -144,7 +183,12 @@
     }
 
     fn is_own(&self, holder: &Holder) -> bool {
-        holder.vm == self.vm && holder.incarnation == self.incarnation
+        self.is_valid(holder) && holder.vm == self.vm && holder.incarnation == self.incarnation
+    }
+
+    /// Whether a holder took the lease in the current era.
+    fn is_valid(&self, holder: &Holder) -> bool {
+        holder.era == self.era
     }
 
     /// Estimate of the store's clock, in ms; `None` if it is unknown.
@@ -160,13 +204,24 @@
         }
     }
 
-    /// Observes the row at the time `clock_ms` of the store's clock; `None` if the row
-    /// does not exist. Returns whether it was readable; an unreadable row counts as
+    /// Observes the row in an era and at the time `clock_ms` of the store's clock; `None` if
+    /// the row does not exist. Returns whether it was readable; an unreadable row counts as
     /// having no holder.
-    pub fn observe(&mut self, now: ids::Time, row: Option<&table::Row>, clock_ms: u64) -> bool {
+    pub fn observe(
+        &mut self,
+        now: ids::Time,
+        row: Option<&table::Row>,
+        era: ids::Era,
+        clock_ms: u64,
+    ) -> bool {
         self.set_clock(now, clock_ms);
-        let version = row.map_or(ids::Version::new(0), |row| row.version);
-        if self.seen.as_ref().is_some_and(|seen| seen.version >= version && row.is_some()) {
+        if era < self.era {
+            return true;
+        }
+        self.begin_era(now, era);
+        let version = row.map_or_else(ids::Version::default, |row| row.version);
+        let revision = ids::Revision::new(era, version);
+        if self.seen.as_ref().is_some_and(|seen| seen.revision >= revision && row.is_some()) {
             return true;
         }
         // The version of an unreadable row is still used for conditional writes.
@@ -176,7 +231,8 @@
         if holder.as_ref().is_some_and(|holder| self.is_own(holder)) {
             self.become_holder();
         }
-        self.seen = Some(Seen { version, holder, since: now });
+        self.was_last_holder &= !holder.as_ref().is_some_and(|holder| self.is_valid(holder));
+        self.seen = Some(Seen { revision, holder, since: now });
         is_readable
     }
 
@@ -199,7 +255,9 @@
         if self.pending.is_some() || now < self.next_try {
             return None;
         }
-        let seen = self.seen.as_ref()?;
+        let seen = self.seen.as_ref().filter(|seen| seen.revision.era() == self.era)?;
+        // Higher than the tokens of all earlier eras, and of this one, as a row's versions rise.
+        let least_fence = ids::Fence::new(u64::from(seen.revision)).next();
         let next = match &seen.holder {
             Some(holder) if self.is_own(holder) => {
                 Holder { renewals: holder.renewals + 1, ..holder.clone() }
@@ -207,14 +265,15 @@
             Some(holder) => {
                 // An earlier incarnation of this VM has ended.
                 let has_lapsed = now.since(seen.since) >= TAKEOVER_AFTER + RETRY_DELAY * rank;
-                let is_available = holder.vm == self.vm || (has_lapsed && !is_led);
-                if !is_available {
+                let is_earlier_process = self.is_valid(holder) && holder.vm == self.vm;
+                let is_free = is_earlier_process || self.was_last_holder;
+                if !is_free && (is_led || !has_lapsed) {
                     return None;
                 }
-                let renewals = if holder.vm == self.vm { holder.renewals } else { 0 };
-                Holder { renewals, ..self.claim(holder.fence.next()) }
+                let renewals = if is_earlier_process { holder.renewals } else { 0 };
+                Holder { renewals, ..self.claim(holder.fence.next().max(least_fence)) }
             }
-            None => self.claim(ids::Fence::new(seen.version.get() + 1)),
+            None => self.claim(least_fence),
         };
         // Buckets saved by an earlier holder are kept until newer ones exist.
         let last_saved = || seen.holder.as_ref().and_then(|holder| holder.quota.clone());
@@ -222,7 +281,7 @@
         let next = Holder { quota: quota.or_else(last_saved), poison, ..next };
         // A holder always has a JSON form.
         let value = serde_json::to_string(&next).unwrap_or_default();
-        let expect = (seen.version.get() > 0).then_some(seen.version);
+        let expect = Some(seen.revision.version()).filter(|version| version.get() > 0);
         let op = next_op();
         self.pending = Some(Pending { op, sent: now, holder: next });
         let value = Some(sync::Arc::from(value));
@@ -233,6 +292,7 @@
         Holder {
             vm: self.vm.clone(),
             incarnation: self.incarnation,
+            era: self.era,
             fence,
             renewals: 0,
             quota: None,
@@ -251,14 +311,14 @@
             return false;
         };
         self.next_try = now + RETRY_DELAY;
-        let version = match result {
-            Ok(input::Written::Done { version, clock_ms }) => {
+        let revision = match result {
+            Ok(input::Written::Done { revision, clock_ms }) => {
                 self.set_clock(now, *clock_ms);
-                *version
+                *revision
             }
-            Ok(input::Written::Conflict(row)) => {
+            Ok(input::Written::Conflict { row, era }) => {
                 // The watch on the lease also delivers the row and logs an unreadable one.
-                let _is_readable = self.observe(now, row.as_ref(), 0);
+                let _is_readable = self.observe(now, row.as_ref(), *era, 0);
                 return false;
             }
             Err(_unknown) => return false,
@@ -268,19 +328,27 @@
         let previous = self.seen.as_ref().and_then(|seen| seen.holder.as_ref());
         let is_new_holder = previous.is_none_or(|holder| !self.is_own(holder));
         self.become_holder();
-        self.seen = Some(Seen { version, holder: Some(pending.holder), since: now });
+        self.was_last_holder = false;
+        self.seen = Some(Seen { revision, holder: Some(pending.holder), since: now });
         is_new_holder
     }
 
     /// Called when this VM becomes the holder. The last renewal of another previous
     /// holder is the one observed here, as no other write came in between; it may
     /// have sent orders until the end of its order period. An earlier incarnation of this
-    /// VM may have been waiting for that itself.
+    /// VM may have been waiting for that itself. The last holder of an earlier era is not
+    /// known; the last renewal of that era came before the first observation in this one.
     fn become_holder(&mut self) {
-        let Some(Seen { holder: Some(holder), since, .. }) = &self.seen else {
+        let Some(Seen { holder, since, .. }) = &self.seen else {
             return;
         };
         let wait = ORDER_PERIOD + self.handover;
+        let Some(holder) = holder.as_ref().filter(|holder| self.is_valid(holder)) else {
+            if !is_first_era(&self.era) && !self.was_last_holder {
+                self.orders_from = *since + wait;
+            }
+            return;
+        };
         let renewals = u32::try_from(holder.renewals).unwrap_or(u32::MAX);
         let has_waited = RENEWAL_INTERVAL.saturating_mul(renewals) >= wait;
         if !self.is_own(holder) && (holder.vm != self.vm || !has_waited) {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,8 @@
 //! - [`speed`] learns how fast each target is, from the samples of all VMs;
 //! - [`demand`] and [`placement`] decide which model to load where; the [`planner`] sends
 //!   the orders while this VM holds the [`lease`];
+//! - [`era`] orders what is read from the store before and after it has come back from a copy,
+//!   [`membership`] tells which VMs there are then;
 //! - [`shutdown`] has the times of a graceful shutdown;
 //! - [`peer`] defines the messages between VMs, [`centre`] those between data centres of a
 //!   large fleet.
@@ -40,11 +42,13 @@
 pub mod decay;
 pub mod demand;
 pub mod envelope;
+pub mod era;
 pub mod evacuation;
 pub mod event;
 pub mod health;
 pub mod input;
 pub mod lease;
+pub mod membership;
 pub mod output;
 pub mod pace;
 pub mod pause;
--- a/crates/relay/src/output.rs
+++ b/crates/relay/src/output.rs
@@ -52,6 +52,9 @@
     Members(Vec<member::Member>),
     /// Watch these tables of the store and no others.
     Follow(Follow),
+    /// The store has come back from a copy: end what is being read of an earlier era, and read
+    /// the watched tables anew.
+    Era(ids::Era),
     /// Decode a configuration received from a peer.
     Decode {
         /// Its text.
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -95,9 +95,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct Members {
-    /// Store version of the read.
+    /// Store revision of the read.
     #[serde(rename = "v")]
-    pub version: ids::Version,
+    pub revision: ids::Revision,
     /// The VMs.
     #[serde(rename = "e")]
     pub members: Vec<member::Member>,
@@ -107,9 +107,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct Evacuations {
-    /// Store version of the read.
+    /// Store revision of the read.
     #[serde(rename = "v")]
-    pub version: ids::Version,
+    pub revision: ids::Revision,
     /// The data centres.
     #[serde(rename = "e")]
     pub centres: collections::BTreeSet<ids::Centre>,
@@ -121,10 +121,10 @@
 pub struct Targets {
     /// Version that the changes are relative to; `None` for a complete list.
     #[serde(rename = "b")]
-    pub since: Option<ids::Version>,
-    /// Store version of the read.
+    pub since: Option<ids::Revision>,
+    /// Store revision of the read.
     #[serde(rename = "v")]
-    pub version: ids::Version,
+    pub revision: ids::Revision,
     /// Changes, in the order in which they were made.
     #[serde(rename = "e")]
     pub changes: Vec<target::Change>,
@@ -152,12 +152,12 @@
     /// Age of its last direct read of the store, in ms; `None` if it is not a reader.
     #[serde(rename = "r")]
     pub read_age: Option<u64>,
-    /// Store version of the last change of the targets that it knows.
+    /// Store revision of the last change of the targets that it knows.
     #[serde(rename = "t")]
-    pub targets: ids::Version,
-    /// Store version of the membership that it knows.
+    pub targets: ids::Revision,
+    /// Store revision of the membership that it knows.
     #[serde(rename = "e", default)]
-    pub members: ids::Version,
+    pub members: ids::Revision,
     /// Hash of the names of the neighbours that it hears, and of its own.
     #[serde(rename = "h")]
     pub heard_hash: u64,
@@ -182,15 +182,27 @@
     /// What is new about prompt parts that crash engines.
     #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
     pub poison: Vec<poison::Entry>,
-    /// Store version of the drained data centres that it knows; `None` if it is of a version
+    /// Store revision of the drained data centres that it knows; `None` if it is of a version
     /// that does not understand [`Message::Evacuations`].
     #[serde(rename = "ev", default, skip_serializing_if = "Option::is_none")]
-    pub evacuations: Option<ids::Version>,
+    pub evacuations: Option<ids::Revision>,
+    /// The store's era, and the lowest version that the store has stated in it, as far as it
+    /// knows; `None` in the first era.
+    #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
+    pub era: Option<ids::Revision>,
     /// Samples of the targets' speed since the last digest that had some.
     #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
     pub speeds: Vec<speed::Entry>,
 }
 
+impl Digest {
+    /// The store's era, as far as its sender knows.
+    #[must_use]
+    pub fn era(&self) -> ids::Era {
+        self.era.unwrap_or_default().era()
+    }
+}
+
 /// State of another VM.
 #[derive(Clone, Debug)]
 pub struct Row {
@@ -265,7 +277,7 @@
     /// Data centre of this VM.
     centre: Option<ids::Centre>,
     rows: collections::BTreeMap<ids::Vm, Row>,
-    /// The membership, with the store version of its last change; `None` before it is known.
+    /// The membership, with the store revision of its last change; `None` before it is known.
     members: Option<Members>,
     /// Number of neighbours.
     neighbours: usize,
@@ -350,6 +362,7 @@
             row.digest.read_age = read_age.map(|(_, read_age)| read_age.saturating_add(elapsed));
             let leader = head.leader.as_ref().filter(|(leader, _)| leader == vm);
             row.digest.leader_fence = leader.map(|(_, fence)| *fence);
+            row.digest.era = head.era;
             if head.silent.contains(vm) {
                 row.heard_until = row.heard_until.min(now);
                 continue;
@@ -428,10 +441,10 @@
         self.members.as_ref()
     }
 
-    /// Store version of the membership; 0 before it is known.
+    /// Store revision of the membership; 0 before it is known.
     #[must_use]
-    pub fn version(&self) -> ids::Version {
-        self.members.as_ref().map_or(ids::Version::new(0), |members| members.version)
+    pub fn revision(&self) -> ids::Revision {
+        self.members.as_ref().map_or_else(ids::Revision::default, |members| members.revision)
     }
 
     /// Whether the neighbours that `own_vm` hears all hear the same neighbours.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -5,8 +5,8 @@
 use rand::SeedableRng as _;
 
 use crate::{
-    Input, Output, Settings, call, centre, cold, config, demand, event, lease, output, pace, peer,
-    planner, poison, quota, shutdown, speed, system, target, throughput,
+    Input, Output, Settings, call, centre, cold, config, demand, era, event, lease, membership,
+    output, pace, peer, planner, poison, quota, shutdown, speed, system, target, throughput,
 };
 
 /// Interval between runs of the systems that scan whole tables.
@@ -62,9 +62,9 @@
 /// When recent versions became known on this VM.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Progress {
-    pub(crate) config: system::replication::Progress,
-    pub(crate) targets: system::replication::Progress,
-    pub(crate) members: system::replication::Progress,
+    pub(crate) config: system::replication::Progress<ids::Version>,
+    pub(crate) targets: system::replication::Progress<ids::Revision>,
+    pub(crate) members: system::replication::Progress<ids::Revision>,
 }
 
 /// The decision core of a VM that relays calls.
@@ -97,16 +97,19 @@
     pub(crate) links: Vec<member::Member>,
     /// When there last was a planner.
     pub(crate) led_at: Option<ids::Time>,
+    pub(crate) eras: era::Table,
+    /// VMs that are not listed since the store has come back from a copy.
+    pub(crate) kept: membership::Kept,
     pub(crate) lease: lease::Lease,
     pub(crate) planner: Option<planner::Planner>,
     pub(crate) demand: demand::Demand,
     pub(crate) pace: pace::Pace,
     pub(crate) throughput: throughput::Throughput,
     pub(crate) speed: system::speed::State,
-    /// Prompt parts that crash engines.
     pub(crate) cold: cold::Table,
     /// Targets last logged as cold, with their start and the source of the belief.
     pub(crate) cold_logged: collections::BTreeMap<ids::Target, (u64, cold::Source)>,
+    /// Prompt parts that crash engines.
     pub(crate) poison: poison::Ledger,
     /// Calls that were broken off, while it is not known whether their target, with this
     /// start time, has crashed.
@@ -120,13 +123,17 @@
     pub(crate) readers_lacking_since: Option<ids::Time>,
     /// When this VM last read the store directly.
     pub(crate) reads: system::replication::Reads,
-    /// Store version of the last known change of the targets.
-    pub(crate) targets_version: ids::Version,
+    /// Store revision of the last known change of the targets.
+    pub(crate) targets_revision: ids::Revision,
     pub(crate) progress: Progress,
     pub(crate) follow: Option<output::Follow>,
     ready: Option<bool>,
     pub(crate) last_op: ids::Op,
     pub(crate) row_written_at: ids::Time,
+    /// When this VM's row is due to be written again, if the store may have lost it.
+    pub(crate) row_due: Option<ids::Time>,
+    /// The last write of this VM's row.
+    pub(crate) row_op: Option<ids::Op>,
     next_tick: ids::Time,
 }
 
@@ -161,6 +168,8 @@
             aggregator: None,
             links: Vec::new(),
             led_at: None,
+            eras: era::Table::default(),
+            kept: membership::Kept::default(),
             lease,
             planner: None,
             demand: demand::Demand::default(),
@@ -177,12 +186,14 @@
             gossip: system::gossip::Schedule::default(),
             readers_lacking_since: None,
             reads: system::replication::Reads::default(),
-            targets_version: ids::Version::default(),
+            targets_revision: ids::Revision::default(),
             progress: Progress::default(),
             follow: None,
             ready: None,
             last_op: ids::Op::default(),
             row_written_at: ids::Time::default(),
+            row_due: None,
+            row_op: None,
             next_tick: ids::Time::default(),
             settings,
         }
@@ -233,6 +244,12 @@
         neighbours.chain(centres).map(|at| now.since(at)).max().unwrap_or_default()
     }
 
+    /// The store's era, as far as this VM knows.
+    #[must_use]
+    pub const fn store_era(&self) -> ids::Era {
+        self.eras.current()
+    }
+
     /// Connectivity to the other VMs.
     #[must_use]
     pub fn view(&self, now: ids::Time) -> quota::View {
@@ -303,13 +320,14 @@
             }
             Input::Config { text, config } => self.adopt(now, text, config, out),
             Input::Targets(targets) => system::replication::read_targets(self, now, targets, out),
-            Input::Evacuations { version, centres } => {
-                system::evacuation::read(self, now, version, &centres, out);
+            Input::Evacuations { revision, centres } => {
+                system::evacuation::read(self, now, revision, &centres, out);
             }
-            Input::Members { version, members } => {
-                system::planning::read_members(self, now, version, members, out);
+            Input::Members { revision, rows } => {
+                system::planning::read_members(self, now, revision, rows, out);
             }
-            Input::Lease { row, clock_ms } => {
+            Input::Era(era) => system::era::raise(self, now, era, &"store", out),
+            Input::Lease { row, era, clock_ms } => {
                 system::quarantine::restore(self, now, row.as_ref());
                 if let Some(saved) = lease::saved_quota(row.as_ref())
                     && let Some(age) = self.quota.restore(now, &saved, clock_ms)
@@ -318,7 +336,7 @@
                     let line = event::Event::new("quota", &lease::KEY, "taken from the store");
                     out.push(Output::Log(line.with_inputs(inputs)));
                 }
-                if !self.lease.observe(now, row.as_ref(), clock_ms) {
+                if !self.lease.observe(now, row.as_ref(), era, clock_ms) {
                     let line = event::Event::new("lease", &lease::KEY, "not readable");
                     out.push(Output::Log(line));
                 }
--- a/crates/relay/src/system/evacuation.rs
+++ b/crates/relay/src/system/evacuation.rs
@@ -22,7 +22,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct State {
     pub(crate) table: evacuation::Table,
-    progress: replication::Progress,
+    progress: replication::Progress<ids::Revision>,
     /// When each VM may be sent a copy of the set again.
     copies: collections::BTreeMap<ids::Vm, ids::Time>,
     /// Targets to which the shell was told to send nothing.
@@ -34,11 +34,12 @@
 pub(crate) fn read(
     relay: &mut Relay,
     now: ids::Time,
-    version: ids::Version,
+    revision: ids::Revision,
     centres: &collections::BTreeSet<ids::Centre>,
     out: &mut Vec<Output>,
 ) {
-    if let Some(change) = relay.evacuation.table.read(version, centres) {
+    relay.eras.record(revision);
+    if let Some(change) = relay.evacuation.table.read(now, revision, centres) {
         adopt(relay, now, &change, "store", out);
         send(relay, receivers(relay, now, true, true), out);
     }
@@ -52,7 +53,7 @@
     news: &peer::Evacuations,
     out: &mut Vec<Output>,
 ) {
-    let Some(change) = relay.evacuation.table.receive(news.version, &news.centres) else {
+    let Some(change) = relay.evacuation.table.receive(news.revision, &news.centres) else {
         return;
     };
     adopt(relay, now, &change, from.as_str(), out);
@@ -65,13 +66,13 @@
 }
 
 /// The VMs that are reached directly and understand the message: their digests or
-/// summaries state a version of the set.
+/// summaries state a revision of the set.
 fn receivers(
     relay: &Relay,
     now: ids::Time,
     to_neighbours: bool,
     to_centres: bool,
-) -> Vec<(ids::Vm, ids::Version)> {
+) -> Vec<(ids::Vm, ids::Revision)> {
     let neighbours = relay.peers.neighbours().filter(|_| to_neighbours);
     let neighbours =
         neighbours.filter_map(|row| Some((row.member.vm.clone(), row.digest.evacuations?)));
@@ -82,23 +83,24 @@
     neighbours.chain(centres).collect()
 }
 
-fn send(relay: &Relay, receivers: Vec<(ids::Vm, ids::Version)>, out: &mut Vec<Output>) {
+fn send(relay: &Relay, receivers: Vec<(ids::Vm, ids::Revision)>, out: &mut Vec<Output>) {
     let table = &relay.evacuation.table;
     let to: Vec<_> = receivers.into_iter().map(|(vm, _)| vm).collect();
     if !to.is_empty() {
-        let news = peer::Evacuations { version: table.version(), centres: table.centres().clone() };
+        let news =
+            peer::Evacuations { revision: table.revision(), centres: table.centres().clone() };
         out.push(Output::Peer { to, message: peer::Message::Evacuations(news) });
     }
 }
 
 /// Sends the set to VMs whose digests or summaries show that they lag behind.
 pub(crate) fn send_copies(relay: &mut Relay, now: ids::Time, out: &mut Vec<Output>) {
-    let version = relay.evacuation.table.version();
-    if version == ids::Version::default() {
+    let revision = relay.evacuation.table.revision();
+    if revision == ids::Revision::default() {
         return;
     }
     let settle_time = replication::settle_time(relay);
-    relay.evacuation.progress.note(now, settle_time, version);
+    relay.evacuation.progress.note(now, settle_time, revision);
     let settled = relay.evacuation.progress.settled(now, settle_time);
     let is_source = relay.peers.is_mesh()
         || replication::read_age(relay, now).is_some()
@@ -107,7 +109,7 @@
         return;
     }
     let lagging = receivers(relay, now, true, true).into_iter().filter(|(_, known)| {
-        *known < if *known == ids::Version::default() { version } else { settled }
+        *known < if *known == ids::Revision::default() { revision } else { settled }
     });
     let copies = &mut relay.evacuation.copies;
     copies.retain(|_, at| *at > now);
@@ -125,10 +127,10 @@
     source: &str,
     out: &mut Vec<Output>,
 ) {
-    let version = relay.evacuation.table.version();
+    let revision = relay.evacuation.table.revision();
     relay.targets.set_drained(relay.evacuation.table.centres());
     for centre in &change.ended {
-        ended(relay, now, version, centre);
+        ended(relay, now, revision, centre);
     }
     let all = relay.targets.iter().map(|row| &row.entry.centre);
     let all: collections::BTreeSet<_> = all.collect();
@@ -141,7 +143,7 @@
         let (targets, calls) =
             own.fold((0, 0), |(targets, calls), row| (targets + 1_usize, calls + row.own.calls));
         let inputs = format!(
-            "store {version} told by {source} targets {targets} open calls {calls}, \
+            "store {revision} told by {source} targets {targets} open calls {calls}, \
              data centres with targets that are left {left}"
         );
         let line = event::Event::new("evacuation", centre, outcome).with_inputs(inputs);
@@ -155,14 +157,14 @@
 
 /// Assumes that the targets of a drained data centre have become cold, until newer entries
 /// tell otherwise.
-fn ended(relay: &mut Relay, now: ids::Time, version: ids::Version, centre: &ids::Centre) {
+fn ended(relay: &mut Relay, now: ids::Time, revision: ids::Revision, centre: &ids::Centre) {
     let Some(config) = relay.config.clone() else {
         return;
     };
     for row in relay.targets.iter_mut().filter(|row| row.entry.centre == *centre) {
         let limit = config.services.get(&row.entry.service).and_then(|service| service.cold);
         if let Some(limit) = limit {
-            cold::assume_cold(row, now, limit.start, version);
+            cold::assume_cold(row, now, limit.start, revision);
         }
     }
 }
@@ -181,6 +183,10 @@
 }
 
 pub(crate) fn tick(relay: &mut Relay, now: ids::Time, out: &mut Vec<Output>) {
+    if let Some(change) = relay.evacuation.table.expire(now) {
+        adopt(relay, now, &change, "store", out);
+        send(relay, receivers(relay, now, true, true), out);
+    }
     publish(relay, out);
     // Retries and calls whose other targets have gone join the queue later.
     if !relay.evacuation.table.centres().is_empty() && now >= relay.evacuation.next_check {
--- a/crates/relay/src/system/gossip.rs
+++ b/crates/relay/src/system/gossip.rs
@@ -5,7 +5,7 @@
 use crate::{
     Output, call, centre, event, peer, quota,
     relay::Relay,
-    system::{evacuation, overlay, planning, quarantine, replication, speed},
+    system::{era, evacuation, overlay, planning, quarantine, replication, speed},
     target,
 };
 
@@ -81,8 +81,8 @@
     peer::Digest {
         version: relay.version(),
         read_age: replication::read_age(relay, now),
-        targets: relay.targets_version,
-        members: relay.peers.version(),
+        targets: relay.targets_revision,
+        members: relay.peers.revision(),
         heard_hash: relay.peers.heard_hash(now, &relay.settings.vm),
         silent: silent.map(|row| row.member.vm.clone()).collect(),
         granted,
@@ -91,7 +91,8 @@
         adapters: Vec::new(),
         leader_fence: relay.lease.fence(now),
         poison: quarantine::news(relay, now),
-        evacuations: Some(relay.evacuation.table.version()),
+        evacuations: Some(relay.evacuation.table.revision()),
+        era: relay.eras.stated(),
         speeds,
     }
 }
@@ -160,6 +161,7 @@
     let vm = |row: &peer::Row| row.member.vm.clone();
     let readers = neighbours()
         .filter(|row| overlay::reaches_this(relay, now, row))
+        .filter(|row| row.digest.era() == relay.eras.current())
         .filter_map(|row| Some((vm(row), row.digest.read_age?)));
     let leaders = neighbours().filter_map(|row| Some((vm(row), row.digest.leader_fence?)));
     let silent = relay.peers.neighbours().filter(|row| !row.is_heard(now));
@@ -169,14 +171,15 @@
         incarnation: relay.settings.incarnation,
         sequence: now.as_millis(),
         version: relay.version(),
-        targets: relay.targets_version,
-        members: relay.peers.version(),
+        targets: relay.targets_revision,
+        members: relay.peers.revision(),
         silent: silent.map(vm).collect(),
         centres_hash: relay.centres.hash(now, &relay.settings.centre),
         readers: readers.chain(own_age).collect(),
         leader: leaders.chain(own_fence).max_by_key(|(_, fence)| *fence),
+        era: relay.eras.stated(),
         reached: Some(relay.centres.reached(now)),
-        evacuations: Some(relay.evacuation.table.version()),
+        evacuations: Some(relay.evacuation.table.revision()),
     }
 }
 
@@ -258,11 +261,13 @@
     if !was_heard {
         out.push(Output::Log(event::Event::new("peer", from, "heard")));
         out.push(Output::Reconnect { to: from.clone() });
+        replication::tell_removals(relay, from, out);
         relay.gossip.send_soon(now);
     }
     match message {
         peer::Message::Digest(digest) => {
             // A VM whose membership is older may still send digests to all others.
+            era::learn(relay, now, from, digest.era, out);
             if is_neighbour && let Some(row) = relay.peers.record_heard(now, from, incarnation) {
                 let granted = digest.granted.clone();
                 row.digest = digest;
@@ -331,6 +336,7 @@
     }
     let centre::Summary { head, sums } = summary;
     let from = head.aggregator.clone();
+    era::learn(relay, now, &from, head.era, out);
     speed::merge(relay, now, &from, speed::Source::Centre, sums.speeds.clone(), out);
     relay.poison.merge(now, &sums.poison);
     relay.peers.record_head(now, time::Duration::ZERO, &head);
@@ -354,6 +360,7 @@
     let speeds = overview.sums.speeds.clone();
     speed::merge(relay, now, from, speed::Source::Elsewhere, speeds, out);
     for (head, age_ms) in &overview.heads {
+        era::learn(relay, now, from, head.era, out);
         relay.peers.record_head(now, time::Duration::from_millis(*age_ms), head);
     }
     let Some(incarnation) = relay.peers.get(from).map(|row| row.incarnation) else {
--- a/crates/relay/src/system/mod.rs
+++ b/crates/relay/src/system/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod attempt;
 pub(crate) mod cold;
 pub(crate) mod dispatch;
+pub(crate) mod era;
 pub(crate) mod evacuation;
 pub(crate) mod gossip;
 pub(crate) mod overlay;
--- a/crates/relay/src/system/planning.rs
+++ b/crates/relay/src/system/planning.rs
@@ -7,7 +7,7 @@
 use crate::{
     Output, event,
     input::{Reply, Report, Written},
-    lease, peer, planner,
+    lease, membership, peer, planner,
     relay::{Relay, Stage},
     system::{gossip, overlay, replication, shutdown},
 };
@@ -22,7 +22,8 @@
     replication::expire(relay, now, out);
     maintain_rows(relay, now, out);
     renew_lease(relay, now, out);
-    if relay.lease.fence(now).is_none() && relay.planner.take().is_some() {
+    let may_plan = relay.lease.fence(now).is_some() || relay.lease.is_resuming(now);
+    if !may_plan && relay.planner.take().is_some() {
         out.push(Output::Log(event::Event::new("lease", &relay.settings.vm, "lost")));
     }
     let Some(fence) = relay.lease.may_order(now) else {
@@ -133,14 +134,24 @@
 pub(crate) fn read_members(
     relay: &mut Relay,
     now: ids::Time,
-    version: ids::Version,
-    members: Vec<member::Member>,
+    revision: ids::Revision,
+    rows: Vec<membership::Row>,
     out: &mut Vec<Output>,
 ) {
+    relay.eras.record(revision);
+    if revision.era() < relay.peers.revision().era() {
+        return;
+    }
+    let Relay { kept, eras, peers, .. } = relay;
+    let is_silent = |vm: &ids::Vm| peers.get(vm).is_some_and(|row| is_silent(now, row));
+    let members = kept.resolve(eras, peers.members(), revision, rows, is_silent);
     // The store's version also grows with changes of other tables.
-    let is_same = relay.peers.members().is_some_and(|known| known.members == members);
-    let version = if is_same { relay.peers.version() } else { version };
-    let news = peer::Members { version, members };
+    let is_same = relay
+        .peers
+        .members()
+        .is_some_and(|known| known.members == members && known.revision.era() == revision.era());
+    let revision = if is_same { relay.peers.revision() } else { revision };
+    let news = peer::Members { revision, members };
     if update_members(relay, now, news.clone(), out) {
         overlay::broadcast(relay, now, peer::Message::Members(news), out);
     }
@@ -154,10 +165,11 @@
     news: peer::Members,
     out: &mut Vec<Output>,
 ) {
-    if news.version <= relay.peers.version() {
+    if news.revision <= relay.peers.revision() {
         return;
     }
     overlay::forward(relay, now, from, peer::Message::Members(news.clone()), out);
+    relay.kept.adopt(relay.peers.members(), &news);
     update_members(relay, now, news, out);
 }
 
@@ -169,14 +181,14 @@
     news: peer::Members,
     out: &mut Vec<Output>,
 ) -> bool {
-    if news.version < relay.peers.version() {
+    if news.revision < relay.peers.revision() {
         return false;
     }
-    let version = news.version;
+    let revision = news.revision;
     let has_changed = relay.peers.update(now, &relay.settings.vm, news);
     if has_changed {
         let others = relay.peers.iter().count();
-        let inputs = format!("{others} besides this one, version {version}");
+        let inputs = format!("{others} besides this one, version {revision}");
         out.push(Output::Log(event::Event::new("peer", &"vm/", "members").with_inputs(inputs)));
         let peers = &relay.peers;
         relay.centres.retain(|centre| {
@@ -201,19 +213,22 @@
         return;
     }
     let own = relay.settings.member();
-    if !known.members.contains(&own) {
+    let may_be_lost = relay.row_due.is_some_and(|due| now >= due);
+    if may_be_lost || !known.members.contains(&own) {
         relay.row_written_at = now;
         // A member always has a JSON form.
         let value = serde_json::to_string(&own).unwrap_or_default();
-        write(relay, &own.vm, Some(value), out);
+        let op = write(relay, &own.vm, Some(value), out);
+        relay.row_op = Some(op);
+        if may_be_lost {
+            out.push(Output::Log(event::Event::new("peer", &own.vm, "row written again")));
+        }
     }
     if relay.planner.is_none() {
         return;
     }
-    let is_silent =
-        |row: &&peer::Row| now.since(row.last_heard.unwrap_or(row.known_since)) > REMOVE_AFTER;
-    let silent_vms: Vec<_> =
-        relay.peers.iter().filter(is_silent).map(|row| row.member.vm.clone()).collect();
+    let silent_vms = relay.peers.iter().filter(|row| is_silent(now, row));
+    let silent_vms: Vec<_> = silent_vms.map(|row| row.member.vm.clone()).collect();
     for vm in silent_vms {
         relay.row_written_at = now;
         out.push(Output::Log(event::Event::new("peer", &vm, "removed")));
@@ -221,6 +236,11 @@
     }
 }
 
+/// Whether a VM has been silent for so long that its row is removed.
+fn is_silent(now: ids::Time, row: &peer::Row) -> bool {
+    now.since(row.last_heard.unwrap_or(row.known_since)) > REMOVE_AFTER
+}
+
 /// Number of digest intervals after which all VMs of a large fleet know a usage: to the
 /// aggregator, to those of the other data centres, and to their VMs.
 const OVERLAY_HOPS: u32 = 3;
@@ -257,6 +277,12 @@
             .with_inputs(fault.to_string());
         out.push(Output::Log(line));
     }
+    if let Ok(Written::Done { revision, .. }) = result
+        && relay.row_op == Some(op)
+        && revision.era() == relay.eras.current()
+    {
+        relay.row_due = None;
+    }
     shutdown::written(relay, op);
     if relay.lease.written(now, op, result) {
         let fence = relay.lease.fence(now);
--- a/crates/relay/src/system/replication.rs
+++ b/crates/relay/src/system/replication.rs
@@ -84,10 +84,10 @@
 /// Recently learned versions. They distinguish a VM that has missed changes from one
 /// whose digest was sent before they arrived.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Progress {
-    recent: collections::VecDeque<(ids::Time, ids::Version)>,
+pub(crate) struct Progress<V> {
+    recent: collections::VecDeque<(ids::Time, V)>,
     /// The newest version that has been known for a settle time.
-    settled: ids::Version,
+    settled: V,
 }
 
 /// Time after which the digests of all VMs confirm a change.
@@ -95,24 +95,19 @@
     MIN_SETTLE_TIME.max(relay.peers.digest_interval() * SETTLE_INTERVALS)
 }
 
-impl Progress {
+impl<V: Copy + Ord> Progress<V> {
     /// Records that `version` is known now.
-    pub(crate) fn note(
-        &mut self,
-        now: ids::Time,
-        settle_time: time::Duration,
-        version: ids::Version,
-    ) {
+    pub(crate) fn note(&mut self, now: ids::Time, settle_time: time::Duration, version: V) {
         // Without peers, nothing else calls `settled`: prune here, so that versions do not
         // accumulate.
         let settled = self.settled(now, settle_time);
-        if self.recent.back().map_or(settled, |(_, targets_version)| *targets_version) < version {
+        if self.recent.back().map_or(settled, |(_, newest)| *newest) < version {
             self.recent.push_back((now, version));
         }
     }
 
     /// The newest version that all VMs should know by now.
-    pub(crate) fn settled(&mut self, now: ids::Time, settle_time: time::Duration) -> ids::Version {
+    pub(crate) fn settled(&mut self, now: ids::Time, settle_time: time::Duration) -> V {
         while let Some((_, version)) =
             self.recent.pop_front_if(|(since, _)| now.since(*since) >= settle_time)
         {
@@ -126,6 +121,7 @@
     let reads = |row: &&peer::Row| {
         let read_age = row.digest.read_age.map(time::Duration::from_millis);
         read_age.is_some_and(|read_age| read_age <= MAX_READ_AGE)
+            && row.digest.era() == relay.eras.current()
             && row.member.vm < relay.settings.vm
     };
     let reading = relay.peers.heard(now).filter(reads).count();
@@ -193,6 +189,9 @@
 /// Whether this VM may take the lease if there is no planner: the first VMs by name,
 /// and more the longer there is none.
 pub(crate) fn may_lead(relay: &Relay, now: ids::Time) -> bool {
+    if relay.lease.is_resuming(now) {
+        return true;
+    }
     if !knows_size(relay, now) {
         return false;
     }
@@ -226,27 +225,46 @@
     out: &mut Vec<Output>,
 ) {
     relay.reads.record(now, input::Table::Targets);
+    relay.eras.record(targets.revision);
     // Even after a complete read, the new changes are those since the version known
     // before.
-    let since = Some(relay.targets_version);
-    let is_first = relay.targets_version == ids::Version::default();
-    let version = relay.targets_version.max(targets.version);
+    let since = Some(relay.targets_revision);
+    let is_first = relay.targets_revision == ids::Revision::default();
+    let begins_era = begins_era(relay, &targets);
+    let revision = relay.targets_revision.max(targets.revision);
+    let listed = targets.changes.len();
     let changes = apply_all(relay, now, targets, out);
     // Runners also rewrite entries without a change that matters here.
-    if changes.is_empty() {
+    if changes.is_empty() && !begins_era {
         return;
     }
-    relay.targets_version = version;
+    relay.targets_revision = revision;
     note_targets(relay, now);
+    if begins_era {
+        let missing = relay.targets.iter().filter(|row| row.is_missing()).count();
+        let inputs = format!("store {revision} listed {listed} missing {missing}");
+        let line = event::Event::new("store", &"targets", "read after a copy").with_inputs(inputs);
+        out.push(Output::Log(line));
+        // What the others know of the era before need not be what this VM knew, so changes
+        // since then would leave a gap. They are sent copies.
+        relay.gossip.send_now(now);
+        return;
+    }
     // The first read contains nothing new to others: it was announced before, or all
     // others read it, too.
     if is_first {
         return;
     }
-    let news = peer::Targets { since, version: relay.targets_version, changes };
+    let news = peer::Targets { since, revision: relay.targets_revision, changes };
     overlay::broadcast(relay, now, peer::Message::Targets(news), out);
 }
 
+/// Whether these are all targets, as the first of an era in which this VM has known some of an
+/// earlier one.
+fn begins_era(relay: &Relay, targets: &input::Targets) -> bool {
+    relay.has_targets && targets.is_full && targets.revision.era() > relay.targets_revision.era()
+}
+
 /// Handles targets that another VM has read.
 pub(crate) fn receive_targets(
     relay: &mut Relay,
@@ -255,20 +273,27 @@
     news: peer::Targets,
     out: &mut Vec<Output>,
 ) {
+    // The sender does not know yet that the store has come back from a copy.
+    if news.revision.era() < relay.eras.current() {
+        return;
+    }
     // Changes relative to an unknown version would leave a gap; a complete copy follows.
     let is_usable = match news.since {
-        Some(since) => since <= relay.targets_version,
-        None => news.version >= relay.targets_version,
+        // At version 0, what had left before the era began.
+        Some(since) => {
+            since <= relay.targets_revision || since.version() == ids::Version::default()
+        }
+        None => news.revision >= relay.targets_revision,
     };
     if !is_usable {
         return;
     }
-    let is_newer = news.version > relay.targets_version;
-    relay.targets_version = relay.targets_version.max(news.version);
-    note_targets(relay, now);
-    let peer::Targets { since, version, changes } = news.clone();
-    let targets = input::Targets { is_full: since.is_none(), version, changes };
+    let is_newer = news.revision > relay.targets_revision;
+    let peer::Targets { since, revision, changes } = news.clone();
+    let targets = input::Targets { is_full: since.is_none(), revision, changes };
     let applied = apply_all(relay, now, targets, out);
+    relay.targets_revision = relay.targets_revision.max(revision);
+    note_targets(relay, now);
     if since.is_none() {
         return;
     }
@@ -280,18 +305,30 @@
     }
 }
 
+/// Tells a VM that has just been heard which targets had left before the store came back from a
+/// copy: if it has just started, it knows only what the store lists.
+pub(crate) fn tell_removals(relay: &Relay, to: &ids::Vm, out: &mut Vec<Output>) {
+    let changes = relay.targets.removals_before(relay.eras.current());
+    if changes.is_empty() {
+        return;
+    }
+    let revision = ids::Revision::new(relay.eras.current(), ids::Version::default());
+    let news = peer::Targets { since: Some(revision), revision, changes };
+    out.push(Output::Peer { to: vec![to.clone()], message: peer::Message::Targets(news) });
+}
+
 /// Records that the current version of the targets is known now.
 fn note_targets(relay: &mut Relay, now: ids::Time) {
     let settle_time = settle_time(relay);
-    relay.progress.targets.note(now, settle_time, relay.targets_version);
+    relay.progress.targets.note(now, settle_time, relay.targets_revision);
 }
 
 /// Versions that a VM has reported.
 struct Known {
     vm: ids::Vm,
     config: ids::Version,
-    targets: ids::Version,
-    members: ids::Version,
+    targets: ids::Revision,
+    members: ids::Revision,
 }
 
 /// Versions known to the VMs that are reached directly: the neighbours, and the
@@ -324,9 +361,9 @@
     let is_source = is_reader || overlay::is_aggregator(relay, now);
     let settle_time = settle_time(relay);
     let known = known_versions(relay, now);
-    let members_version = relay.peers.version();
+    let members_revision = relay.peers.revision();
     relay.progress.config.note(now, settle_time, version);
-    relay.progress.members.note(now, settle_time, members_version);
+    relay.progress.members.note(now, settle_time, members_revision);
     let settled_config = relay.progress.config.settled(now, settle_time);
     let settled_targets = relay.progress.targets.settled(now, settle_time);
     let settled_members = relay.progress.members.settled(now, settle_time);
@@ -347,14 +384,18 @@
             let text = sync::Arc::clone(&relay.config_text);
             out.push(Output::Peer { to: to(), message: peer::Message::Config { version, text } });
         }
-        let knows_none = targets == ids::Version::default();
-        let newest = if knows_none { relay.targets_version } else { settled_targets };
+        let knows_none = targets == ids::Revision::default();
+        let is_of_earlier_era = targets.era() < relay.targets_revision.era();
+        let is_urgent = knows_none || is_of_earlier_era;
+        let newest = if is_urgent { relay.targets_revision } else { settled_targets };
         if targets < newest && is_source && claim_slot(&mut relay.gossip.targets) {
             let changes = relay.targets.iter().map(|row| row.change(now)).collect();
-            let copy = peer::Targets { since: None, version: relay.targets_version, changes };
+            let copy = peer::Targets { since: None, revision: relay.targets_revision, changes };
             out.push(Output::Peer { to: to(), message: peer::Message::Targets(copy) });
         }
-        if members < settled_members
+        let is_of_earlier_era = members.era() < members_revision.era();
+        let newest = if is_of_earlier_era { members_revision } else { settled_members };
+        if members < newest
             && is_source
             && let Some(copy) = relay.peers.members()
             && claim_slot(&mut relay.gossip.members)
@@ -390,8 +431,8 @@
         out.push(Output::Log(event::Event::new("target", &change.target, "gone")));
     }
     if !changes.is_empty() {
-        let (since, version) = (Some(relay.targets_version), relay.targets_version);
-        let news = peer::Targets { since, version, changes };
+        let (since, revision) = (Some(relay.targets_revision), relay.targets_revision);
+        let news = peer::Targets { since, revision, changes };
         overlay::broadcast(relay, now, peer::Message::Targets(news), out);
     }
 }
@@ -406,9 +447,13 @@
 ) -> Vec<target::Change> {
     // The first read lists targets that may have run for long.
     let is_first = !std::mem::replace(&mut relay.has_targets, true);
-    let input::Targets { is_full, version, mut changes } = targets;
+    if begins_era(relay, &targets) {
+        // What is missing may be written again.
+        relay.targets.store_recovered(now);
+    }
+    let input::Targets { is_full, revision, mut changes } = targets;
     if is_full {
-        changes.extend(relay.targets.unlisted(version, &changes));
+        changes.extend(relay.targets.unlisted(revision, &changes));
     }
     changes.retain(|change| apply(relay, now, is_first, change, out));
     changes
@@ -422,7 +467,7 @@
     change: &target::Change,
     out: &mut Vec<Output>,
 ) -> bool {
-    let (outcome, previous) = match relay.targets.apply(now, change) {
+    let (outcome, previous) = match relay.targets.apply(now, &relay.eras, change) {
         target::Outcome::Stale | target::Outcome::Unchanged => return false,
         target::Outcome::Changed | target::Outcome::Unknown => return true,
         target::Outcome::New { before } => {
@@ -436,7 +481,7 @@
         target::Outcome::Missing => ("missing for now", None),
         target::Outcome::Gone { address } => ("gone", Some(address)),
     };
-    let inputs = format!("store {} row {}", relay.targets_version, change.version);
+    let inputs = format!("store {} row {}", relay.targets_revision, change.revision);
     out.push(Output::Log(event::Event::new("target", &change.target, outcome).with_inputs(inputs)));
     let address = change.entry.as_ref().map(|entry| &entry.address);
     if let Some(previous) = previous.filter(|previous| Some(previous) != address) {
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, sync, time};
 
-use crate::{cache, cold, health, pause, speed};
+use crate::{cache, cold, era, health, pause, speed};
 
 /// A target's own entry in the store.
 #[derive(Clone, Debug, PartialEq)]
@@ -72,16 +72,16 @@
     }
 }
 
-/// State of a target's entry in the store at one version.
+/// State of a target's entry in the store at one revision.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct Change {
     /// The target.
     #[serde(rename = "t")]
     pub target: ids::Target,
-    /// The store's version of this change.
+    /// The store's revision of this change.
     #[serde(rename = "v")]
-    pub version: ids::Version,
+    pub revision: ids::Revision,
     /// The entry; `None` if it was removed or is unreadable.
     #[serde(rename = "e")]
     pub entry: Option<Entry>,
@@ -90,7 +90,7 @@
 /// Effect of a change on the table.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    /// Ignored: a version at least as new is known.
+    /// Ignored: a revision at least as new is known.
     Stale,
     /// The entry was written again with the same content.
     Unchanged,
@@ -126,8 +126,8 @@
 pub struct Row {
     /// Its entry in the store.
     pub entry: Entry,
-    /// Store version of the entry.
-    pub version: ids::Version,
+    /// Store revision of the entry.
+    pub revision: ids::Revision,
     /// Load of this VM's calls.
     pub own: Load,
     /// Load of the other VMs' calls, from their latest digests.
@@ -152,8 +152,8 @@
 /// An entry that is missing and may come back.
 #[derive(Clone, Copy, Debug)]
 struct Absence {
-    /// Store version at which it was missing.
-    version: ids::Version,
+    /// Store revision at which it was missing.
+    revision: ids::Revision,
     /// When the target counts as removed.
     until: ids::Time,
 }
@@ -161,7 +161,7 @@
 /// A removed target.
 #[derive(Clone, Copy, Debug)]
 struct Tombstone {
-    version: ids::Version,
+    revision: ids::Revision,
     since: ids::Time,
 }
 
@@ -176,10 +176,10 @@
 type ColdLeft = Option<time::Duration>;
 
 impl Row {
-    fn new(now: ids::Time, version: ids::Version, entry: Entry, cold_left: ColdLeft) -> Self {
+    fn new(now: ids::Time, revision: ids::Revision, entry: Entry, cold_left: ColdLeft) -> Self {
         Self {
             entry,
-            version,
+            revision,
             cold: cold::State::new(now, cold_left),
             own: Load::default(),
             others: Load::default(),
@@ -216,6 +216,12 @@
         }
     }
 
+    /// Whether its entry is missing, and may come back.
+    #[must_use]
+    pub const fn is_missing(&self) -> bool {
+        self.absence.is_some()
+    }
+
     /// Whether it accepts no new calls, by its entry or its answers.
     #[must_use]
     pub const fn is_leaving(&self) -> bool {
@@ -235,7 +241,7 @@
     pub fn change(&self, now: ids::Time) -> Change {
         let left = u64::try_from(self.cold.left(now).as_millis()).unwrap_or(u64::MAX);
         let entry = Some(Entry { cold_left_ms: Some(left), ..self.entry.clone() });
-        Change { target: self.entry.target.clone(), version: self.version, entry }
+        Change { target: self.entry.target.clone(), revision: self.revision, entry }
     }
 
     /// Load of the calls of all VMs.
@@ -274,15 +280,22 @@
         self.absences_tolerated_until = now + ABSENCE_GRACE;
     }
 
-    /// Applies a change, unless a version at least as new is known.
-    pub fn apply(&mut self, now: ids::Time, change: &Change) -> Outcome {
-        let Change { target, version, entry } = change;
-        if self.version(target).is_some_and(|known| *version <= known) {
+    /// Applies a change, unless a revision at least as new is known.
+    pub fn apply(&mut self, now: ids::Time, eras: &era::Table, change: &Change) -> Outcome {
+        let Change { target, revision, entry } = change;
+        // An entry may stand in the copy from which the store came back; that none is there
+        // was seen in the era itself.
+        let place = if entry.is_some() { eras.place(*revision) } else { *revision };
+        if self.place(eras, target).is_some_and(|known| place <= known) {
+            // A copy may list the target for as long as it stands there.
+            if let Some(tombstone) = self.tombstones.get_mut(target) {
+                tombstone.since = now;
+            }
             return Outcome::Stale;
         }
         match entry {
-            Some(entry) => self.update(now, target, *version, entry.clone()),
-            None => self.remove(now, target, *version),
+            Some(entry) => self.update(now, target, *revision, entry.clone()),
+            None => self.remove(now, target, *revision),
         }
     }
 
@@ -290,17 +303,18 @@
     pub fn confirm_absence(&mut self, now: ids::Time, change: &Change) {
         let row = self.rows.get_mut(&change.target).filter(|_| change.entry.is_none());
         if let Some(absence) = row.and_then(|row| row.absence.as_mut())
-            && absence.version <= change.version
+            && absence.revision <= change.revision
         {
             absence.until = absence.until.min(now);
         }
     }
 
-    /// Store version of the last known change of a target.
-    fn version(&self, target: &ids::Target) -> Option<ids::Version> {
+    /// Place of the last known change of a target in the order of changes.
+    fn place(&self, eras: &era::Table, target: &ids::Target) -> Option<ids::Revision> {
         match self.rows.get(target) {
-            Some(row) => Some(row.absence.map_or(row.version, |absence| absence.version)),
-            None => self.tombstones.get(target).map(|tombstone| tombstone.version),
+            Some(Row { absence: Some(absence), .. }) => Some(absence.revision),
+            Some(row) => Some(eras.place(row.revision)),
+            None => self.tombstones.get(target).map(|tombstone| tombstone.revision),
         }
     }
 
@@ -308,7 +322,7 @@
         &mut self,
         now: ids::Time,
         target: &ids::Target,
-        version: ids::Version,
+        revision: ids::Revision,
         mut entry: Entry,
     ) -> Outcome {
         self.tombstones.remove(target);
@@ -318,7 +332,7 @@
             Some(row) if row.entry.born == entry.born && row.entry.address == entry.address => {
                 let starts_leaving = entry.is_leaving && !row.entry.is_leaving;
                 let is_back = row.absence.take().is_some();
-                row.version = version;
+                row.revision = revision;
                 let is_news = row.cold.observe_entry(now, cold_left);
                 if row.entry == entry && !is_back && !is_news {
                     return Outcome::Unchanged;
@@ -329,14 +343,14 @@
             _ => {
                 let before = self.take_row(target);
                 let pause = self.former.take(target, entry.born);
-                let row = Row { pause, ..Row::new(now, version, entry, cold_left) };
+                let row = Row { pause, ..Row::new(now, revision, entry, cold_left) };
                 self.rows.insert(target.clone(), row);
                 Outcome::New { before: before.map(|row| row.entry.address) }
             }
         }
     }
 
-    fn remove(&mut self, now: ids::Time, target: &ids::Target, version: ids::Version) -> Outcome {
+    fn remove(&mut self, now: ids::Time, target: &ids::Target, revision: ids::Revision) -> Outcome {
         let until = self.absences_tolerated_until;
         if let Some(row) = self.rows.get_mut(target)
             && !row.entry.is_leaving
@@ -345,12 +359,12 @@
             // A second outage does not extend the deadline set after the first one.
             let outcome = if row.absence.is_none() { Outcome::Missing } else { Outcome::Stale };
             row.absence = Some(Absence {
-                version,
+                revision,
                 until: row.absence.map_or(until, |absence| absence.until),
             });
             return outcome;
         }
-        self.tombstones.insert(target.clone(), Tombstone { version, since: now });
+        self.tombstones.insert(target.clone(), Tombstone { revision, since: now });
         match self.take_row(target) {
             Some(row) => Outcome::Gone { address: row.entry.address },
             None => Outcome::Unknown,
@@ -372,12 +386,26 @@
         }
     }
 
-    /// Removals of all targets that are missing from the complete list of `version`.
+    /// Removals of all targets that are missing from the complete list of `revision`.
     #[must_use]
-    pub fn unlisted(&self, version: ids::Version, listed: &[Change]) -> Vec<Change> {
+    pub fn unlisted(&self, revision: ids::Revision, listed: &[Change]) -> Vec<Change> {
         let listed: collections::BTreeSet<_> = listed.iter().map(|change| &change.target).collect();
         let unlisted = self.rows.keys().filter(|target| !listed.contains(target));
-        unlisted.map(|target| Change { target: target.clone(), version, entry: None }).collect()
+        unlisted.map(|target| Change { target: target.clone(), revision, entry: None }).collect()
+    }
+
+    /// Removals of targets that were known to be gone before `era` began. The copy from which the
+    /// store came back may list them.
+    #[must_use]
+    pub fn removals_before(&self, era: ids::Era) -> Vec<Change> {
+        let removed =
+            self.tombstones.iter().filter(|(_, tombstone)| tombstone.revision.era() < era);
+        let removal = |(target, tombstone): (&ids::Target, &Tombstone)| Change {
+            target: target.clone(),
+            revision: tombstone.revision,
+            entry: None,
+        };
+        removed.map(removal).collect()
     }
 
     /// Removes targets whose entries have not come back after a store outage, and
@@ -387,15 +415,15 @@
         let overdue = |row: &Row| {
             Some((
                 row.entry.target.clone(),
-                row.absence.filter(|absence| absence.until <= now)?.version,
+                row.absence.filter(|absence| absence.until <= now)?.revision,
             ))
         };
         let overdue: Vec<_> = self.rows.values().filter_map(overdue).collect();
         let mut removed = Vec::new();
-        for (target, version) in overdue {
+        for (target, revision) in overdue {
             self.take_row(&target);
-            self.tombstones.insert(target.clone(), Tombstone { version, since: now });
-            removed.push(Change { target, version, entry: None });
+            self.tombstones.insert(target.clone(), Tombstone { revision, since: now });
+            removed.push(Change { target, revision, entry: None });
         }
         removed
     }
--- a/crates/relay/tests/cold.rs
+++ b/crates/relay/tests/cold.rs
@@ -8,7 +8,7 @@
 use fleet::Fleet;
 use rand::{Rng as _, SeedableRng as _};
 use relay::{
-    Input, cold, config,
+    Input, cold, config, era,
     input::{self, Event},
     peer, target,
 };
@@ -50,7 +50,7 @@
 fn membership(version: u64, vms: impl IntoIterator<Item = usize>) -> peer::Members {
     let member = |number| relay::Settings::new(vm(number).as_str(), "north", 1).member();
     let members = vms.into_iter().map(member).collect();
-    peer::Members { version: ids::Version::new(version), members }
+    peer::Members { revision: version.into(), members }
 }
 
 /// VMs that all want one cold target: each sends whenever it may. What each sends is written
@@ -456,8 +456,8 @@
 fn targets_count_as_cold_after_a_drain_until_a_newer_entry_says_otherwise() {
     let mut world = world(vec![cold_runner("r-1", 0)]);
     assert_eq!(world.relay.cold_targets(), 0);
-    let drain = |version, centres: &[&str]| Input::Evacuations {
-        version: ids::Version::new(version),
+    let drain = |version: u64, centres: &[&str]| Input::Evacuations {
+        revision: version.into(),
         centres: centres.iter().map(|name| (*name).into()).collect(),
     };
     let centre = cold_runner("r-1", 0).centre;
@@ -500,7 +500,7 @@
     let change = world::change(1, cold_runner("r-1", 5_000));
     let mut table = target::Table::default();
     let now = ids::Time::from_millis(1_000);
-    table.apply(now, &change);
+    table.apply(now, &era::Table::default(), &change);
     let left = |at: u64| {
         let row = table.get(&"r-1".into()).expect("it is known");
         row.change(ids::Time::from_millis(at)).entry.and_then(|entry| entry.cold_left_ms)
@@ -515,7 +515,7 @@
     let mut table = target::Table::default();
     let mut apply = |at: u64, left| {
         let change = world::change(at, cold_runner("r-1", left));
-        table.apply(ids::Time::from_millis(at), &change)
+        table.apply(ids::Time::from_millis(at), &era::Table::default(), &change)
     };
     assert_eq!(apply(1_000, 9_000), target::Outcome::New { before: None });
     assert_eq!(apply(2_200, 7_900), target::Outcome::Unchanged);
@@ -527,7 +527,7 @@
     let row = table.get_mut(&"r-1".into()).expect("it is known");
     row.cold.observe_response(ids::Time::from_millis(7_100), SECOND * 8);
     let change = world::change(8_200, cold_runner("r-1", 6_900));
-    let outcome = table.apply(ids::Time::from_millis(8_200), &change);
+    let outcome = table.apply(ids::Time::from_millis(8_200), &era::Table::default(), &change);
     assert_eq!(outcome, target::Outcome::Changed);
 }
 
@@ -536,9 +536,9 @@
 fn targets_of_a_drained_centre_are_cold_until_a_newer_entry() {
     let mut table = target::Table::default();
     let now = ids::Time::from_millis(1_000);
-    let ended = ids::Version::new(5);
-    table.apply(now, &world::change(4, cold_runner("r-1", 0)));
-    table.apply(now, &world::change(6, cold_runner("r-2", 0)));
+    let ended = ids::Revision::from(5);
+    table.apply(now, &era::Table::default(), &world::change(4, cold_runner("r-1", 0)));
+    table.apply(now, &era::Table::default(), &world::change(6, cold_runner("r-2", 0)));
     for row in table.iter_mut() {
         cold::assume_cold(row, now, START, ended);
     }
@@ -547,7 +547,8 @@
     };
     assert_eq!(left(&table, "r-1"), START);
     assert_eq!(left(&table, "r-2"), time::Duration::ZERO, "its entry is newer");
-    let outcome = table.apply(now, &world::change(7, cold_runner("r-1", 0)));
+    let outcome =
+        table.apply(now, &era::Table::default(), &world::change(7, cold_runner("r-1", 0)));
     assert_eq!(outcome, target::Outcome::Changed, "the other VMs are told");
     assert_eq!(left(&table, "r-1"), time::Duration::ZERO);
 }
--- a/crates/relay/tests/evacuation.rs
+++ b/crates/relay/tests/evacuation.rs
@@ -25,8 +25,8 @@
 }
 
 fn drain(world: &mut World, version: u64, names: &[&str]) -> Seen {
-    let version = ids::Version::new(version);
-    world.step([Input::Evacuations { version, centres: centres(names) }])
+    let revision = version.into();
+    world.step([Input::Evacuations { revision, centres: centres(names) }])
 }
 
 /// The lines about drains: data centre and outcome.
@@ -313,20 +313,21 @@
 /// one, and against a VM that is not told of a newer set.
 #[test]
 fn an_older_set_never_replaces_a_newer_one() {
-    let version = ids::Version::new;
+    let revision = |version: u64| ids::Revision::from(version);
+    let now = ids::Time::from_millis(1_000);
     let mut table = Table::default();
-    assert!(table.read(version(5), &centres(&[])).is_none());
-    assert_eq!(table.version(), version(0), "nothing to announce where there is no drain");
-    assert!(table.receive(version(4), &centres(&["south"])).is_none());
-    assert_eq!(table.version(), version(5), "the sender is shown that it lags behind");
-    assert!(table.read(version(7), &centres(&["south"])).is_some());
-    assert!(table.read(version(6), &centres(&[])).is_none());
-    assert!(table.receive(version(7), &centres(&[])).is_none());
+    assert!(table.read(now, revision(5), &centres(&[])).is_none());
+    assert_eq!(table.revision(), revision(0), "nothing to announce where there is no drain");
+    assert!(table.receive(revision(4), &centres(&["south"])).is_none());
+    assert_eq!(table.revision(), revision(5), "the sender is shown that it lags behind");
+    assert!(table.read(now, revision(7), &centres(&["south"])).is_some());
+    assert!(table.read(now, revision(6), &centres(&[])).is_none());
+    assert!(table.receive(revision(7), &centres(&[])).is_none());
     assert_eq!(*table.centres(), centres(&["south"]));
-    let change = table.receive(version(9), &centres(&["south"])).expect("a newer version");
-    assert_eq!((change, table.version()), (relay::evacuation::Change::default(), version(9)));
-    assert!(table.receive(version(8), &centres(&[])).is_none());
-    let change = table.read(version(10), &centres(&["north"])).expect("a change");
+    let change = table.receive(revision(9), &centres(&["south"])).expect("a newer version");
+    assert_eq!((change, table.revision()), (relay::evacuation::Change::default(), revision(9)));
+    assert!(table.receive(revision(8), &centres(&[])).is_none());
+    let change = table.read(now, revision(10), &centres(&["north"])).expect("a change");
     assert_eq!((change.began, change.ended), (vec!["north".into()], vec!["south".into()]));
 }
 
@@ -338,7 +339,7 @@
     let member = |name: &str| relay::Settings::new(name, "north", 1).with_peer("127.0.0.1:9");
     let names = ["vm-1", "vm-2", "vm-3"].map(|name| member(name).member());
     world.step([world::members(names.to_vec())]);
-    for (from, evacuations) in [("vm-2", None), ("vm-3", Some(ids::Version::new(0)))] {
+    for (from, evacuations) in [("vm-2", None), ("vm-3", Some(ids::Revision::default()))] {
         let digest = peer::Digest { evacuations, ..peer::Digest::default() };
         let message = peer::Message::Digest(digest);
         let incarnation = ids::Incarnation::new(1);
--- a/crates/relay/tests/fleet/mod.rs
+++ b/crates/relay/tests/fleet/mod.rs
@@ -4,7 +4,10 @@
 
 use std::{collections, sync, time};
 
-use relay::{Input, Output, Relay, Settings, config, envelope, input, output, peer, quota, target};
+use relay::{
+    Input, Output, Relay, Settings, config, envelope, input, membership, output, peer, quota,
+    target,
+};
 
 /// Interval at which all VMs are stepped.
 const STEP: time::Duration = time::Duration::from_millis(20);
@@ -20,6 +23,8 @@
     incarnation: u64,
     links: collections::BTreeSet<ids::Vm>,
     follow: output::Follow,
+    /// The store's era, as its shell knows it.
+    era: u64,
     /// Store version of the members delivered last, if they are watched.
     members_read: Option<u64>,
     members_read_at: ids::Time,
@@ -59,19 +64,81 @@
     pub retry_after: Option<time::Duration>,
 }
 
+/// The store.
+#[derive(Clone, Debug)]
+pub struct Store {
+    /// Number of times it has come back from a copy; 0 if it does not state that.
+    pub era: u64,
+    pub version: u64,
+    /// Whether it answers nothing.
+    pub is_away: bool,
+    config: sync::Arc<config::Config>,
+    /// The targets' entries, each with its version.
+    targets: collections::BTreeMap<ids::Target, (u64, target::Entry)>,
+    /// The drained data centres.
+    drained: collections::BTreeSet<ids::Centre>,
+    pub lease: Option<store::table::Row>,
+    pub members: collections::BTreeMap<sync::Arc<str>, (u64, member::Member)>,
+    members_version: u64,
+}
+
+impl Store {
+    /// A version in the current era.
+    fn at(&self, version: u64) -> ids::Revision {
+        ids::Revision::new(ids::Era::new(self.era), ids::Version::new(version))
+    }
+
+    /// The current revision.
+    fn revision(&self) -> ids::Revision {
+        self.at(self.version)
+    }
+
+    fn evacuations(&self) -> Input {
+        Input::Evacuations { revision: self.revision(), centres: self.drained.clone() }
+    }
+
+    fn members(&self) -> Input {
+        let row = |(version, member): &(u64, member::Member)| membership::Row {
+            member: member.clone(),
+            revision: self.at(*version),
+        };
+        let rows = self.members.values().map(row).collect();
+        Input::Members { revision: self.revision(), rows }
+    }
+
+    fn lease(&self, clock_ms: u64) -> Input {
+        Input::Lease { row: self.lease.clone(), era: ids::Era::new(self.era), clock_ms }
+    }
+
+    fn all_targets(&self) -> Input {
+        let change = |(version, entry): &(u64, target::Entry)| target::Change {
+            target: entry.target.clone(),
+            revision: self.at(*version),
+            entry: Some(entry.clone()),
+        };
+        let changes = self.targets.values().map(change).collect();
+        Input::Targets(input::Targets { is_full: true, revision: self.revision(), changes })
+    }
+
+    fn config(&self) -> Input {
+        let config = sync::Arc::clone(&self.config);
+        Input::Config { text: text_of(&config), config }
+    }
+}
+
+/// Stands for the text of a configuration.
+fn text_of(config: &config::Config) -> sync::Arc<str> {
+    config.version.to_string().into()
+}
+
 #[expect(clippy::struct_excessive_bools, reason = "independent switches of a test")]
 pub struct Fleet {
     pub now: ids::Time,
     pub vms: Vec<Vm>,
     indices: collections::BTreeMap<ids::Vm, usize>,
-    config: sync::Arc<config::Config>,
-    targets: Vec<target::Entry>,
-    /// The drained data centres in the store.
-    drained: collections::BTreeSet<ids::Centre>,
-    version: u64,
-    lease: Option<store::table::Row>,
-    members: collections::BTreeMap<sync::Arc<str>, (u64, member::Member)>,
-    members_version: u64,
+    pub store: Store,
+    /// All configurations, by their texts.
+    configs: collections::BTreeMap<sync::Arc<str>, sync::Arc<config::Config>>,
     /// Messages and answers under way: arrival time, index of the receiver.
     in_flight: Vec<(ids::Time, usize, Input)>,
     pub traffic: Traffic,
@@ -101,6 +168,20 @@
 }
 
 impl Vm {
+    /// Ends what its shell reads of an earlier era of the store.
+    fn begin_era(&mut self, era: u64) {
+        if era > self.era {
+            self.era = era;
+            self.polled_at = ids::Time::default();
+            (self.members_read, self.lease_read) = (None, None);
+        }
+    }
+
+    /// Its name and incarnation.
+    pub fn member(&self) -> (ids::Vm, ids::Incarnation) {
+        (self.name.clone(), ids::Incarnation::new(self.incarnation))
+    }
+
     /// The tables of the store that it watches.
     pub const fn follow(&self) -> output::Follow {
         self.follow
@@ -133,6 +214,7 @@
             incarnation: 0,
             links: collections::BTreeSet::new(),
             follow: output::Follow { is_reader: false, watches_members: true, watches_lease: true },
+            era: 0,
             members_read: None,
             members_read_at: ids::Time::default(),
             lease_read: None,
@@ -144,18 +226,27 @@
             is_frozen: false,
         };
         let vms: Vec<_> = (0..size).map(vm).collect();
+        let config = sync::Arc::new(config);
         let indices = vms.iter().enumerate().map(|(index, vm)| (vm.name.clone(), index));
         let mut fleet = Self {
             now: ids::Time::from_millis(100_000),
             indices: indices.collect(),
             vms,
-            config: sync::Arc::new(config),
-            targets,
-            drained: collections::BTreeSet::new(),
-            version: 1,
-            lease: None,
-            members: collections::BTreeMap::new(),
-            members_version: 1,
+            store: Store {
+                era: 0,
+                version: 1,
+                is_away: false,
+                config: sync::Arc::clone(&config),
+                targets: targets
+                    .into_iter()
+                    .map(|entry| (entry.target.clone(), (1, entry)))
+                    .collect(),
+                drained: collections::BTreeSet::new(),
+                lease: None,
+                members: collections::BTreeMap::new(),
+                members_version: 1,
+            },
+            configs: collections::BTreeMap::from([(text_of(&config), config)]),
             in_flight: Vec::new(),
             traffic: Traffic::default(),
             last_call: 0,
@@ -194,6 +285,7 @@
         vm.links.clear();
         vm.follow = output::Follow { is_reader: false, watches_members: true, watches_lease: true };
         (vm.members_read, vm.lease_read) = (None, None);
+        vm.era = 0;
         vm.inbox.clear();
     }
 
@@ -231,25 +323,39 @@
 
     /// Accepts a configuration.
     pub fn configure(&mut self, config: config::Config) {
-        self.version += 1;
-        self.config = sync::Arc::new(config);
+        self.store.version += 1;
+        self.store.config = sync::Arc::new(config);
+        let config = sync::Arc::clone(&self.store.config);
+        self.configs.insert(text_of(&config), config);
     }
 
     /// Changes the entry of a target.
     pub fn change(&mut self, entry: target::Entry) {
-        self.version += 1;
-        let change = target::Change {
-            target: entry.target.clone(),
-            version: ids::Version::new(self.version),
-            entry: Some(entry.clone()),
-        };
-        self.targets.retain(|known| known.target != entry.target);
-        self.targets.push(entry);
-        let version = ids::Version::new(self.version);
+        self.store.version += 1;
+        let (target, version) = (entry.target.clone(), self.store.version);
+        self.store.targets.insert(target.clone(), (version, entry.clone()));
+        let revision = self.store.revision();
+        self.tell_readers(&target::Change { target, revision, entry: Some(entry) });
+    }
+
+    /// Removes the entry of a target.
+    pub fn remove(&mut self, name: &str) {
+        self.store.version += 1;
+        let target = ids::Target::from(name);
+        self.store.targets.remove(&target);
+        let revision = self.store.revision();
+        self.tell_readers(&target::Change { target, revision, entry: None });
+    }
+
+    /// Passes a change of a target on to the VMs that read the store.
+    fn tell_readers(&mut self, change: &target::Change) {
+        let revision = change.revision;
         for index in 0..self.vms.len() {
-            if self.vms[index].follow.is_reader && self.vms[index].has_store {
+            let vm = &self.vms[index];
+            // One that reads the store for the first time in its era reads all targets.
+            if vm.follow.is_reader && vm.has_store && vm.era == self.store.era {
                 let changes = vec![change.clone()];
-                let targets = input::Targets { is_full: false, version, changes };
+                let targets = input::Targets { is_full: false, revision, changes };
                 self.deliver(index, Input::Targets(targets));
             }
         }
@@ -257,35 +363,29 @@
 
     /// Replaces the drained data centres in the store; its readers learn of it `millis` later.
     pub fn drain(&mut self, centres: &[&str], millis: u64) {
-        self.version += 1;
-        self.drained = centres.iter().map(|centre| ids::Centre::from(*centre)).collect();
+        self.store.version += 1;
+        self.store.drained = centres.iter().map(|centre| ids::Centre::from(*centre)).collect();
         for index in 0..self.vms.len() {
             if self.vms[index].follow.is_reader && self.vms[index].relay.is_some() {
                 let at = self.now + time::Duration::from_millis(millis);
-                self.in_flight.push((at, index, self.evacuations()));
+                self.in_flight.push((at, index, self.store.evacuations()));
             }
         }
     }
 
-    fn evacuations(&self) -> Input {
-        let version = ids::Version::new(self.version);
-        Input::Evacuations { version, centres: self.drained.clone() }
+    /// A copy of the store as it is now.
+    pub fn copy_store(&self) -> Store {
+        self.store.clone()
     }
 
-    /// Removes the entry of a target.
-    pub fn remove(&mut self, name: &str) {
-        self.version += 1;
-        let target = ids::Target::from(name);
-        self.targets.retain(|known| known.target != target);
-        let version = ids::Version::new(self.version);
-        let change = target::Change { target, version, entry: None };
-        for index in 0..self.vms.len() {
-            if self.vms[index].follow.is_reader && self.vms[index].has_store {
-                let changes = vec![change.clone()];
-                let targets = input::Targets { is_full: false, version, changes };
-                self.deliver(index, Input::Targets(targets));
-            }
-        }
+    /// Lets the store answer nothing from now on.
+    pub const fn take_store_away(&mut self) {
+        self.store.is_away = true;
+    }
+
+    /// Lets the store come back from a copy, in the next era.
+    pub fn bring_store_back(&mut self, copy: Store) {
+        self.store = Store { era: self.store.era + 1, is_away: false, ..copy };
     }
 
     /// A call arrives at a VM. Unless the test keeps calls, it ends at once if it is sent
@@ -360,6 +460,7 @@
                 }
                 vm.follow = follow;
             }
+            Output::Era(era) => self.vms[index].begin_era(era.get()),
             Output::Write { op, write } => self.write(index, op, write),
             Output::Begin(begin) => {
                 self.admitted += 1;
@@ -380,9 +481,9 @@
                 let wait = retry_after.filter(|_| status == 503);
                 self.returns.extend(wait.map(|wait| (call, wait)));
             }
-            Output::Decode { .. } => {
-                let config = sync::Arc::clone(&self.config);
-                self.vms[index].inbox.push(Input::Config { text: "text".into(), config });
+            Output::Decode { text } => {
+                let config = sync::Arc::clone(&self.configs[&text]);
+                self.vms[index].inbox.push(Input::Config { text, config });
             }
             Output::Log(line) if line.outcome == "heard" => self.traffic.heard_lines += 1,
             _ => {}
@@ -427,88 +528,91 @@
     }
 
     fn write(&mut self, index: usize, op: ids::Op, write: store::table::Write) {
-        if !self.vms[index].has_store {
+        if !self.vms[index].has_store || self.store.is_away {
             let fault = store::Fault::new("write", &write.key, store::Kind::Unknown, "cut off");
             self.deliver(index, Input::Written { op, result: Err(fault) });
             return;
         }
         *self.traffic.store_calls.entry("writes").or_default() += 1;
-        self.version += 1;
-        let version = ids::Version::new(self.version);
+        self.meet_era(index);
         let clock_ms = self.now.as_millis();
+        let store = &mut self.store;
+        store.version += 1;
         let written = if &*write.key == relay::lease::KEY {
-            let known = self.lease.as_ref().map(|row| row.version);
+            let known = store.lease.as_ref().map(|row| row.version);
             if known == write.expect {
                 let value = write.value.unwrap_or_default();
-                self.lease = Some(store::table::Row { key: write.key, value, version });
-                input::Written::Done { version, clock_ms }
+                let version = ids::Version::new(store.version);
+                store.lease = Some(store::table::Row { key: write.key, value, version });
+                input::Written::Done { revision: store.revision(), clock_ms }
             } else {
-                input::Written::Conflict(self.lease.clone())
+                let (row, era) = (store.lease.clone(), ids::Era::new(store.era));
+                input::Written::Conflict { row, era }
             }
         } else {
-            self.members_version = self.version;
+            store.members_version = store.version;
             match write.value.and_then(|value| serde_json::from_str(&value).ok()) {
-                Some(member) => self.members.insert(write.key, (self.version, member)),
-                None => self.members.remove(&write.key),
+                Some(member) => store.members.insert(write.key, (store.version, member)),
+                None => store.members.remove(&write.key),
             };
-            input::Written::Done { version, clock_ms }
+            input::Written::Done { revision: store.revision(), clock_ms }
         };
         self.deliver(index, Input::Written { op, result: Ok(written) });
     }
 
+    /// A VM's shell gets an answer of the store, which states its era.
+    fn meet_era(&mut self, index: usize) {
+        if self.vms[index].era < self.store.era {
+            self.vms[index].begin_era(self.store.era);
+            self.deliver(index, Input::Era(ids::Era::new(self.store.era)));
+        }
+    }
+
     /// Answers the polls of all VMs.
     fn serve_store(&mut self) {
-        let members: Vec<_> = self.members.values().map(|(_, member)| member.clone()).collect();
         for index in 0..self.vms.len() {
-            if self.vms[index].relay.is_none() || !self.vms[index].has_store {
+            let vm = &self.vms[index];
+            if self.store.is_away || vm.relay.is_none() || !vm.has_store {
                 continue;
             }
-            let (now, version) = (self.now, ids::Version::new(self.version));
-            let follow = self.vms[index].follow;
+            let (now, follow) = (self.now, vm.follow);
+            if follow.is_reader || follow.watches_members || follow.watches_lease {
+                self.meet_era(index);
+            }
             let vm = &self.vms[index];
             if follow.watches_members
                 && !vm.unread.contains(&input::Table::Members)
-                && vm.members_read != Some(self.members_version)
+                && vm.members_read != Some(self.store.members_version)
                 && now.since(vm.members_read_at) >= MEMBERS_INTERVAL
             {
                 *self.traffic.store_calls.entry("members").or_default() += 1;
                 self.vms[index].members_read_at = now;
-                self.vms[index].members_read = Some(self.members_version);
-                let version = ids::Version::new(self.members_version);
-                self.deliver(index, Input::Members { version, members: members.clone() });
+                self.vms[index].members_read = Some(self.store.members_version);
+                self.deliver(index, self.store.members());
             }
-            let lease_version = self.lease.as_ref().map_or(0, |row| row.version.get());
+            let lease_version = self.store.lease.as_ref().map_or(0, |row| row.version.get());
             if follow.watches_lease && self.vms[index].lease_read != Some(lease_version) {
                 *self.traffic.store_calls.entry("lease").or_default() += 1;
                 self.vms[index].lease_read = Some(lease_version);
-                let clock_ms = now.as_millis();
-                self.deliver(index, Input::Lease { row: self.lease.clone(), clock_ms });
+                self.deliver(index, self.store.lease(now.as_millis()));
             }
             if follow.is_reader && now.since(self.vms[index].polled_at) >= POLL_INTERVAL {
                 *self.traffic.store_calls.entry("targets").or_default() += 1;
                 let is_first = self.vms[index].polled_at == ids::Time::default();
                 self.vms[index].polled_at = now;
-                let config = sync::Arc::clone(&self.config);
                 if is_first && self.polls_drains {
-                    self.deliver(index, self.evacuations());
+                    self.deliver(index, self.store.evacuations());
                 }
                 let unread = self.vms[index].unread.clone();
                 if !unread.contains(&input::Table::Config) {
-                    self.deliver(index, Input::Config { text: "text".into(), config });
+                    self.deliver(index, self.store.config());
                 }
                 let tables = [input::Table::Config, input::Table::Targets, input::Table::Members];
                 for table in tables.into_iter().filter(|table| !unread.contains(table)) {
                     self.deliver(index, Input::Read(table));
                 }
                 if is_first {
-                    let change = |entry: &target::Entry| target::Change {
-                        target: entry.target.clone(),
-                        version,
-                        entry: Some(entry.clone()),
-                    };
-                    let changes = self.targets.iter().map(change).collect();
-                    let targets = input::Targets { is_full: true, version, changes };
-                    self.deliver(index, Input::Targets(targets));
+                    self.deliver(index, self.store.all_targets());
                 }
             }
         }
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -88,9 +88,8 @@
 #[test]
 fn the_row_of_a_vm_tells_which_of_its_incarnations_runs() {
     let mut world = World::new(vec![desk("d-1")]);
-    let members = |version, incarnation| Input::Members {
-        version: ids::Version::new(version),
-        members: vec![member("vm-1"), member_as("vm-2", incarnation)],
+    let members = |version: u64, incarnation| {
+        world::members_at(version, vec![member("vm-1"), member_as("vm-2", incarnation)])
     };
     world.step([members(1, 1)]);
     // Its clock is ahead, and it is heard before its row is read.
@@ -113,7 +112,7 @@
     let mut world = World::new(vec![desk("d-1")]);
     for (version, incarnation) in [(1, 1), (2, 2), (3, 3)] {
         let members = vec![member("vm-1"), member_as("vm-2", incarnation)];
-        world.step([Input::Members { version: ids::Version::new(version), members }]);
+        world.step([world::members_at(version, members)]);
         receive_as(&mut world, 3);
     }
     let sent = world.wait(1_000).messages;
@@ -132,7 +131,7 @@
 fn digest_with_versions(version: u64, targets: u64) -> peer::Message {
     peer::Message::Digest(peer::Digest {
         version: ids::Version::new(version),
-        targets: ids::Version::new(targets),
+        targets: targets.into(),
         ..peer::Digest::default()
     })
 }
@@ -238,8 +237,8 @@
     world.step([world::members(vec![member("vm-1"), member("vm-2")])]);
     let targets = |since: Option<u64>, version: u64, name: &str| {
         peer::Message::Targets(peer::Targets {
-            since: since.map(ids::Version::new),
-            version: ids::Version::new(version),
+            since: since.map(ids::Revision::from),
+            revision: version.into(),
             changes: vec![change(version, desk(name))],
         })
     };
@@ -269,8 +268,8 @@
     let mut leaving = desk("d-2");
     leaving.is_leaving = true;
     let copy = peer::Targets {
-        since: Some(ids::Version::new(1)),
-        version: ids::Version::new(9),
+        since: Some(1.into()),
+        revision: 9.into(),
         changes: vec![removal(8, "d-1"), change(9, leaving)],
     };
     receive(&mut world, "vm-2", peer::Message::Targets(copy));
@@ -284,7 +283,7 @@
         peer::Message::Targets(targets) => Some(targets),
         _ => None,
     });
-    assert_eq!(copy.and_then(|copy| copy.since), Some(ids::Version::new(9)), "what is new since");
+    assert_eq!(copy.and_then(|copy| copy.since), Some(9.into()), "what is new since");
 }
 
 #[test]
@@ -292,14 +291,14 @@
     let mut world = World::new(vec![desk("d-1")]);
     world.step([world::members(vec![member("vm-1"), member("vm-2")])]);
     let copy = peer::Targets {
-        since: Some(ids::Version::new(1)),
-        version: ids::Version::new(9),
+        since: Some(1.into()),
+        revision: 9.into(),
         changes: vec![removal(8, "d-1"), change(9, desk("d-2"))],
     };
     receive(&mut world, "vm-2", peer::Message::Targets(copy));
     let changes = vec![change(1, desk("d-1"))];
-    let version = ids::Version::new(5);
-    world.step([Input::Targets(input::Targets { is_full: true, version, changes })]);
+    let revision = ids::Revision::from(5);
+    world.step([Input::Targets(input::Targets { is_full: true, revision, changes })]);
     for _ in 0..4 {
         assert_eq!(world.arrive(envelope("book", Some("key-2"))).1.begun[0].target, "d-2".into());
     }
--- a/crates/relay/tests/planner.rs
+++ b/crates/relay/tests/planner.rs
@@ -470,29 +470,34 @@
     Lease::new(vm.into(), ids::Incarnation::new(1), HANDOVER)
 }
 
+/// The store's era, where it does not change.
+const ERA: ids::Era = ids::Era::new(0);
+
 /// The lease row in a simulated store.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Row {
+    era: u64,
     version: u64,
-    row: Option<store::table::Row>,
+    current: Option<store::table::Row>,
 }
 
 impl Row {
     fn write(&mut self, write: &store::table::Write) -> Written {
-        let version = self.row.as_ref().map(|row| row.version);
+        let version = self.current.as_ref().map(|row| row.version);
+        let era = ids::Era::new(self.era);
         if write.expect != version {
-            return Written::Conflict(self.row.clone());
+            return Written::Conflict { row: self.current.clone(), era };
         }
         self.version += 1;
         let version = ids::Version::new(self.version);
         let value = write.value.clone().expect("a value");
-        self.row =
+        self.current =
             Some(store::table::Row { key: std::sync::Arc::clone(&write.key), version, value });
-        Written::Done { version, clock_ms: 0 }
+        Written::Done { revision: ids::Revision::new(era, version), clock_ms: 0 }
     }
 
     fn holder(&self) -> Holder {
-        serde_json::from_str(&self.row.as_ref().expect("a row").value).expect("a holder")
+        serde_json::from_str(&self.current.as_ref().expect("a row").value).expect("a holder")
     }
 }
 
@@ -515,12 +520,12 @@
     let (mut first, mut second) = (lease("vm-1"), lease("vm-2"));
     let mut row = Row::default();
     let at = |millis| ids::Time::from_millis(10_000 + millis);
-    first.observe(at(0), None, 0);
+    first.observe(at(0), None, ERA, 0);
     assert!(attempt(&mut first, &mut row, at(0), 1, true));
     assert!(first.may_order(at(0)).is_some(), "nobody was before it");
     assert!(first.may_order(at(1_490)).is_some());
     assert!(first.may_order(at(1_510)).is_none(), "it has not renewed");
-    second.observe(at(100), row.row.as_ref(), 0);
+    second.observe(at(100), row.current.as_ref(), ERA, 0);
     assert!(!attempt(&mut second, &mut row, at(1_900), 2, true));
     assert!(attempt(&mut second, &mut row, at(2_200), 2, true));
     assert!(row.holder().fence > ids::Fence::new(1));
@@ -538,11 +543,11 @@
     let (mut first, mut second) = (lease("vm-1"), lease("vm-2"));
     let mut row = Row::default();
     let at = |millis| ids::Time::from_millis(10_000 + millis);
-    first.observe(at(0), None, 0);
+    first.observe(at(0), None, ERA, 0);
     attempt(&mut first, &mut row, at(0), 1, true);
-    second.observe(at(0), row.row.as_ref(), 0);
+    second.observe(at(0), row.current.as_ref(), ERA, 0);
     assert!(attempt(&mut second, &mut row, at(2_100), 2, false), "the answer is lost");
-    second.observe(at(2_200), row.row.as_ref(), 0);
+    second.observe(at(2_200), row.current.as_ref(), ERA, 0);
     let mut now = 2_200;
     while second.may_order(at(now)).is_none() && now < 9_000 {
         now += 20;
@@ -557,15 +562,15 @@
     let (mut first, mut second) = (lease("vm-1"), lease("vm-2"));
     let mut row = Row::default();
     let at = |millis| ids::Time::from_millis(10_000 + millis);
-    first.observe(at(0), None, 0);
+    first.observe(at(0), None, ERA, 0);
     attempt(&mut first, &mut row, at(0), 1, true);
-    second.observe(at(0), row.row.as_ref(), 0);
+    second.observe(at(0), row.current.as_ref(), ERA, 0);
     for now in (taken..=killed).step_by(20) {
         attempt(&mut second, &mut row, at(now), now, true);
     }
     assert_eq!(row.holder().vm.as_str(), "vm-2");
     let mut restarted = Lease::new("vm-2".into(), ids::Incarnation::new(2), HANDOVER);
-    restarted.observe(at(killed), row.row.as_ref(), 0);
+    restarted.observe(at(killed), row.current.as_ref(), ERA, 0);
     let mut now = killed;
     while restarted.may_order(at(now)).is_none() && now < 30_000 {
         now += 20;
@@ -591,9 +596,9 @@
     let mut row = Row::default();
     let now = ids::Time::from_millis(10_000);
     let mut first = lease("vm-1");
-    first.observe(now, None, 0);
+    first.observe(now, None, ERA, 0);
     attempt(&mut first, &mut row, now, 1, true);
-    other.observe(now, row.row.as_ref(), 0);
+    other.observe(now, row.current.as_ref(), ERA, 0);
     let later = now + time::Duration::from_secs(20);
     assert!(other.tick(later, true, 0, lease::Saved::default, || ids::Op::new(2)).is_none());
     assert!(other.tick(later, false, 0, lease::Saved::default, || ids::Op::new(2)).is_some());
@@ -608,7 +613,7 @@
         version: ids::Version::new(70),
         value: "nonsense".into(),
     };
-    assert!(!own.observe(now, Some(&row), 0), "it is told");
+    assert!(!own.observe(now, Some(&row), ERA, 0), "it is told");
     let (_, write) =
         own.tick(now, false, 0, lease::Saved::default, || ids::Op::new(1)).expect("a write");
     assert_eq!(write.expect, Some(ids::Version::new(70)));
--- a/crates/relay/tests/speed.rs
+++ b/crates/relay/tests/speed.rs
@@ -8,7 +8,7 @@
 
 use fleet::Fleet;
 use rand::SeedableRng as _;
-use relay::{Input, choice, input, peer, speed, target};
+use relay::{Input, choice, era, input, peer, speed, target};
 use world::{World, change, configuration, draft, runner};
 
 fn at(millis: u64) -> ids::Time {
@@ -28,7 +28,7 @@
     let mut table = target::Table::default();
     for number in 0..count {
         let entry = target::Entry { slots: 64, ..runner(name(number).as_str(), &["alpha"]) };
-        table.apply(at(0), &change(1, entry));
+        table.apply(at(0), &era::Table::default(), &change(1, entry));
     }
     table
 }
@@ -105,7 +105,7 @@
     feed(&mut speeds, &mut targets, 0..8_000, 0, |number, _| if number == 0 { 0.6 } else { 1.43 });
     assert!((step_ratio(&targets, 0) - 0.6).abs() < 0.05, "{}", step_ratio(&targets, 0));
     let entry = target::Entry { born: 2, slots: 64, ..runner("r-00", &["alpha"]) };
-    targets.apply(at(8_000), &change(2, entry));
+    targets.apply(at(8_000), &era::Table::default(), &change(2, entry));
     refresh(&mut speeds, &mut targets, 8_000);
     assert!((step_ratio(&targets, 0) - 1.43).abs() < 0.05, "{}", step_ratio(&targets, 0));
 }
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -5,7 +5,7 @@
 
 use std::{collections, sync, time};
 
-use relay::{Input, Output, Relay, Settings, config, envelope, input, output, target};
+use relay::{Input, Output, Relay, Settings, config, envelope, input, membership, output, target};
 
 /// Rate of the account `mayors` in units per second, and its burst in units.
 pub const RATE: f64 = 10_000.0;
@@ -41,7 +41,14 @@
 
 /// The membership as read from the store at its first version.
 pub fn members(members: Vec<member::Member>) -> Input {
-    Input::Members { version: ids::Version::new(1), members }
+    members_at(1, members)
+}
+
+/// The membership as read from the store, all rows written at `revision`.
+pub fn members_at(revision: impl Into<ids::Revision>, members: Vec<member::Member>) -> Input {
+    let revision = revision.into();
+    let row = |member| membership::Row { member, revision };
+    Input::Members { revision, rows: members.into_iter().map(row).collect() }
 }
 
 /// A read of each table of the store, without changes.
@@ -49,15 +56,15 @@
     [input::Table::Config, input::Table::Targets, input::Table::Members].map(Input::Read)
 }
 
-/// A change to a target's entry at a store version.
-pub fn change(version: u64, entry: target::Entry) -> target::Change {
+/// A change to a target's entry at a store revision.
+pub fn change(revision: impl Into<ids::Revision>, entry: target::Entry) -> target::Change {
     let target = entry.target.clone();
-    target::Change { target, version: ids::Version::new(version), entry: Some(entry) }
+    target::Change { target, revision: revision.into(), entry: Some(entry) }
 }
 
-/// The removal of a target's entry at a store version.
-pub fn removal(version: u64, target: &str) -> target::Change {
-    target::Change { target: target.into(), version: ids::Version::new(version), entry: None }
+/// The removal of a target's entry at a store revision.
+pub fn removal(revision: impl Into<ids::Revision>, target: &str) -> target::Change {
+    target::Change { target: target.into(), revision: revision.into(), entry: None }
 }
 
 pub fn route(name: &str, repeat: config::Repeat, service: &str) -> config::Route {
@@ -210,15 +217,19 @@
 
     pub fn targets(&mut self, entries: Vec<target::Entry>) -> Seen {
         self.version += 1;
-        let version = ids::Version::new(self.version);
+        let revision = ids::Revision::from(self.version);
         let changes = entries.into_iter().map(|entry| change(self.version, entry)).collect();
-        self.step([Input::Targets(input::Targets { is_full: true, version, changes })])
+        self.step([Input::Targets(input::Targets { is_full: true, revision, changes })])
     }
 
     /// Delivers changes read from the store.
-    pub fn changes(&mut self, version: u64, changes: Vec<target::Change>) -> Seen {
-        let version = ids::Version::new(version);
-        self.step([Input::Targets(input::Targets { is_full: false, version, changes })])
+    pub fn changes(
+        &mut self,
+        revision: impl Into<ids::Revision>,
+        changes: Vec<target::Change>,
+    ) -> Seen {
+        let revision = revision.into();
+        self.step([Input::Targets(input::Targets { is_full: false, revision, changes })])
     }
 
     pub fn step(&mut self, inputs: impl IntoIterator<Item = Input>) -> Seen {
@@ -283,7 +294,8 @@
     /// Makes this VM the planner by granting its lease writes.
     pub fn lead(&mut self) -> Seen {
         let alone = members(vec![Self::member()]);
-        let mut seen = self.step([alone, Input::Lease { row: None, clock_ms: 0 }]);
+        let mut seen =
+            self.step([alone, Input::Lease { row: None, era: ids::Era::default(), clock_ms: 0 }]);
         seen.extend(self.wait(20));
         self.grant(&seen);
         seen
@@ -297,7 +309,7 @@
     pub fn grant(&mut self, seen: &Seen) {
         for (op, _) in &seen.writes {
             let result = Ok(input::Written::Done {
-                version: ids::Version::new(1_000 + op.get()),
+                revision: ids::Revision::from(1_000 + op.get()),
                 clock_ms: 0,
             });
             self.step([Input::Written { op: *op, result }]);
