--- a/crates/relay/tests/eras.rs
+++ b/crates/relay/tests/eras.rs
@@ -296,6 +296,36 @@
     }
 }
 
+/// Guards against fleets that take long to agree with the store, or ask it for more than its rates
+/// allow, when it is back.
+#[test]
+fn a_fleet_agrees_with_the_store_soon_and_within_its_rates() {
+    // The store's reads and writes a second, as the users' sites have them.
+    for (size, reads, writes) in [(5, 2_000, 400), (60, 6_000, 1_200), (330, 16_000, 3_200)] {
+        let mut site = Site::with_vms(size);
+        site.drill(|_| {});
+        site.alive.push(desk("d-new"));
+        site.fleet.change(desk("d-new"));
+        site.fleet.configure(config(2));
+        site.fleet.traffic = fleet::Traffic::default();
+        let mut elapsed_ms = 0;
+        while !site.outdated(2).is_empty() && elapsed_ms < 10_000 {
+            site.run(20);
+            elapsed_ms += 20;
+        }
+        assert!(elapsed_ms <= AGREE_MS, "{size} VMs: {elapsed_ms} ms");
+        site.run(AGREE_MS - elapsed_ms);
+        let calls = std::mem::take(&mut site.fleet.traffic.store_calls);
+        let written = calls.get("writes").copied().unwrap_or_default();
+        let read = calls.values().sum::<u64>() - written;
+        println!("{size} VMs: {elapsed_ms} ms, {read} reads, {written} writes in 2 s");
+        // In the worst case all within one second.
+        assert!(read <= reads && written <= writes, "{size} VMs: {calls:?}");
+        let in_use = site.targets_in_use(1_000);
+        assert!(in_use.contains(&"d-new".to_owned()), "{size} VMs: {in_use:?}");
+    }
+}
+
 /// Guards against drains that end, or are back, because of the copy.
 #[test]
 fn the_copy_changes_nothing_about_drains() {
