Part the requests to the store from what follows its tables

The connection, the writer and the era are a module of their own now; nothing changes but one line: a VM that learns the era as it starts does not keep missing targets for 2.5 s.

--- a/crates/daemon/src/relay/effect.rs
+++ b/crates/daemon/src/relay/effect.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     peer,
-    relay::{calls, exchange, front, inbox, metric, pool, rows},
+    relay::{calls, connection, exchange, front, inbox, metric, pool, rows},
 };
 
 /// Timeout for a runner's answer to an order, which normally takes some ms. If
@@ -33,9 +33,9 @@
     /// Selects which tables of the store are followed.
     pub subscriptions: rows::Subscriptions,
     /// Writes to the store.
-    pub writer: rows::Writer,
+    pub writer: connection::Writer,
     /// The store's era.
-    pub era: rows::Era,
+    pub era: connection::Era,
     /// Readiness that the balancer sees.
     pub ready: watch::Sender<bool>,
     /// Stage of a planned stop.
--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -9,13 +9,14 @@
 //! * [`exchange`] makes one attempt at a target, over a connection of the [`pool`];
 //! * [`withhold`] keeps what has not been sent from targets that are drained;
 //! * [`pump`] forwards a stream of [`events`] to its caller;
-//! * [`rows`] follows the store's tables and writes to them;
+//! * [`rows`] follows the store's tables, [`connection`] sends requests to the store;
 //! * [`effect`] carries out the outputs of the core;
 //! * [`side`] serves readiness to the balancer, and metrics;
 //! * [`process`] starts these tasks and stops them gracefully.
 
 pub mod body;
 pub mod calls;
+pub mod connection;
 pub mod driver;
 pub mod effect;
 pub mod events;
--- a/crates/daemon/src/relay/process.rs
+++ b/crates/daemon/src/relay/process.rs
@@ -8,7 +8,7 @@
 use crate::{
     error, log, peer,
     process::{incarnation, listen},
-    relay::{calls, driver, effect, front, inbox, metric, pool, rows, settings, side},
+    relay::{calls, connection, driver, effect, front, inbox, metric, pool, rows, settings, side},
 };
 
 /// Longest time for which a caller may read nothing of its answer, in ms: longer
@@ -61,7 +61,7 @@
     let (stopped, mut has_stopped) = watch::channel(false);
     let (limits, current_limits) = watch::channel(config::Limits::default());
     let address: sync::Arc<str> = settings.store.address.to_string().into();
-    let era = rows::Era::new(&inbox);
+    let era = connection::Era::new(&inbox);
     let calls = calls::Table::default();
     let pool = pool::Pool::default();
     let connections = front::Connections::default();
@@ -77,7 +77,7 @@
         pool: pool.clone(),
         links: peer::Links::new(identity),
         subscriptions: rows::start(&address, &era, &inbox),
-        writer: rows::Writer::new(&address, &era),
+        writer: connection::Writer::new(&address, &era),
         era,
         ready,
         stop: stop.clone(),
--- a/crates/daemon/src/relay/rows.rs
+++ b/crates/daemon/src/relay/rows.rs
@@ -1,22 +1,17 @@
-//! Client of the store: follows its tables and writes to them.
+//! Follows the tables of the store.
 
 use std::{collections, sync, time};
 
-use http_body_util::{BodyExt as _, Full, Limited};
 use relay::{Input, input, membership, target};
-use tokio::sync::{Mutex, watch};
+use tokio::sync::watch;
 
-use crate::relay::{inbox, metric, pool};
+use crate::relay::{connection, inbox};
 
 /// How long the store is asked to hold a long poll for urgent changes. No answer
-/// within this time plus [`ANSWER_TIMEOUT`] means that the connection is dead.
+/// within this time plus [`connection::ANSWER_TIMEOUT`] means that the connection is dead.
 const LONG_POLL_WAIT: time::Duration = time::Duration::from_secs(1);
 /// How long the store is asked to hold a long poll for changes of the VMs' rows.
 const MEMBERS_LONG_POLL_WAIT: time::Duration = time::Duration::from_secs(8);
-/// Timeout for an answer of the store, in addition to the time of a long poll.
-const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
-/// Timeout for connecting to the store.
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 /// Minimum interval between two polls of the targets, and between a change and the next poll.
 /// A target that leaves, like a new configuration, must be known within two seconds.
 const TARGETS_POLL_INTERVAL: time::Duration = time::Duration::from_millis(400);
@@ -29,174 +24,8 @@
     time::Duration::from_millis(100)..=time::Duration::from_millis(800);
 /// The store counts as unavailable once polls have failed without a success for this long.
 const STORE_DOWN_AFTER: time::Duration = time::Duration::from_millis(1_500);
-/// Largest accepted answer of the store, in bytes; a page has at most 1 MB.
-const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
-type Result<T, E = String> = std::result::Result<T, E>;
-
-/// The store's era as far as this process knows: the highest that an answer or another VM has
-/// stated. Clones share it.
-#[derive(Clone, Debug)]
-pub struct Era {
-    current: sync::Arc<watch::Sender<ids::Era>>,
-    inbox: inbox::Inbox,
-}
-
-impl Era {
-    /// Creates the first era.
-    #[must_use]
-    pub fn new(inbox: &inbox::Inbox) -> Self {
-        Self { current: sync::Arc::new(watch::Sender::default()), inbox: inbox.clone() }
-    }
-
-    /// Begins an era that another VM has stated, unless a later one is known.
-    pub fn learn(&self, era: ids::Era) {
-        let _is_later = self.raise(era);
-    }
-
-    /// Begins an era, unless it or a later one is known. Returns whether it did.
-    fn raise(&self, era: ids::Era) -> bool {
-        self.current.send_if_modified(|current| {
-            let is_later = *current < era;
-            *current = era.max(*current);
-            is_later
-        })
-    }
-
-    fn get(&self) -> ids::Era {
-        *self.current.borrow()
-    }
-
-    /// Waits until `era` has ended.
-    async fn ended(&self, era: ids::Era) {
-        let mut current = self.current.subscribe();
-        // The sender lives as long as this.
-        drop(current.wait_for(|current| *current > era).await);
-    }
-
-    /// Returns the era of an answer with these headers.
-    fn of_answer(&self, headers: &http::HeaderMap) -> Result<ids::Era> {
-        let stated = platform::rows::decode_era(headers).unwrap_or_else(|fault| {
-            tracing::warn!(step = "store", %fault, "ignoring the era of an answer");
-            None
-        });
-        let current = self.get();
-        let era = stated.unwrap_or(current);
-        if self.raise(era) {
-            self.inbox.send(Input::Era(era));
-        } else if era < current {
-            return Err(format!("late answer of era {era}, which has ended; now it is {current}"));
-        }
-        Ok(era)
-    }
-}
-
-/// An answer of the store.
-#[derive(Debug)]
-struct Answer {
-    status: u16,
-    era: ids::Era,
-    body: bytes::Bytes,
-}
-
-/// One keep-alive connection to the store, opened on demand.
-#[derive(Debug)]
-struct Connection {
-    address: sync::Arc<str>,
-    sender: Option<pool::Sender>,
-    /// Table that the requests concern, for metrics.
-    table: &'static str,
-    era: Era,
-}
-
-impl Connection {
-    fn new(address: &sync::Arc<str>, table: &'static str, era: &Era) -> Self {
-        Self { address: sync::Arc::clone(address), sender: None, table, era: era.clone() }
-    }
-
-    /// Sends a request and returns the answer. After a failure, the next request
-    /// opens a new connection.
-    async fn request(
-        &mut self,
-        method: http::Method,
-        path: &str,
-        body: Vec<u8>,
-        timeout: time::Duration,
-    ) -> Result<Answer> {
-        let Some(mut sender) = self.sender().await? else {
-            return Err("the store closed the connection".to_owned());
-        };
-        let kind = if method == http::Method::GET { "read" } else { "write" };
-        metric::record_store_request(self.table, kind);
-        let request = http::Request::builder()
-            .method(method)
-            .uri(path)
-            .header(http::header::HOST, &*self.address)
-            .header(http::header::CONTENT_TYPE, "application/json")
-            .body(Full::new(body.into()))
-            .map_err(|cause| cause.to_string())?;
-        let exchange = async {
-            let response = sender.send_request(request).await.map_err(|cause| cause.to_string())?;
-            let status = response.status().as_u16();
-            let era = self.era.of_answer(response.headers())?;
-            let whole = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
-            let body = whole.map_err(|cause| cause.to_string())?.to_bytes();
-            Ok(Answer { status, era, body })
-        };
-        let answer: Result<_> = tokio::time::timeout(timeout, exchange)
-            .await
-            .unwrap_or_else(|_elapsed| Err(format!("no answer within {timeout:?}")));
-        let answer = answer?;
-        self.sender = Some(sender);
-        Ok(answer)
-    }
-
-    /// Takes the open connection, or opens a new one.
-    async fn sender(&mut self) -> Result<Option<pool::Sender>> {
-        if let Some(mut sender) = self.sender.take()
-            && !sender.is_closed()
-            && sender.ready().await.is_ok()
-        {
-            return Ok(Some(sender));
-        }
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, pool::connect(&self.address)).await;
-        let mut sender = connecting.map_err(|_elapsed| "connecting timed out".to_owned())??;
-        Ok(sender.ready().await.is_ok().then_some(sender))
-    }
-}
-
-/// Writes to the store, one change at a time over one connection.
-#[derive(Clone, Debug)]
-pub struct Writer {
-    connection: sync::Arc<Mutex<Connection>>,
-}
-
-impl Writer {
-    /// Creates a writer to the store at `address`, without connecting yet.
-    #[must_use]
-    pub fn new(address: &sync::Arc<str>, era: &Era) -> Self {
-        let connection = Connection::new(address, "transaction", era);
-        Self { connection: sync::Arc::new(Mutex::new(connection)) }
-    }
-
-    /// Writes one row.
-    ///
-    /// # Errors
-    ///
-    /// [`store::Fault`] if the store refused the write, or if its result is unknown.
-    pub async fn write(&self, write: &store::table::Write) -> store::Result<input::Written> {
-        let body = platform::rows::transaction_body(write);
-        let mut connection = self.connection.lock().await;
-        let answer = connection
-            .request(http::Method::POST, platform::rows::TRANSACTION_PATH, body, ANSWER_TIMEOUT)
-            .await;
-        drop(connection);
-        let Answer { status, era, body } = answer.map_err(|reason| {
-            store::Fault::new("write", &write.key, store::Kind::Unknown, &reason)
-        })?;
-        platform::rows::decode_written(&write.key, era, status, &body)
-    }
-}
+type Result<T> = connection::Result<T>;
 
 /// Follows one table of the store.
 trait Follow: Send {
@@ -264,7 +93,7 @@
 /// Spawns a task that follows a table while `enabled`.
 fn spawn<F: Follow + 'static>(
     follower: F,
-    connection: Connection,
+    connection: connection::Connection,
     inbox: &inbox::Inbox,
     enabled: watch::Receiver<bool>,
 ) {
@@ -274,7 +103,7 @@
 
 async fn follow<F: Follow>(
     mut follower: F,
-    mut connection: Connection,
+    mut connection: connection::Connection,
     mut availability: Availability,
     mut enabled: watch::Receiver<bool>,
 ) {
@@ -351,14 +180,18 @@
 }
 
 /// Reads a whole table and joins its pages into one.
-async fn read_table(connection: &mut Connection, table: &str) -> Result<platform::rows::Page> {
+async fn read_table(
+    connection: &mut connection::Connection,
+    table: &str,
+) -> Result<platform::rows::Page> {
     let mut whole: Option<platform::rows::Page> = None;
     loop {
         let last = whole.as_ref().and_then(|page| page.rows.last());
         let after = last.map(|row| sync::Arc::clone(&row.key));
         let path = platform::rows::read_path(table, after.as_deref());
-        let Answer { status, era, body } =
-            connection.request(http::Method::GET, &path, Vec::new(), ANSWER_TIMEOUT).await?;
+        let connection::Answer { status, era, body } = connection
+            .request(http::Method::GET, &path, Vec::new(), connection::ANSWER_TIMEOUT)
+            .await?;
         if status != http::StatusCode::OK {
             return Err(format!("status {status}"));
         }
@@ -384,14 +217,15 @@
 
 /// Polls for changes of a table after `known`. Returns `None` if the store does not have them.
 async fn poll(
-    connection: &mut Connection,
+    connection: &mut connection::Connection,
     table: &str,
     known: ids::Revision,
     wait: time::Duration,
 ) -> Result<Option<platform::rows::Page>> {
     let path = platform::rows::watch_path(table, known.version(), wait);
-    let Answer { status, era, body } =
-        connection.request(http::Method::GET, &path, Vec::new(), wait + ANSWER_TIMEOUT).await?;
+    let connection::Answer { status, era, body } = connection
+        .request(http::Method::GET, &path, Vec::new(), wait + connection::ANSWER_TIMEOUT)
+        .await?;
     if status == platform::rows::HISTORY_EXPIRED_STATUS {
         return Ok(None);
     }
@@ -605,7 +439,11 @@
 
 /// Spawns a task for each table, which follows it while its subscription is enabled.
 #[must_use]
-pub fn start(address: &sync::Arc<str>, era: &Era, inbox: &inbox::Inbox) -> Subscriptions {
+pub fn start(
+    address: &sync::Arc<str>,
+    era: &connection::Era,
+    inbox: &inbox::Inbox,
+) -> Subscriptions {
     let (reader, reader_enabled) = watch::channel(true);
     let (watches_lease, lease_enabled) = watch::channel(true);
     let (watches_members, members_enabled) = watch::channel(true);
@@ -615,7 +453,7 @@
     let targets = Targets { inbox: inbox.clone() };
     let lease = Lease { inbox: inbox.clone() };
     let members = Members { inbox: inbox.clone(), rows };
-    let connection = |table| Connection::new(address, table, era);
+    let connection = |table| connection::Connection::new(address, table, era);
     spawn(config, connection(Config::TABLE), inbox, reader_enabled.clone());
     spawn(targets, connection(Targets::TABLE), inbox, reader_enabled);
     spawn(lease, connection(Lease::TABLE), inbox, lease_enabled);
--- a/crates/relay/src/system/era.rs
+++ b/crates/relay/src/system/era.rs
@@ -1,11 +1,13 @@
 //! What a VM does when the store has come back from a copy: everything that it knows of the
 //! store stays in force until the new era shows something newer.
 
-use crate::{Output, event, relay::Relay, system::replication};
+use std::time;
+
+use crate::{Output, event, peer, relay::Relay, system::replication};
 
 /// Delay per rank until a VM writes its row again, so that the rows of a large fleet stay below
 /// the rate of the store.
-const ROW_DELAY_PER_RANK: std::time::Duration = std::time::Duration::from_millis(5);
+const ROW_DELAY_PER_RANK: time::Duration = time::Duration::from_millis(5);
 
 /// Begins an era that an answer of the store, or another VM, has stated.
 pub(crate) fn raise(
@@ -27,8 +29,10 @@
     // What was read before may be gone, so it is no read of the present.
     relay.reads = replication::Reads::default();
     relay.lease.begin_era(now, era);
-    relay.targets.store_recovered(now);
-    let precedes = |row: &&crate::peer::Row| row.member.vm < relay.settings.vm;
+    if known_before {
+        relay.targets.store_recovered(now);
+    }
+    let precedes = |row: &&peer::Row| row.member.vm < relay.settings.vm;
     let rank = u32::try_from(relay.peers.iter().filter(precedes).count()).unwrap_or(u32::MAX);
     relay.row_due = known_before.then(|| now + ROW_DELAY_PER_RANK.saturating_mul(rank));
 }
