--- a/crates/daemon/src/relay/effect.rs
+++ b/crates/daemon/src/relay/effect.rs
@@ -7,7 +7,7 @@
 use tokio::sync::watch;
 
 use crate::{
-    peer,
+    clock, peer,
     relay::{calls, connection, exchange, front, inbox, metric, pool, rows},
 };
 
@@ -118,6 +118,7 @@
             inbox.send(Input::Ordered { op, reply: relay::input::Reply::Conflict });
             return;
         }
+        let began = clock::now();
         tokio::spawn(async move {
             let (name, target) = platform::order::target_header(&order);
             let request = http::Request::builder()
@@ -135,13 +136,25 @@
                 }
                 Err(cause) => Err(cause.to_string()),
             };
+            let took = clock::now().since(began);
             let reply = match answer {
-                Ok((status, _body)) => platform::order::decode_reply(status.as_u16()),
+                Ok((status, _body)) => {
+                    tracing::info!(
+                        step = "order",
+                        id = "",
+                        peer = %order.target,
+                        outcome = "answered",
+                        inputs = format!("status {status} fence {} took {took:?}", order.fence),
+                    );
+                    platform::order::decode_reply(status.as_u16())
+                }
                 Err(reason) => {
                     tracing::warn!(
                         step = "order",
                         peer = %order.target,
                         reason,
+                        fence = order.fence.get(),
+                        ?took,
                         "no answer to the order; its result is unknown"
                     );
                     relay::input::Reply::Unknown
--- a/crates/relay/src/lease.rs
+++ b/crates/relay/src/lease.rs
@@ -176,6 +176,18 @@
         (self.is_own(holder) && now < self.held_until).then_some(holder.fence)
     }
 
+    /// The holder in the last observed row, valid or not, for the log.
+    #[must_use]
+    pub fn observed_holder(&self) -> Option<&Holder> {
+        self.seen.as_ref()?.holder.as_ref()
+    }
+
+    /// How long this VM has to wait before it may send orders, for the log.
+    #[must_use]
+    pub fn wait(&self, now: ids::Time) -> time::Duration {
+        self.orders_from.since(now)
+    }
+
     /// The fencing token if this VM may send orders now.
     #[must_use]
     pub fn may_order(&self, now: ids::Time) -> Option<ids::Fence> {
@@ -323,10 +335,9 @@
             }
             Err(_unknown) => return false,
         };
+        let is_new_holder = self.fence(now).is_none();
         self.next_try = pending.sent + RENEWAL_INTERVAL;
         self.held_until = pending.sent + ORDER_PERIOD;
-        let previous = self.seen.as_ref().and_then(|seen| seen.holder.as_ref());
-        let is_new_holder = previous.is_none_or(|holder| !self.is_own(holder));
         self.become_holder();
         self.was_last_holder = false;
         self.seen = Some(Seen { revision, holder: Some(pending.holder), since: now });
