--- a/crates/proofs/src/link.rs
+++ b/crates/proofs/src/link.rs
@@ -1,12 +1,13 @@
 //! TCP proxies that can cut a direction, delay data and reset connections.
 //!
 //! A cut holds bytes back instead of dropping them, like TCP over a network that
-//! loses packets: data sent during the cut arrives after the link is restored.
+//! loses packets: data sent during the cut arrives after the link is restored, unless the
+//! sender resets its connection before.
 
 use std::{net, time};
 
 use tokio::{
-    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    io::{AsyncReadExt as _, AsyncWriteExt as _, Interest},
     net::{TcpListener, TcpStream, tcp},
     sync::watch,
     task,
@@ -26,6 +27,10 @@
     backward_open: watch::Sender<bool>,
     delay: watch::Sender<time::Duration>,
     resets: watch::Sender<u64>,
+    /// Number of connections so far.
+    accepted: watch::Sender<u64>,
+    /// Connections with a lower number are held.
+    held_below: watch::Sender<u64>,
     task: task::JoinHandle<()>,
 }
 
@@ -37,6 +42,8 @@
     backward_open: watch::Receiver<bool>,
     delay: watch::Receiver<time::Duration>,
     resets: watch::Receiver<u64>,
+    held_below: watch::Receiver<u64>,
+    number: u64,
 }
 
 impl Link {
@@ -54,15 +61,29 @@
         let (backward_open, watch_backward) = watch::channel(true);
         let (delay, watch_delay) = watch::channel(time::Duration::ZERO);
         let (resets, watch_resets) = watch::channel(0);
+        let (held_below, watch_held) = watch::channel(0);
+        let accepted = watch::Sender::new(0);
         let state = State {
             target: watch_target,
             forward_open: watch_forward,
             backward_open: watch_backward,
             delay: watch_delay,
             resets: watch_resets,
+            held_below: watch_held,
+            number: 0,
         };
-        let task = tokio::spawn(accept(listener, state));
-        Ok(Self { address, target, forward_open, backward_open, delay, resets, task })
+        let task = tokio::spawn(accept(listener, state, accepted.clone()));
+        Ok(Self {
+            address,
+            target,
+            forward_open,
+            backward_open,
+            delay,
+            resets,
+            accepted,
+            held_below,
+            task,
+        })
     }
 
     /// Address on which the link accepts connections.
@@ -87,6 +108,14 @@
         self.backward_open.send_replace(false);
     }
 
+    /// Holds the bytes of the connections made so far; those of later ones pass.
+    pub fn hold_established(&self) {
+        let accepted = *self.accepted.borrow();
+        self.held_below.send_replace(accepted);
+        self.forward_open.send_replace(true);
+        self.backward_open.send_replace(true);
+    }
+
     /// Delays each read of data by `delay` in both directions.
     pub fn delay(&self, delay: time::Duration) {
         self.delay.send_replace(delay);
@@ -100,6 +129,7 @@
     /// Restores both directions and removes the delay.
     pub fn heal(&self) {
         self.delay(time::Duration::ZERO);
+        self.held_below.send_replace(0);
         self.forward_open.send_replace(true);
         self.backward_open.send_replace(true);
     }
@@ -111,9 +141,11 @@
     }
 }
 
-async fn accept(listener: TcpListener, state: State) {
+async fn accept(listener: TcpListener, state: State, accepted: watch::Sender<u64>) {
     while let Ok((near, _from)) = listener.accept().await {
-        tokio::spawn(connect(near, state.clone()));
+        let number = *accepted.borrow();
+        accepted.send_replace(number + 1);
+        tokio::spawn(connect(near, State { number, ..state.clone() }));
     }
 }
 
@@ -132,13 +164,16 @@
     let copying = async {
         let (near_read, near_write) = near.split();
         let (far_read, far_write) = far.split();
-        tokio::join!(
-            forward(near_read, far_write, state.forward_open, state.delay.clone()),
-            forward(far_read, near_write, state.backward_open, state.delay),
+        let forward_gate = Gate::new(state.forward_open, state.held_below.clone(), state.number);
+        let backward_gate = Gate::new(state.backward_open, state.held_below, state.number);
+        let copied = tokio::try_join!(
+            forward(near_read, far_write, forward_gate, state.delay.clone()),
+            forward(far_read, near_write, backward_gate, state.delay),
         );
+        copied.is_err()
     };
     let is_reset = tokio::select! {
-        () = copying => false,
+        is_reset = copying => is_reset,
         changed = state.resets.changed() => changed.is_ok(),
     };
     if is_reset {
@@ -152,27 +187,67 @@
     }
 }
 
-/// Copies bytes while the direction is open, until the connection ends.
+/// Whether bytes of one direction of a connection pass.
+struct Gate {
+    open: watch::Receiver<bool>,
+    held_below: watch::Receiver<u64>,
+    number: u64,
+}
+
+impl Gate {
+    const fn new(
+        open: watch::Receiver<bool>,
+        held_below: watch::Receiver<u64>,
+        number: u64,
+    ) -> Self {
+        Self { open, held_below, number }
+    }
+
+    /// Waits until bytes pass. Returns false if the link has ended.
+    async fn passes(&mut self) -> bool {
+        let number = self.number;
+        loop {
+            let is_open = self.open.wait_for(|open| *open).await.is_ok();
+            if !is_open || self.held_below.wait_for(|below| *below <= number).await.is_err() {
+                return false;
+            }
+            if *self.open.borrow() {
+                return true;
+            }
+        }
+    }
+}
+
+/// The sender reset its connection while its bytes were held.
+struct Reset;
+
+/// Copies bytes while they pass, until the connection ends.
 async fn forward(
     mut from: tcp::ReadHalf<'_>,
     mut to: tcp::WriteHalf<'_>,
-    mut open: watch::Receiver<bool>,
+    mut gate: Gate,
     delay: watch::Receiver<time::Duration>,
-) {
+) -> Result<(), Reset> {
     let mut buffer = vec![0; BUFFER_BYTES];
     while let Ok(length) = from.read(&mut buffer).await {
         let wait = *delay.borrow();
         if !wait.is_zero() {
             tokio::time::sleep(wait).await;
         }
-        if open.wait_for(|open| *open).await.is_err() || length == 0 {
+        let passes = tokio::select! {
+            biased;
+            passes = gate.passes() => passes,
+            _reset = from.ready(Interest::ERROR) => return Err(Reset),
+        };
+        if !passes || length == 0 {
             break;
         }
         if to.write_all(&buffer[..length]).await.is_err() {
-            return;
+            return Ok(());
         }
     }
     // Closes only this direction, since the other one may still carry data. The peer may have
     // closed the connection already, so an error is ignored.
     drop(to.shutdown().await);
+    Ok(())
 }
