Test the lease while the store comes back twice, and VMs that learn of it late

All placements, on a grid, of two drills close to one another, the second from a copy made before or after the first return, with one VM suspended, one cut off from the store and told of the era at once, after 1.2 s or after 3 s, or one write lost or late.

--- a/crates/relay/tests/leases.rs
+++ b/crates/relay/tests/leases.rs
@@ -1,5 +1,5 @@
 //! The planner's lease while the store comes back from a copy: all placements, on a grid, of one
-//! drill, one suspended VM and one lost or late write among two or three VMs.
+//! or two drills, one VM that is suspended or cut off, and one lost or late write among two or three VMs.
 
 use std::{collections, iter, sync, time};
 
@@ -61,11 +61,14 @@
 #[derive(Clone, Debug)]
 struct Play {
     vms: usize,
-    /// When the copy is made, and when the store comes back from it. It is away for
+    /// When the copies are made, and when the store comes back from them. It is away for
     /// [`AWAY_MS`] before that.
-    drill: (u64, u64),
+    drills: Vec<(u64, u64)>,
     /// A VM, and the time in which it is suspended.
     freeze: Option<(usize, std::ops::Range<u64>)>,
+    /// A VM that does not reach the store, and when. The others tell it of an era the given time
+    /// after it has begun.
+    cut: Option<(usize, std::ops::Range<u64>, u64)>,
     /// The first write of a VM from a time on.
     loss: Option<(usize, u64, Loss)>,
     /// Whether the store states its era.
@@ -91,7 +94,7 @@
     };
     let mut leases: Vec<_> = (0..play.vms).map(lease).collect();
     let mut row = Row { era: u64::from(play.states_era), ..Row::default() };
-    let mut copy = row.clone();
+    let mut copies = vec![row.clone(); play.drills.len()];
     let mut loss = play.loss;
     let mut late: Option<(u64, store::table::Write)> = None;
     let mut orders = Vec::new();
@@ -99,14 +102,15 @@
     for at in (0..LENGTH_MS).step_by(usize::try_from(STEP_MS).expect("short")) {
         let now = ids::Time::from_millis(100_000 + at);
         let answered = now + time::Duration::from_millis(ANSWER_MS);
-        let (copied, back) = play.drill;
-        if at == copied {
-            copy = row.clone();
-        }
-        if at == back {
-            row = Row { era: row.era + u64::from(play.states_era), ..copy.clone() };
+        for ((copied, back), copy) in play.drills.iter().zip(&mut copies) {
+            if at == *copied {
+                *copy = row.clone();
+            }
+            if at == *back {
+                row = Row { era: row.era + u64::from(play.states_era), ..copy.clone() };
+            }
         }
-        let is_away = (back - AWAY_MS..back).contains(&at);
+        let is_away = play.drills.iter().any(|(_, back)| (back - AWAY_MS..*back).contains(&at));
         if let Some((_, write)) = late.take_if(|(due, _)| *due <= at && !is_away) {
             row.write(&write);
         }
@@ -120,14 +124,22 @@
             if let Some(fence) = lease.may_order(now) {
                 orders.push(Order { at, vm, fence });
             }
-            if !is_away && lease.fence(now).is_none() {
+            let cut = play.cut.as_ref().filter(|(cut, range, _)| *cut == vm && range.contains(&at));
+            if let Some((_, _, told_after)) = cut {
+                let has_begun = |(_, back): &&(u64, u64)| back + told_after <= at;
+                let told = play.drills.iter().filter(has_begun).count();
+                let told = u64::try_from(told).expect("few");
+                lease.begin_era(now, ids::Era::new(told + u64::from(play.states_era)));
+            }
+            let has_store = !is_away && cut.is_none();
+            if has_store && lease.fence(now).is_none() {
                 lease.begin_era(now, row.era());
                 lease.observe(now, row.current.as_ref(), row.era(), 0);
             }
             op += 1;
             let rank = u32::try_from(vm).expect("few");
             let write = lease.tick(now, false, rank, lease::Saved::default, || ids::Op::new(op));
-            let Some((op, write)) = write.filter(|_| !is_away) else {
+            let Some((op, write)) = write.filter(|_| has_store) else {
                 continue;
             };
             match loss.take_if(|(lossy, from, _)| *lossy == vm && *from <= at) {
@@ -189,8 +201,9 @@
             let losses = losses.clone();
             losses.into_iter().map(move |loss| Play {
                 vms,
-                drill,
+                drills: vec![drill],
                 freeze: freeze.clone(),
+                cut: None,
                 loss,
                 states_era,
             })
@@ -198,6 +211,53 @@
     })
 }
 
+/// Plays with a second drill soon after the first, and one VM that is suspended or cut off from the
+/// store, or one write that is lost or late.
+fn repeated_drills(vms: usize) -> impl Iterator<Item = Play> {
+    let firsts = grid(700, 5_000)
+        .flat_map(|copied| [400, 1_000, 2_600, 5_200].map(|age| (copied, copied + age)));
+    let drills = firsts.flat_map(|(copied, back)| {
+        let seconds = [400, 900, 1_400, 2_300, 5_600].map(|later| back + later);
+        // The second copy is that of the first drill, or one made just after it.
+        seconds.into_iter().flat_map(move |second| {
+            [(copied, second), (back + 100, second)].map(|later| vec![(copied, back), later])
+        })
+    });
+    let calm =
+        Play { vms, drills: Vec::new(), freeze: None, cut: None, loss: None, states_era: true };
+    let times =
+        move || (0..vms.min(2)).flat_map(|vm| grid(0, FAULTS_MS).map(move |from| (vm, from)));
+    let faulty = move |calm: &Play| {
+        let mut plays = vec![calm.clone()];
+        for (vm, from) in times() {
+            for length in [900, 2_500, 5_000] {
+                let range = from..from + length;
+                plays.push(Play { freeze: Some((vm, range.clone())), ..calm.clone() });
+                for told_after in [0, 1_200, 3_000] {
+                    plays.push(Play { cut: Some((vm, range.clone(), told_after)), ..calm.clone() });
+                }
+            }
+            for loss in [Loss::Answer, Loss::Late(900), Loss::Late(3_300)] {
+                plays.push(Play { loss: Some((vm, from, loss)), ..calm.clone() });
+            }
+        }
+        plays
+    };
+    drills.flat_map(move |drills| faulty(&Play { drills, ..calm.clone() }))
+}
+
+/// Guards against a VM that goes on with a lease of before, as it learns of the second of two eras
+/// alone, or of an era after the others.
+#[test]
+fn no_token_is_given_out_twice_when_the_store_comes_back_twice() {
+    for play in [2, 3].into_iter().flat_map(repeated_drills) {
+        let orders = orders(&play);
+        assert_eq!(fault(&orders), None, "{play:?}");
+        let last = orders.last().map(|order| order.at);
+        assert!(last >= Some(LENGTH_MS - 1_000), "nobody plans at the end: {play:?}");
+    }
+}
+
 /// Guards against two planners with one fencing token, a token below an earlier one, and planners
 /// that take turns too soon, because the store has lost who took the lease.
 #[test]
