Reset the connection of an order that is not answered in time

What runners saw: an order under a lower fencing token after those of the next holder.

Cause: a VM gave an order up after 300 ms, but closed its connection in the regular way. The bytes stayed in the socket or on the path, and the kernel goes on sending them after the close, and after the process has ended; they arrived seconds later, when another VM held the lease. Nothing looked at the time again between the decision and the write either, and the timeouts did not count a suspension, as the lease does.

An order now has a time after which it must not arrive. It is checked, on the clock of the lease, immediately before the write; until the answer is read, closing the socket resets the connection, also if the process is killed, and the kernel does not send the bytes again after that time, also if the process is suspended. A connection whose order was answered is kept or closed as before.

What the target's own kernel or a network that ignores resets has taken can still arrive late.

--- a/crates/daemon/src/relay/effect.rs
+++ b/crates/daemon/src/relay/effect.rs
@@ -11,9 +11,6 @@
     relay::{calls, connection, exchange, front, inbox, metric, pool, rows},
 };
 
-/// Timeout for a runner's answer to an order, which normally takes some ms. If
-/// there is no answer, a later report shows whether the order took effect.
-const ORDER_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 /// Timeout for reading a report.
 const REPORT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
@@ -131,7 +128,8 @@
             let answer = match request {
                 Ok(request) => {
                     let notify = notifier(&inbox, &order.target, order.born);
-                    exchange::round_trip(&pool, &order.address, request, ORDER_TIMEOUT, notify)
+                    let expires_at = order.expires_at;
+                    exchange::round_trip_until(&pool, &order.address, request, expires_at, notify)
                         .await
                 }
                 Err(cause) => Err(cause.to_string()),
--- a/crates/daemon/src/relay/exchange.rs
+++ b/crates/daemon/src/relay/exchange.rs
@@ -285,33 +285,63 @@
     address: &sync::Arc<str>,
     request: http::Request<Full<bytes::Bytes>>,
     timeout: time::Duration,
-    mut notify: impl FnMut(pause::Notice),
+    notify: impl FnMut(pause::Notice),
 ) -> Result<(StatusCode, bytes::Bytes), String> {
-    let exchange = async {
-        let mut connection = pool.acquire(address, usize::MAX, true).await?;
-        connection.sender.ready().await.map_err(|cause| cause.to_string())?;
-        let response =
-            connection.sender.send_request(request).await.map_err(|cause| cause.to_string())?;
-        let (head, body) = response.into_parts();
-        if !is_final(head.status) {
-            return Err(format!("the status {} ends no request", head.status.as_u16()));
-        }
-        let answer::Answer { echo, keep_alive, notice, .. } = answer::decode(&head, "");
-        // Only answers to calls carry an id: this one is a late copy of an earlier answer.
-        if echo != answer::Echo::Missing {
-            return Err("the answer belongs to another request".to_owned());
-        }
-        if !notice.is_empty() {
-            notify(notice);
-        }
-        let bytes = read_body(pool, body).await?;
-        // Replies carry no id: a late copy of a refusal would pass for the next reply.
-        if head.status.is_success() {
-            release(pool, connection, keep_alive);
-        }
-        Ok((head.status, bytes))
-    };
-    tokio::time::timeout(timeout, exchange)
+    tokio::time::timeout(timeout, send_internal(pool, address, request, None, notify))
+        .await
+        .unwrap_or_else(|_elapsed| Err(format!("no answer within {timeout:?}")))
+}
+
+/// Sends an internal request as [`round_trip`] does. It does not arrive after `expires_at`,
+/// unless the target's own kernel or the network delays what it has taken.
+///
+/// # Errors
+///
+/// A short reason if there is no complete answer until `expires_at`.
+pub async fn round_trip_until(
+    pool: &pool::Pool,
+    address: &sync::Arc<str>,
+    request: http::Request<Full<bytes::Bytes>>,
+    expires_at: ids::Time,
+    notify: impl FnMut(pause::Notice),
+) -> Result<(StatusCode, bytes::Bytes), String> {
+    let timeout = expires_at.since(clock::now());
+    tokio::time::timeout(timeout, send_internal(pool, address, request, Some(expires_at), notify))
         .await
         .unwrap_or_else(|_elapsed| Err(format!("no answer within {timeout:?}")))
 }
+
+async fn send_internal(
+    pool: &pool::Pool,
+    address: &sync::Arc<str>,
+    request: http::Request<Full<bytes::Bytes>>,
+    expires_at: Option<ids::Time>,
+    mut notify: impl FnMut(pause::Notice),
+) -> Result<(StatusCode, bytes::Bytes), String> {
+    let mut connection = pool.acquire(address, usize::MAX, true).await?;
+    connection.sender.ready().await.map_err(|cause| cause.to_string())?;
+    if let Some(expires_at) = expires_at {
+        connection.sender.expiry.set(expires_at);
+    }
+    let response =
+        connection.sender.send_request(request).await.map_err(|cause| cause.to_string())?;
+    let (head, body) = response.into_parts();
+    if !is_final(head.status) {
+        return Err(format!("the status {} ends no request", head.status.as_u16()));
+    }
+    let answer::Answer { echo, keep_alive, notice, .. } = answer::decode(&head, "");
+    // Only answers to calls carry an id: this one is a late copy of an earlier answer.
+    if echo != answer::Echo::Missing {
+        return Err("the answer belongs to another request".to_owned());
+    }
+    if !notice.is_empty() {
+        notify(notice);
+    }
+    let bytes = read_body(pool, body).await?;
+    connection.sender.expiry.clear();
+    // Replies carry no id: a late copy of a refusal would pass for the next reply.
+    if head.status.is_success() {
+        release(pool, connection, keep_alive);
+    }
+    Ok((head.status, bytes))
+}
--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -21,6 +21,7 @@
 pub mod effect;
 pub mod events;
 pub mod exchange;
+pub mod expiry;
 pub mod front;
 pub mod handler;
 pub mod head;
--- a/crates/daemon/src/relay/pool.rs
+++ b/crates/daemon/src/relay/pool.rs
@@ -12,13 +12,13 @@
 use hyper_util::rt::TokioIo;
 use tokio::net;
 
-use crate::relay::{head, withhold};
+use crate::relay::{expiry, head, withhold};
 
 /// Timeout for opening a connection: many times the round trip to another data
 /// centre, yet short enough to try another one if a target is unreachable.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 /// `TCP_USER_TIMEOUT`: longest time for which sent data may remain unacknowledged, in ms.
-const TCP_USER_TIMEOUT_MS: u32 = 3_000;
+pub const TCP_USER_TIMEOUT_MS: u32 = 3_000;
 /// How long an idle connection stays open if the target announces no keep-alive
 /// timeout; its timeout is then below one second.
 const DEFAULT_KEEP_ALIVE: time::Duration = time::Duration::from_millis(500);
@@ -40,6 +40,8 @@
 pub struct Sender {
     inner: http1::SendRequest<Full<bytes::Bytes>>,
     head: head::Watch,
+    /// When the request that it carries expires.
+    pub expiry: expiry::Expiry,
 }
 
 impl Sender {
@@ -277,6 +279,8 @@
     };
     options().map_err(|cause| cause.to_string())?;
     let head = head::Watch::default();
+    let expiry = expiry::Expiry::default();
+    let stream = expiry::Stream::new(stream, expiry.clone());
     let stream = TokioIo::new(head::Stream::new(stream, head.clone()));
     let mut builder = http1::Builder::new();
     builder.max_buf_size(BUFFER_BYTES);
@@ -287,5 +291,5 @@
             tracing::debug!(%cause, "connection to a target or the store ended with an error");
         }
     });
-    Ok(Sender { inner, head })
+    Ok(Sender { inner, head, expiry })
 }
--- a/crates/relay/src/lease.rs
+++ b/crates/relay/src/lease.rs
@@ -21,6 +21,10 @@
 /// Key of the lease row.
 pub const KEY: &str = "planner";
 
+/// Time in which an order arrives and is answered, normally in some ms. If there is no answer, a
+/// later report shows whether the order took effect.
+pub const ORDER_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+
 /// How long a holder may send orders after it has sent a renewal.
 const ORDER_PERIOD: time::Duration = time::Duration::from_millis(1_500);
 /// Time without a change of the row after which other VMs may take the lease:
--- a/crates/relay/src/output.rs
+++ b/crates/relay/src/output.rs
@@ -172,6 +172,8 @@
     pub expected: u64,
     /// The planner's fencing token.
     pub fence: ids::Fence,
+    /// When it must have arrived, else it must not any more.
+    pub expires_at: ids::Time,
 }
 
 /// Operation on a model or adapter.
--- a/crates/relay/src/planner.rs
+++ b/crates/relay/src/planner.rs
@@ -16,6 +16,7 @@
 use crate::{
     config,
     input::{Reply, Report},
+    lease,
     output::{Order, Output, Verb},
     peer, placement, target,
 };
@@ -593,6 +594,7 @@
                 adapter: task.adapter.clone(),
                 expected,
                 fence: view.fence,
+                expires_at: now + lease::ORDER_TIMEOUT,
             };
             record.stage = record::Stage::Ordered { op, sent: now, task };
             out.push(Output::Order { op, order });
