--- a/crates/relay/src/lease.rs
+++ b/crates/relay/src/lease.rs
@@ -128,6 +128,8 @@
     held_until: ids::Time,
     /// Earliest time at which this VM may send orders.
     orders_from: ids::Time,
+    /// Who held the lease before this process, with its token and era.
+    previous: Option<(ids::Vm, ids::Fence, ids::Era)>,
 }
 
 impl Lease {
@@ -146,6 +148,7 @@
             next_try: ids::Time::default(),
             held_until: ids::Time::default(),
             orders_from: ids::Time::default(),
+            previous: None,
         }
     }
 
@@ -180,10 +183,10 @@
         (self.is_own(holder) && now < self.held_until).then_some(holder.fence)
     }
 
-    /// The holder in the last observed row, valid or not, for the log.
+    /// The process that held the lease before this one, with its token and its era, for the log.
     #[must_use]
-    pub fn observed_holder(&self) -> Option<&Holder> {
-        self.seen.as_ref()?.holder.as_ref()
+    pub const fn previous(&self) -> Option<&(ids::Vm, ids::Fence, ids::Era)> {
+        self.previous.as_ref()
     }
 
     /// How long this VM has to wait before it may send orders, for the log.
@@ -357,6 +360,9 @@
         let Some(Seen { holder, since, .. }) = &self.seen else {
             return;
         };
+        if let Some(holder) = holder.as_ref().filter(|holder| !self.is_own(holder)) {
+            self.previous = Some((holder.vm.clone(), holder.fence, holder.era));
+        }
         let wait = ORDER_PERIOD + self.handover;
         let Some(holder) = holder.as_ref().filter(|holder| self.is_valid(holder)) else {
             if !is_first_era(&self.era) && !self.was_last_holder {
--- a/crates/relay/src/system/planning.rs
+++ b/crates/relay/src/system/planning.rs
@@ -284,16 +284,16 @@
         relay.row_due = None;
     }
     shutdown::written(relay, op);
-    let previous = relay
-        .lease
-        .observed_holder()
-        .map(|holder| format!("{} with fence {} of era {}", holder.vm, holder.fence, holder.era));
     if relay.lease.written(now, op, result) {
         let fence = relay.lease.fence(now);
         let era = relay.eras.current();
         let wait = relay.lease.wait(now);
-        let previous = previous.as_deref().unwrap_or("nobody");
-        let inputs = format!("fence {fence:?} of era {era} orders in {wait:?} after {previous}");
+        let after = relay
+            .lease
+            .previous()
+            .map(|(vm, fence, era)| format!(" after {vm} with fence {fence} of era {era}"));
+        let after = after.unwrap_or_default();
+        let inputs = format!("fence {fence:?} of era {era} orders in {wait:?}{after}");
         let line = event::Event::new("lease", &relay.settings.vm, "taken").with_inputs(inputs);
         out.push(Output::Log(line));
     }
