Count the renewals of a lease by time

What runners would see: the first order of a restarted planner before the handover time after its predecessor's last one has passed.

Cause: a restarted holder takes the number of renewals in the row, times 700 ms, for the time that its former process held the lease. A renewal that is applied and whose answer is lost at once is followed by the next one after some 300 ms, so seven of them stood for 4.9 s after 2.2 s.

Renewals now raise the number at most once each 700 ms; the others still change the row's version, which is what the other VMs look at.

Evidence: planner a_restarted_planner_waits_though_its_former_process_renewed_faster failed before (an order possible at 4,490 ms, allowed from 4,500), and passes.

--- a/crates/relay/src/lease.rs
+++ b/crates/relay/src/lease.rs
@@ -50,7 +50,8 @@
     pub era: ids::Era,
     /// Its fencing token, higher than those of all previous holders.
     pub fence: ids::Fence,
-    /// Number of renewals since another VM held the lease; each renewal changes the row.
+    /// Number of renewals since another VM held the lease, of which no more count than one each
+    /// renewal interval.
     pub renewals: u64,
     /// Saved quota buckets, restored by VMs after a restart.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -124,6 +125,8 @@
     clock: Option<(ids::Time, u64)>,
     pending: Option<Pending>,
     next_try: ids::Time,
+    /// When the last renewal that counts was sent.
+    counted_at: ids::Time,
     /// End of the order period of this VM's last renewal.
     held_until: ids::Time,
     /// Earliest time at which this VM may send orders.
@@ -146,6 +149,7 @@
             clock: None,
             pending: None,
             next_try: ids::Time::default(),
+            counted_at: ids::Time::default(),
             held_until: ids::Time::default(),
             orders_from: ids::Time::default(),
             previous: None,
@@ -277,9 +281,12 @@
         let seen = self.seen.as_ref().filter(|seen| seen.revision.era() == self.era)?;
         // Higher than the tokens of all earlier eras, and of this one, as a row's versions rise.
         let least_fence = ids::Fence::new(u64::from(seen.revision)).next();
+        let mut is_counted = true;
         let next = match &seen.holder {
             Some(holder) if self.is_own(holder) => {
-                Holder { renewals: holder.renewals + 1, ..holder.clone() }
+                // Renewals follow faster when answers are lost.
+                is_counted = now.since(self.counted_at) >= RENEWAL_INTERVAL;
+                Holder { renewals: holder.renewals + u64::from(is_counted), ..holder.clone() }
             }
             Some(holder) => {
                 // An earlier incarnation of this VM has ended.
@@ -302,6 +309,9 @@
         let value = serde_json::to_string(&next).unwrap_or_default();
         let expect = Some(seen.revision.version()).filter(|version| version.get() > 0);
         let op = next_op();
+        if is_counted {
+            self.counted_at = now;
+        }
         self.pending = Some(Pending { op, sent: now, holder: next });
         let value = Some(sync::Arc::from(value));
         Some((op, table::Write { key: KEY.into(), expect, value }))
--- a/crates/relay/tests/planner.rs
+++ b/crates/relay/tests/planner.rs
@@ -540,6 +540,34 @@
     assert!((4_500..=5_000).contains(&earliest), "{earliest}");
 }
 
+/// Guards against a restarted planner that orders too early, as its former process renewed faster
+/// while the answers to its writes were lost.
+#[test]
+fn a_restarted_planner_waits_though_its_former_process_renewed_faster() {
+    let (mut first, mut second) = (lease("vm-1"), lease("vm-2"));
+    let mut row = Row::default();
+    let at = |millis| ids::Time::from_millis(10_000 + millis);
+    first.observe(at(0), None, ERA, 0);
+    assert!(attempt(&mut first, &mut row, at(0), 1, true));
+    second.observe(at(10), row.current.as_ref(), ERA, 0);
+    for millis in (2_100..4_300).step_by(10) {
+        let next_op = || ids::Op::new(millis);
+        if let Some((op, write)) = second.tick(at(millis), false, 0, lease::Saved::default, next_op)
+        {
+            row.write(&write);
+            let lost = store::Fault::new("write", "row", store::Kind::Unknown, "closed");
+            second.written(at(millis), op, &Err(lost));
+            second.observe(at(millis + 5), row.current.as_ref(), ERA, 0);
+        }
+    }
+    assert_eq!(row.holder().vm, "vm-2".into());
+    let mut restarted = Lease::new("vm-2".into(), ids::Incarnation::new(2), HANDOVER);
+    restarted.observe(at(4_320), row.current.as_ref(), ERA, 0);
+    assert!(attempt(&mut restarted, &mut row, at(4_320), 5_000, true));
+    // Orders of the first holder may have arrived until 1,500.
+    assert!(restarted.may_order(at(4_490)).is_none());
+}
+
 #[test]
 fn a_planner_whose_write_response_was_lost_waits_for_the_handover_time() {
     let (mut first, mut second) = (lease("vm-1"), lease("vm-2"));
