Close the connection of an unanswered order by a reset alone

The HTTP client shuts a connection down before it closes the socket. So the end of the connection arrived first, as if the request was complete and its sender had nothing more to send, and only then the reset; a proxy or a target that reads up to the end may still pass an order on, or carry it out.

A shutdown does nothing while a request has an expiry.

--- a/crates/daemon/src/relay/expiry.rs
+++ b/crates/daemon/src/relay/expiry.rs
@@ -2,8 +2,9 @@
 //!
 //! What was written to a socket is sent, and sent again, after its connection was closed and
 //! after its process has ended. A connection that carries a request with an expiry is reset
-//! when it is closed instead, which discards what has not arrived. The kernel does so too if
-//! the process ends, and ends the connection by itself if the process is suspended.
+//! when it is closed instead, which discards what the other side's kernel has not received. The
+//! kernel does so too if the process ends. If the process is suspended, `TCP_USER_TIMEOUT`
+//! bounds how long the kernel sends the bytes again.
 
 use std::{
     io,
@@ -132,6 +133,10 @@
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> Poll<io::Result<()>> {
+        // The end of a request that may still be carried out must look like a reset alone.
+        if self.expiry.get().is_some() {
+            return Poll::Ready(Ok(()));
+        }
         pin::Pin::new(&mut self.inner).poll_shutdown(cx)
     }
 
