Remove rows of silent VMs only while the lease is held

A planner that was suspended for over a minute took all VMs for silent when it ran again, and removed their rows before it looked at its lease, which had ended meanwhile. The VMs write their rows again after a second; until then ranks, shares of quotas and the order of the candidates were wrong everywhere.

The rows are removed only while the lease is held. Found in review; its test a_planner_that_was_suspended_removes_no_rows failed before.

--- a/crates/relay/src/system/planning.rs
+++ b/crates/relay/src/system/planning.rs
@@ -224,7 +224,8 @@
             out.push(Output::Log(event::Event::new("peer", &own.vm, "row written again")));
         }
     }
-    if relay.planner.is_none() {
+    // A VM that was suspended has heard nobody, and has lost the lease meanwhile.
+    if relay.planner.is_none() || relay.lease.fence(now).is_none() {
         return;
     }
     let silent_vms = relay.peers.iter().filter(|row| is_silent(now, row));
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -353,3 +353,20 @@
     world.wait(2_000);
     assert_eq!(receive(&mut world, "vm-2", digest(1, None)).reconnects, ["vm-2".into()]);
 }
+
+/// Guards against a planner that removes the rows of VMs after its lease has ended, as it was
+/// suspended and so heard nobody.
+#[test]
+fn a_planner_that_was_suspended_removes_no_rows() {
+    let mut world = World::new(vec![world::runner("r-1", &["alpha"])]);
+    world.lead();
+    world.step([world::members_at(2_000, vec![member("vm-1"), member("vm-2")])]);
+    receive(&mut world, "vm-2", digest(1, Some(10)));
+    let seen = world.wait(100);
+    world.grant(&seen);
+    world.pass(70_000);
+    let seen = world.step([]);
+    let keys: Vec<_> =
+        seen.writes.iter().map(|(_, write)| (&write.key, write.value.is_some())).collect();
+    assert!(!keys.iter().any(|(_, is_put)| !is_put), "removed: {keys:?}");
+}
