Give an order up by the clock of the lease

An order that was written before its machine was suspended stayed on its connection until 300 ms of running time had passed: the runtime's timers do not count a suspension. A packet that was lost may be sent again in that time, under the token of before.

The wait for the answer looks at the clock of the lease every 50 ms.

--- a/crates/daemon/src/relay/exchange.rs
+++ b/crates/daemon/src/relay/exchange.rs
@@ -20,6 +20,8 @@
 const MAX_REFUSAL_BYTES: usize = 64 * 1024;
 /// Longest time for reading it: normally it arrives with the head.
 const REFUSAL_TIMEOUT: time::Duration = time::Duration::from_millis(50);
+/// Interval at which a request that is not answered is checked for its expiry.
+const EXPIRY_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// Idle connections that may turn out to be closed before a new one is opened.
 const MAX_STALE_CONNECTIONS: usize = 3;
 
@@ -306,9 +308,22 @@
     notify: impl FnMut(pause::Notice),
 ) -> Result<(StatusCode, bytes::Bytes), String> {
     let timeout = expires_at.since(clock::now());
-    tokio::time::timeout(timeout, send_internal(pool, address, request, Some(expires_at), notify))
-        .await
-        .unwrap_or_else(|_elapsed| Err(format!("no answer within {timeout:?}")))
+    tokio::select! {
+        biased;
+        () = until(expires_at) => Err(format!("no answer within {timeout:?}")),
+        answer = send_internal(pool, address, request, Some(expires_at), notify) => answer,
+    }
+}
+
+/// Waits until `at`. The runtime's timers do not count a suspension, which this clock does.
+async fn until(at: ids::Time) {
+    loop {
+        let left = at.since(clock::now());
+        if left.is_zero() {
+            return;
+        }
+        tokio::time::sleep(left.min(EXPIRY_CHECK_INTERVAL)).await;
+    }
 }
 
 async fn send_internal(
