relay: keep the bodies of all requests within a share of the memory

Callers saw a VM end: it ran out of memory when many of them sent large bodies at once, whole or piece by piece, and stopped just short of the end.

Cause: each body was bounded by the configuration's limit for one, and nothing bounded their sum. The buffer of a body grew by doubling, so it took up to twice its size.

`budget::Budget` keeps account of what all bodies hold, by allocated capacity, without a clock or a network. It is a quarter of the machine's memory (`limits.memory_mb`, which the template takes from `limits.memoryMb`, or else the system's memory), and never less than one body of the largest legal size needs beside the part that is kept for small ones. If a body does not fit, the largest incomplete one is ended, of several as large the one without progress for longest, so that stalled bodies give way. A body counts until the last copy of its bytes is dropped: a complete one waits for a target, and may be sent to a second one. The buffer of an ended body is freed before the other one grows. Its caller gets 503 with `Retry-After`; the core has not heard of the call, so it has not run.

Single bodies of exactly 4 MiB, and one ordinary request beside each crowd, are answered 200. Still red: the crowds of connections and the refusal that a sending caller loses.

--- a/crates/daemon/src/relay/body.rs
+++ b/crates/daemon/src/relay/body.rs
@@ -5,9 +5,12 @@
     task::{self, Poll},
 };
 
+use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use crate::relay::buffer;
+
 /// The body of an answer: buffered or streamed.
 #[derive(Debug)]
 pub enum Body {
@@ -60,36 +63,50 @@
 pub enum Error {
     /// It exceeds the size limit.
     TooLarge,
+    /// All bodies together need too much memory.
+    Full,
     /// The connection failed before its end.
     Broken,
 }
 
-/// Reads the complete body of a request, of at most `max_bytes` bytes.
+/// Reads the complete body of a request, of at most `max_bytes` bytes, into `buffer`. A body
+/// that cannot be read is left as it is.
 ///
 /// # Errors
 ///
-/// [`Error`] if the body is too large or the connection fails before its end.
+/// [`Error`] if the body is too large, there is no memory for it or the connection fails
+/// before its end.
 pub async fn read(
-    mut body: hyper::body::Incoming,
+    body: &mut hyper::body::Incoming,
+    mut buffer: buffer::Buffer,
     max_bytes: usize,
 ) -> Result<bytes::Bytes, Error> {
-    use http_body_util::BodyExt as _;
-
-    let max_bytes = u64::try_from(max_bytes).unwrap_or(u64::MAX);
-    if body.size_hint().lower() > max_bytes {
+    let announced = body.size_hint();
+    let length = announced.exact().and_then(|length| usize::try_from(length).ok());
+    let is_longer = announced.lower() > u64::try_from(max_bytes).unwrap_or(u64::MAX);
+    if is_longer {
         return Err(Error::TooLarge);
     }
-    let mut buffer = bytes::BytesMut::new();
-    while let Some(frame) = body.frame().await {
+    let capacity = length.unwrap_or(max_bytes);
+    let mut received = 0;
+    loop {
+        let frame = tokio::select! {
+            frame = body.frame() => frame,
+            () = buffer.ended() => return Err(Error::Full),
+        };
+        let Some(frame) = frame else {
+            return buffer.complete().map_err(|buffer::Full| Error::Full);
+        };
         let Ok(frame) = frame else {
             return Err(Error::Broken);
         };
-        if let Ok(data) = frame.into_data() {
-            buffer.extend_from_slice(&data);
-        }
-        if buffer.len() as u64 > max_bytes {
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        received += data.len();
+        if received > max_bytes {
             return Err(Error::TooLarge);
         }
+        buffer.append(&data, capacity).map_err(|buffer::Full| Error::Full)?;
     }
-    Ok(buffer.freeze())
 }
--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -10,7 +10,7 @@
 use hyper_util::rt;
 use tokio::{net, sync::watch};
 
-use crate::relay::{calls, handler, inbox, pool};
+use crate::relay::{buffer, calls, handler, inbox, pool};
 
 /// Value of the `connection` header that announces that the connection will be closed.
 pub const CONNECTION_CLOSE: http::HeaderValue = http::HeaderValue::from_static("close");
@@ -55,6 +55,8 @@
     pub inbox: inbox::Inbox,
     /// Connections to targets.
     pub pool: pool::Pool,
+    /// Bodies of requests.
+    pub buffers: buffer::Pool,
     /// Limits of the configuration in force.
     pub limits: watch::Receiver<relay::config::Limits>,
     /// Stage of a planned stop.
--- a/crates/daemon/src/relay/handler.rs
+++ b/crates/daemon/src/relay/handler.rs
@@ -12,6 +12,8 @@
 
 /// Longest time for receiving the body of a request; a shorter timeout of the caller wins.
 const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(15);
+/// Delay after which a caller may retry whose body found no memory.
+const FULL_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
 
 /// An HTTP response to a caller.
 pub type Answer = http::Response<body::Body>;
@@ -26,17 +28,21 @@
     request: http::Request<hyper::body::Incoming>,
 ) -> Result<Answer, front::Abort> {
     let arrived = clock::now();
-    let (head, incoming) = request.into_parts();
+    let (head, mut incoming) = request.into_parts();
     let envelope = platform::call::decode(&head);
     let timeout = envelope.timeout.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
     let max_bytes = state.limits().body_bytes;
     let id = sync::Arc::clone(&envelope.id);
-    let read = tokio::time::timeout(timeout, body::read(incoming, max_bytes)).await;
-    let body = match read {
+    let buffer = state.buffers.open(max_bytes);
+    let reading = body::read(&mut incoming, buffer, max_bytes);
+    let body = match tokio::time::timeout(timeout, reading).await {
         Ok(Ok(body)) => body,
-        Ok(Err(body::Error::TooLarge)) => return Ok(unread_answer(413, &id)),
+        Ok(Err(body::Error::TooLarge)) => return Ok(unread_answer(413, &id, None)),
+        Ok(Err(body::Error::Full)) => {
+            return Ok(unread_answer(503, &id, Some(FULL_RETRY_AFTER)));
+        }
         Ok(Err(body::Error::Broken)) => return Err(front::Abort),
-        Err(_elapsed) => return Ok(unread_answer(408, &id)),
+        Err(_elapsed) => return Ok(unread_answer(408, &id, None)),
     };
     let request = exchange::Request::new(head, body, id);
     let call = state.calls.open(&state.inbox);
@@ -46,8 +52,8 @@
 
 /// Answers a request whose body was not read completely. The connection is
 /// closed, because the unread rest cannot be told from the next request.
-fn unread_answer(status: u16, id: &str) -> Answer {
-    let mut answer = local_answer(status, id, None);
+fn unread_answer(status: u16, id: &str, retry_after: Option<time::Duration>) -> Answer {
+    let mut answer = local_answer(status, id, retry_after);
     answer.headers_mut().insert(http::header::CONNECTION, front::CONNECTION_CLOSE);
     answer
 }
--- a/crates/daemon/src/relay/metric.rs
+++ b/crates/daemon/src/relay/metric.rs
@@ -55,6 +55,10 @@
 pub const PAUSES_AVOIDED: &str = "primroseplank_relay_pauses_avoided_total";
 /// Gauge of open calls.
 pub const OPEN_CALLS: &str = "primroseplank_relay_open_calls";
+/// Gauge of the bytes that request bodies hold.
+pub const BODY_BYTES: &str = "primroseplank_relay_body_bytes";
+/// Counter of request bodies that were refused because all together need too much memory.
+pub const REFUSED_BODIES: &str = "primroseplank_relay_refused_bodies_total";
 /// Counter of calls charged to accounts with a limit, labelled by priority and outcome.
 pub const CHARGED_CALLS: &str = "primroseplank_relay_quota_calls_total";
 /// Counter of quota units asked for, labelled by priority and outcome.
@@ -120,6 +124,8 @@
         "Calls kept away from a target because of the pauses of its streams."
     );
     metrics::describe_gauge!(OPEN_CALLS, Unit::Count, "Calls that are open.");
+    metrics::describe_gauge!(BODY_BYTES, Unit::Bytes, "Bytes that request bodies hold.");
+    metrics::describe_counter!(REFUSED_BODIES, Unit::Count, "Request bodies without memory.");
     metrics::describe_counter!(CHARGED_CALLS, Unit::Count, "Calls charged to quotas.");
     metrics::describe_counter!(CHARGED_UNITS, Unit::Count, "Quota units asked for.");
     metrics::describe_gauge!(WAITING_FOR_UNITS, Unit::Count, "Calls that wait for units.");
--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! * [`settings`] reads and checks the settings file;
 //! * [`front`] accepts connections of callers, [`handler`] handles one call;
+//! * [`buffer`] keeps their bodies within a [`budget`], which follows from the [`machine`];
 //! * [`exchange`] makes one attempt at a target, over a connection of the [`pool`];
 //! * [`withhold`] keeps what has not been sent from targets that are drained;
 //! * [`pump`] forwards a stream of [`events`] to its caller;
@@ -15,6 +16,8 @@
 //! * [`process`] starts these tasks and stops them gracefully.
 
 pub mod body;
+pub mod budget;
+pub mod buffer;
 pub mod calls;
 pub mod connection;
 pub mod driver;
@@ -25,6 +28,7 @@
 pub mod handler;
 pub mod head;
 pub mod inbox;
+pub mod machine;
 pub mod metric;
 pub mod pool;
 pub mod process;
--- a/crates/daemon/src/relay/process.rs
+++ b/crates/daemon/src/relay/process.rs
@@ -8,7 +8,10 @@
 use crate::{
     error, log, peer,
     process::{incarnation, listen},
-    relay::{calls, connection, driver, effect, front, inbox, metric, pool, rows, settings, side},
+    relay::{
+        buffer, calls, connection, driver, effect, front, inbox, machine, metric, pool, rows,
+        settings, side,
+    },
 };
 
 /// Longest time for which a caller may read nothing of its answer, in ms: longer
@@ -16,6 +19,8 @@
 const WRITE_STALL_MS: u64 = 15_000;
 /// Interval at which the count of dropped log lines is published.
 const DROPPED_LINES_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Interval at which the memory of request bodies is published.
+const MEMORY_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
 /// Runs a relay VM with the settings in `file` until SIGTERM or SIGINT stops it and
 /// every open call has ended.
@@ -64,6 +69,8 @@
     let era = connection::Era::new(&inbox);
     let calls = calls::Table::default();
     let pool = pool::Pool::default();
+    let machine = machine::Machine::detect(&settings.limits);
+    let buffers = buffer::Pool::new(machine.memory);
     let connections = front::Connections::default();
     let identity = peer::link::Identity {
         vm: settings.vm.as_str().into(),
@@ -87,6 +94,7 @@
         calls,
         inbox: inbox.clone(),
         pool,
+        buffers: buffers.clone(),
         limits: current_limits,
         stop: stop_stage,
         connections: connections.clone(),
@@ -105,6 +113,7 @@
     tokio::spawn(side::run(balancer_listener, side::Endpoint::Ready(is_ready)));
     tokio::spawn(peer::accept::run(peer_listener, settings.peer.credential.clone(), inbox.clone()));
     tokio::spawn(front::run(caller_listener, sync::Arc::new(state)));
+    tokio::spawn(buffers.publish(MEMORY_INTERVAL));
     tokio::spawn(log_lines.clone().publish_dropped_lines(DROPPED_LINES_INTERVAL));
     tracing::info!(
         step = "start",
--- a/crates/daemon/src/relay/settings.rs
+++ b/crates/daemon/src/relay/settings.rs
@@ -30,6 +30,9 @@
     /// Limits that the platform sets.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Size of the machine.
+    #[serde(default)]
+    pub limits: Limits,
     /// Comma-separated names of the platform's contracts that are in force.
     #[serde(default)]
     pub contracts: String,
@@ -71,6 +74,17 @@
     pub cold_slack: settings::Filled,
 }
 
+/// Size of the machine. What is missing or has no value is read from the system.
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Memory of the process, in MB.
+    pub memory_mb: settings::Stated<64, 1_000_000_000>,
+    /// Descriptors that the process may open.
+    pub descriptors: settings::Stated<256, 1_000_000_000>,
+}
+
 /// Settings of admission.
 #[derive(Clone, Copy, Debug, Default)]
 #[derive(serde::Deserialize)]
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -355,6 +355,42 @@
     }
 }
 
+/// A size from `MIN` to `MAX` in quotes, which a template fills in: `None` if the text is empty,
+/// still holds its placeholder, or is 0, which states no limit. A fraction is cut off.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
+#[serde(try_from = "String")]
+pub struct Stated<const MIN: u64, const MAX: u64>(Option<u64>);
+
+impl<const MIN: u64, const MAX: u64> Stated<MIN, MAX> {
+    /// Returns the size, if one is stated.
+    #[must_use]
+    pub const fn get(self) -> Option<u64> {
+        self.0
+    }
+}
+
+impl<const MIN: u64, const MAX: u64> TryFrom<String> for Stated<MIN, MAX> {
+    type Error = String;
+
+    fn try_from(text: String) -> Result<Self, String> {
+        let number = match Filled::try_from(text)?.get() {
+            None | Some(0.0) => return Ok(Self(None)),
+            Some(number) => number,
+        };
+        if !(MIN as f64..=MAX as f64).contains(&number) {
+            return Err(format!("{number} is out of range, allowed is {MIN} to {MAX}, or 0"));
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the number is in range, and a fraction is cut off"
+        )]
+        let number = number as u64;
+        Ok(Self(Some(number)))
+    }
+}
+
 /// A name: 1 to 64 letters, digits, `-`, `_` and `.`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Deserialize)]
