relay: deliver the refusal of a body to a caller that still sends it

A caller whose body is too large, or for which there is no memory, was answered, and its connection was closed at once. Closing a connection with unread bytes resets it, so a caller that reads only after it has sent everything got a broken pipe in place of the 413 or 503, and could not tell whether to try again.

--- a/crates/daemon/src/relay/body.rs
+++ b/crates/daemon/src/relay/body.rs
@@ -3,6 +3,7 @@
 use std::{
     io, pin,
     task::{self, Poll},
+    time,
 };
 
 use http_body_util::BodyExt as _;
@@ -11,6 +12,11 @@
 
 use crate::relay::buffer;
 
+/// Maximum number of bytes that are read and discarded from a refused body.
+const DISCARD_BYTES: usize = 32 * 1024 * 1024;
+/// Longest time for which a refused body is read and discarded.
+const DISCARD_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
 /// The body of an answer: buffered or streamed.
 #[derive(Debug)]
 pub enum Body {
@@ -110,3 +116,21 @@
         buffer.append(&data, capacity).map_err(|buffer::Full| Error::Full)?;
     }
 }
+
+/// Reads and discards the rest of a body that is refused, up to `DISCARD_BYTES` and
+/// `DISCARD_TIMEOUT`. Closing a connection with unread bytes resets it, and the caller would
+/// then lose the answer.
+pub async fn discard(mut body: hyper::body::Incoming) {
+    let discarding = async {
+        let mut discarded = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            discarded += frame.data_ref().map_or(0, bytes::Bytes::len);
+            if discarded > DISCARD_BYTES {
+                return;
+            }
+        }
+    };
+    if tokio::time::timeout(DISCARD_TIMEOUT, discarding).await.is_err() {
+        tracing::debug!("a refused body did not end in time; closing its connection");
+    }
+}
--- a/crates/daemon/src/relay/handler.rs
+++ b/crates/daemon/src/relay/handler.rs
@@ -37,12 +37,12 @@
     let reading = body::read(&mut incoming, buffer, max_bytes);
     let body = match tokio::time::timeout(timeout, reading).await {
         Ok(Ok(body)) => body,
-        Ok(Err(body::Error::TooLarge)) => return Ok(unread_answer(413, &id, None)),
+        Ok(Err(body::Error::TooLarge)) => return Ok(unread_answer(413, &id, None, incoming)),
         Ok(Err(body::Error::Full)) => {
-            return Ok(unread_answer(503, &id, Some(FULL_RETRY_AFTER)));
+            return Ok(unread_answer(503, &id, Some(FULL_RETRY_AFTER), incoming));
         }
         Ok(Err(body::Error::Broken)) => return Err(front::Abort),
-        Err(_elapsed) => return Ok(unread_answer(408, &id, None)),
+        Err(_elapsed) => return Ok(unread_answer(408, &id, None, incoming)),
     };
     let request = exchange::Request::new(head, body, id);
     let call = state.calls.open(&state.inbox);
@@ -52,7 +52,13 @@
 
 /// Answers a request whose body was not read completely. The connection is
 /// closed, because the unread rest cannot be told from the next request.
-fn unread_answer(status: u16, id: &str, retry_after: Option<time::Duration>) -> Answer {
+fn unread_answer(
+    status: u16,
+    id: &str,
+    retry_after: Option<time::Duration>,
+    rest: hyper::body::Incoming,
+) -> Answer {
+    tokio::spawn(body::discard(rest));
     let mut answer = local_answer(status, id, retry_after);
     answer.headers_mut().insert(http::header::CONNECTION, front::CONNECTION_CLOSE);
     answer
