relay: bound the connections of callers

Callers could open any number of connections to a VM, idle ones, heads or bodies without end: it accepted all until its descriptors ran out, and then accepted none, from nobody. Each may also hold some 80 KiB in the buffers of the process and of the system.

Cause: nothing bounded the number of connections.

`seat::Table` decides, without a clock or a network. Callers get half of the descriptors beyond those for files (`limits.descriptors`, which the template takes from `limits.maxFds`, or else the soft limit of the process), and no more connections than fit into a third of the memory: 1,057 on a machine of 260 MB and 4,100 descriptors. One more takes the place of the one that has been without a complete request for longest. A connection carries its call until its answer is written, so a stream or a slow reader is never chosen; if all carry calls, the new one is closed. The accept loop goes on in each case, because what waits in the system counts as memory of the process; it lets the closed connection end before it accepts the next. A connection that is to be closed passes no request on, so no call is cut that way.

--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -10,7 +10,7 @@
 use hyper_util::rt;
 use tokio::{net, sync::watch};
 
-use crate::relay::{buffer, calls, handler, inbox, pool};
+use crate::relay::{access, buffer, calls, handler, inbox, pool};
 
 /// Value of the `connection` header that announces that the connection will be closed.
 pub const CONNECTION_CLOSE: http::HeaderValue = http::HeaderValue::from_static("close");
@@ -55,6 +55,8 @@
     pub inbox: inbox::Inbox,
     /// Connections to targets.
     pub pool: pool::Pool,
+    /// Admits connections of callers.
+    pub gate: access::Gate,
     /// Bodies of requests.
     pub buffers: buffer::Pool,
     /// Limits of the configuration in force.
@@ -109,21 +111,34 @@
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
+        // Without a pass the connection is closed.
+        let Some(pass) = state.gate.enter() else {
+            continue;
+        };
         let state = sync::Arc::clone(&state);
-        tokio::spawn(async move { serve(stream, state).await });
+        tokio::spawn(async move {
+            let closed = pass.clone();
+            tokio::select! {
+                () = serve(stream, pass, state) => {}
+                () = closed.closed() => {}
+            }
+        });
+        // Lets a connection that is to be closed end before the next one is accepted.
+        tokio::task::yield_now().await;
     }
 }
 
-async fn serve(stream: net::TcpStream, state: sync::Arc<State>) {
+async fn serve(stream: net::TcpStream, pass: access::Pass, state: sync::Arc<State>) {
     let limits = state.limits();
     let mut stop = state.stop.clone();
     let lacks_chunks = sync::Arc::<atomic::AtomicBool>::default();
+    let stream = access::Stream::new(stream, pass.clone());
     let service_state = (sync::Arc::clone(&state), sync::Arc::clone(&lacks_chunks));
     let service = service::service_fn(move |request: http::Request<_>| {
         let (state, lacks_chunks) = &service_state;
         let is_old = request.version() < http::Version::HTTP_11;
         lacks_chunks.store(is_old, atomic::Ordering::Relaxed);
-        answer(sync::Arc::clone(state), request)
+        answer(sync::Arc::clone(state), pass.clone(), request)
     });
     let mut builder = http1::Builder::new();
     builder
@@ -151,7 +166,7 @@
     tracing::debug!(%cause, "connection of a caller closed with an error");
     if lacks_chunks.load(atomic::Ordering::Relaxed) {
         // The end of the connection ends such an answer, so only a reset marks it as broken.
-        let stream = connection.into_parts().io.into_inner();
+        let stream = connection.into_parts().io.into_inner().inner;
         if let Err(cause) = stream.set_zero_linger() {
             tracing::debug!(%cause, "the connection of a caller is closed without a reset");
         }
@@ -160,12 +175,13 @@
 
 async fn answer(
     state: sync::Arc<State>,
+    pass: access::Pass,
     request: http::Request<hyper::body::Incoming>,
-) -> Result<handler::Answer, Abort> {
+) -> Result<http::Response<access::Body>, Abort> {
     let stop = state.stop.clone();
-    let mut answer = handler::handle(state, request).await?;
+    let mut answer = handler::handle(state, &pass, request).await?;
     if *stop.borrow() > Stage::Running {
         answer.headers_mut().insert(http::header::CONNECTION, CONNECTION_CLOSE);
     }
-    Ok(answer)
+    Ok(answer.map(|body| access::Body::new(body, pass)))
 }
--- a/crates/daemon/src/relay/handler.rs
+++ b/crates/daemon/src/relay/handler.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     clock,
-    relay::{body, calls, exchange, front, pump},
+    relay::{access, body, calls, exchange, front, pump},
 };
 
 /// Longest time for receiving the body of a request; a shorter timeout of the caller wins.
@@ -18,13 +18,14 @@
 /// An HTTP response to a caller.
 pub type Answer = http::Response<body::Body>;
 
-/// Receives a call, passes it to the core and returns the answer.
+/// Receives a call on the connection with this pass, passes it to the core and returns the answer.
 ///
 /// # Errors
 ///
 /// [`front::Abort`] if the connection is to be closed without an answer.
 pub async fn handle(
     state: sync::Arc<front::State>,
+    pass: &access::Pass,
     request: http::Request<hyper::body::Incoming>,
 ) -> Result<Answer, front::Abort> {
     let arrived = clock::now();
@@ -44,6 +45,9 @@
         Ok(Err(body::Error::Broken)) => return Err(front::Abort),
         Err(_elapsed) => return Ok(unread_answer(408, &id, None, incoming)),
     };
+    if !pass.begin() {
+        return Err(front::Abort);
+    }
     let request = exchange::Request::new(head, body, id);
     let call = state.calls.open(&state.inbox);
     state.inbox.send(relay::Input::Arrival { call: call.id, envelope, arrived });
--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! * [`settings`] reads and checks the settings file;
 //! * [`front`] accepts connections of callers, [`handler`] handles one call;
+//! * [`access`] keeps as many connections of callers as there are [`seat`]s;
 //! * [`buffer`] keeps their bodies within a [`budget`], which follows from the [`machine`];
 //! * [`exchange`] makes one attempt at a target, over a connection of the [`pool`];
 //! * [`withhold`] keeps what has not been sent from targets that are drained;
@@ -15,6 +16,7 @@
 //! * [`side`] serves readiness to the balancer, and metrics;
 //! * [`process`] starts these tasks and stops them gracefully.
 
+pub mod access;
 pub mod body;
 pub mod budget;
 pub mod buffer;
@@ -34,6 +36,7 @@
 pub mod process;
 pub mod pump;
 pub mod rows;
+pub mod seat;
 pub mod settings;
 pub mod side;
 pub mod withhold;
--- a/crates/daemon/src/relay/process.rs
+++ b/crates/daemon/src/relay/process.rs
@@ -9,8 +9,8 @@
     error, log, peer,
     process::{incarnation, listen},
     relay::{
-        buffer, calls, connection, driver, effect, front, inbox, machine, metric, pool, rows,
-        settings, side,
+        access, buffer, calls, connection, driver, effect, front, inbox, machine, metric, pool,
+        rows, settings, side,
     },
 };
 
@@ -19,7 +19,7 @@
 const WRITE_STALL_MS: u64 = 15_000;
 /// Interval at which the count of dropped log lines is published.
 const DROPPED_LINES_INTERVAL: time::Duration = time::Duration::from_secs(1);
-/// Interval at which the memory of request bodies is published.
+/// Interval at which the memory of request bodies and the connections are published.
 const MEMORY_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
 /// Runs a relay VM with the settings in `file` until SIGTERM or SIGINT stops it and
@@ -71,6 +71,7 @@
     let pool = pool::Pool::default();
     let machine = machine::Machine::detect(&settings.limits);
     let buffers = buffer::Pool::new(machine.memory);
+    let gate = access::Gate::new(machine.connections());
     let connections = front::Connections::default();
     let identity = peer::link::Identity {
         vm: settings.vm.as_str().into(),
@@ -94,6 +95,7 @@
         calls,
         inbox: inbox.clone(),
         pool,
+        gate: gate.clone(),
         buffers: buffers.clone(),
         limits: current_limits,
         stop: stop_stage,
@@ -113,8 +115,7 @@
     tokio::spawn(side::run(balancer_listener, side::Endpoint::Ready(is_ready)));
     tokio::spawn(peer::accept::run(peer_listener, settings.peer.credential.clone(), inbox.clone()));
     tokio::spawn(front::run(caller_listener, sync::Arc::new(state)));
-    tokio::spawn(buffers.publish(MEMORY_INTERVAL));
-    tokio::spawn(log_lines.clone().publish_dropped_lines(DROPPED_LINES_INTERVAL));
+    publish(buffers, gate, log_lines);
     tracing::info!(
         step = "start",
         peer = settings.vm.as_str(),
@@ -151,6 +152,13 @@
     Ok(())
 }
 
+/// Publishes the state of what is bounded.
+fn publish(buffers: buffer::Pool, gate: access::Gate, log_lines: &log::Writer) {
+    tokio::spawn(buffers.publish(MEMORY_INTERVAL));
+    tokio::spawn(gate.publish(MEMORY_INTERVAL));
+    tokio::spawn(log_lines.clone().publish_dropped_lines(DROPPED_LINES_INTERVAL));
+}
+
 /// Returns the address of a listener, whose port the settings may leave to the system.
 fn address_of(listener: &tokio::net::TcpListener) -> error::Result<String> {
     let address = listener.local_addr();
