relay: bound what is received for callers and not read

Bytes that the system has received and the process has not read count as memory of the process. For each connection of a caller the system took in 128 KiB before the first read, and more as its window grew, so a VM that is suspended, or short of processor time, beside many connections went beyond the part of its memory that is meant for them.

Cause: the system chose the receive buffers.

The listener for callers has a receive buffer of 32 KiB, which its connections inherit; the system takes in up to 48 KiB with it.

Bodies of 4 MiB in calm are answered 200 as before.

--- a/crates/daemon/src/relay/process.rs
+++ b/crates/daemon/src/relay/process.rs
@@ -52,6 +52,7 @@
 ) -> error::Result<()> {
     let metrics = metric::start()?;
     let caller_listener = bind(settings.caller.address)?;
+    bound_unread_bytes(&caller_listener);
     let balancer_listener = bind(settings.balancer.address)?;
     let peer_listener = bind(settings.peer.address)?;
     let peer_address = peer_listener
@@ -166,6 +167,20 @@
     Ok(address.to_string())
 }
 
+/// Bounds what the system receives for each connection that a listener accepts. Bytes that the
+/// process has not read count as its memory.
+fn bound_unread_bytes(listener: &tokio::net::TcpListener) {
+    let bytes = machine::RECEIVE_BUFFER_BYTES;
+    if let Err(cause) = rustix::net::sockopt::set_socket_recv_buffer_size(listener, bytes) {
+        tracing::warn!(
+            step = "start",
+            outcome = "receive buffer not bounded",
+            reason = "the system decides how much it receives for a connection",
+            %cause,
+        );
+    }
+}
+
 fn bind(address: net::SocketAddr) -> error::Result<tokio::net::TcpListener> {
     tokio::net::TcpListener::from_std(listen(address, WRITE_STALL_MS)?)
         .map_err(|cause| error::Error::system("listen", &address, &cause))
