relay: bound the connections for readiness and metrics

Whoever reaches the balancer's or the metrics' address of a VM could open connections until its descriptors ran out, and callers were then not accepted any more.

Cause: as for callers, nothing bounded the number of these connections.

The metrics of connections are labelled by listener, and so renamed before anyone has used them.

--- a/crates/daemon/src/relay/access.rs
+++ b/crates/daemon/src/relay/access.rs
@@ -1,4 +1,4 @@
-//! The connections of callers, as many as there are [`seat`](crate::relay::seat)s.
+//! The connections to a listener, as many as there are [`seat`](crate::relay::seat)s.
 
 use std::{
     collections, io, pin, sync,
@@ -21,6 +21,8 @@
 
 #[derive(Debug)]
 struct State {
+    /// Name of the listener.
+    listener: &'static str,
     table: seat::Table,
     closed: collections::HashMap<seat::Id, sync::Arc<Notify>>,
     /// Number of connections that were closed because there were too many.
@@ -28,12 +30,13 @@
 }
 
 impl Gate {
-    /// Admits at most `capacity` connections.
+    /// Admits at most `capacity` connections to the listener of this name.
     #[must_use]
-    pub fn new(capacity: usize) -> Self {
+    pub fn new(listener: &'static str, capacity: usize) -> Self {
         let table = seat::Table::new(capacity);
         let closed = collections::HashMap::new();
-        Self(sync::Arc::new(sync::Mutex::new(State { table, closed, closed_count: 0 })))
+        let state = State { listener, table, closed, closed_count: 0 };
+        Self(sync::Arc::new(sync::Mutex::new(state)))
     }
 
     /// Admits a new connection, in place of another one if there are too many; `None` if it
@@ -53,7 +56,8 @@
         };
         if replaced {
             state.closed_count += 1;
-            metrics::counter!(metric::CLOSED_CONNECTIONS).increment(1);
+            metrics::counter!(metric::CLOSED_CONNECTIONS, "listener" => state.listener)
+                .increment(1);
         }
         let id = id?;
         let closed = sync::Arc::<Notify>::default();
@@ -69,14 +73,15 @@
         let mut logged = 0;
         loop {
             tokio::time::sleep(interval).await;
-            let (open, capacity, closed) = {
+            let (listener, open, capacity, closed) = {
                 let state = self.lock();
-                (state.table.len(), state.table.capacity(), state.closed_count)
+                (state.listener, state.table.len(), state.table.capacity(), state.closed_count)
             };
-            metrics::gauge!(metric::CALLER_CONNECTIONS).set(open as f64);
+            metrics::gauge!(metric::CONNECTIONS, "listener" => listener).set(open as f64);
             if closed != logged {
                 tracing::warn!(
                     step = "memory",
+                    peer = listener,
                     outcome = "connections closed",
                     inputs = %format!("{} connections, {open} of {capacity} open", closed - logged),
                 );
--- a/crates/daemon/src/relay/metric.rs
+++ b/crates/daemon/src/relay/metric.rs
@@ -59,9 +59,9 @@
 pub const BODY_BYTES: &str = "primroseplank_relay_body_bytes";
 /// Counter of request bodies that were refused because all together need too much memory.
 pub const REFUSED_BODIES: &str = "primroseplank_relay_refused_bodies_total";
-/// Gauge of the open connections of callers.
-pub const CALLER_CONNECTIONS: &str = "primroseplank_relay_caller_connections";
-/// Counter of connections of callers that were closed because there were too many.
+/// Gauge of the open connections to this VM, labelled by listener.
+pub const CONNECTIONS: &str = "primroseplank_relay_connections";
+/// Counter of connections that were closed because there were too many, labelled by listener.
 pub const CLOSED_CONNECTIONS: &str = "primroseplank_relay_closed_connections_total";
 /// Counter of calls charged to accounts with a limit, labelled by priority and outcome.
 pub const CHARGED_CALLS: &str = "primroseplank_relay_quota_calls_total";
@@ -130,7 +130,7 @@
     metrics::describe_gauge!(OPEN_CALLS, Unit::Count, "Calls that are open.");
     metrics::describe_gauge!(BODY_BYTES, Unit::Bytes, "Bytes that request bodies hold.");
     metrics::describe_counter!(REFUSED_BODIES, Unit::Count, "Request bodies without memory.");
-    metrics::describe_gauge!(CALLER_CONNECTIONS, Unit::Count, "Connections of callers.");
+    metrics::describe_gauge!(CONNECTIONS, Unit::Count, "Connections, by listener.");
     metrics::describe_counter!(CLOSED_CONNECTIONS, Unit::Count, "Connections over the limit.");
     metrics::describe_counter!(CHARGED_CALLS, Unit::Count, "Calls charged to quotas.");
     metrics::describe_counter!(CHARGED_UNITS, Unit::Count, "Quota units asked for.");
--- a/crates/daemon/src/relay/process.rs
+++ b/crates/daemon/src/relay/process.rs
@@ -72,7 +72,7 @@
     let pool = pool::Pool::default();
     let machine = machine::Machine::detect(&settings.limits);
     let buffers = buffer::Pool::new(machine.memory);
-    let gate = access::Gate::new(machine.connections());
+    let gate = access::Gate::new("caller", machine.connections());
     let connections = front::Connections::default();
     let identity = peer::link::Identity {
         vm: settings.vm.as_str().into(),
@@ -108,12 +108,12 @@
         Some(endpoint) => {
             let listener = bind(endpoint.address)?;
             let address = address_of(&listener)?;
-            tokio::spawn(side::run(listener, side::Endpoint::Metrics(metrics)));
+            tokio::spawn(side::run(listener, "metrics", side::Endpoint::Metrics(metrics)));
             address
         }
         None => "none".to_owned(),
     });
-    tokio::spawn(side::run(balancer_listener, side::Endpoint::Ready(is_ready)));
+    tokio::spawn(side::run(balancer_listener, "balancer", side::Endpoint::Ready(is_ready)));
     tokio::spawn(peer::accept::run(peer_listener, settings.peer.credential.clone(), inbox.clone()));
     tokio::spawn(front::run(caller_listener, sync::Arc::new(state)));
     publish(buffers, gate, log_lines);
