relay: admit other VMs beside connections without a handshake

The listener for other VMs accepted 4,096 connections, more than the 4,100 descriptors of the smallest machines leave beside those for files, and then accepted none until one had ended: each connection without a handshake kept another VM out for two seconds.

The listener takes part in `access::Gate`, with a quarter of the descriptors beyond those for files. A connection that has not shown its credential gives way to a new one; one that has is never closed to make room. The own interface keeps its 4,096 and gets the same rule.

`daemon` `peer` `connections_without_a_handshake_do_not_end_those_of_vms` is new.

--- a/crates/daemon/src/peer/accept.rs
+++ b/crates/daemon/src/peer/accept.rs
@@ -1,18 +1,16 @@
 //! Incoming connections from other VMs.
 
-use std::{sync, time};
+use std::time;
 
 use futures_util::StreamExt as _;
-use tokio::{net, sync::Semaphore};
+use tokio::net;
 use tokio_tungstenite::{
     WebSocketStream, accept_hdr_async_with_config,
     tungstenite::{Message, handshake::server},
 };
 
-use crate::{credential, settings};
+use crate::{credential, relay::access, settings};
 
-/// Maximum number of open connections from other VMs.
-const MAX_CONNECTIONS: usize = 4_096;
 /// Wait after a failed accept, to avoid a busy loop when file descriptors run out.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(100);
 
@@ -31,28 +29,34 @@
     fn deliver(&self, sender: &Sender, message: T) -> impl Future<Output = bool> + Send;
 }
 
-/// Accepts connections from other VMs and delivers their messages to `inbox` until
-/// the task is aborted.
+/// Accepts as many connections from other VMs as `gate` admits, and delivers their messages
+/// to `inbox` until the task is aborted. One that has not shown its credential may be closed
+/// to make room.
 pub async fn run<T: serde::de::DeserializeOwned + Send>(
     listener: net::TcpListener,
     credential: settings::Credential,
     inbox: impl Deliver<T>,
+    gate: access::Gate,
 ) {
-    let slots = sync::Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
-        let Ok(slot) = sync::Arc::clone(&slots).acquire_owned().await else {
-            return;
-        };
         let Ok((stream, _address)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
+        // Without a pass the connection is closed.
+        let Some(pass) = gate.enter() else {
+            continue;
+        };
         let credential = credential.clone();
         let inbox = inbox.clone();
         tokio::spawn(async move {
-            serve(stream, &credential, &inbox).await;
-            drop(slot);
+            tokio::select! {
+                () = serve(stream, &credential, &inbox, &pass) => {}
+                () = pass.closed() => {}
+            }
         });
+        // Lets a connection that is to be closed end before the next one is accepted.
+        tokio::task::yield_now().await;
     }
 }
 
@@ -61,6 +65,7 @@
     stream: net::TcpStream,
     credential: &settings::Credential,
     inbox: &impl Deliver<T>,
+    pass: &access::Pass,
 ) {
     let mut sender = None;
     let authenticate = |request: &server::Request, response: server::Response| {
@@ -72,7 +77,9 @@
     let Ok(Ok(socket)) = tokio::time::timeout(super::HANDSHAKE_TIMEOUT, handshake).await else {
         return;
     };
-    if let Some(sender) = sender {
+    if let Some(sender) = sender
+        && pass.begin()
+    {
         receive(socket, &sender, inbox).await;
     }
 }
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -5,12 +5,15 @@
 use tokio::{runtime, signal::unix, sync::watch};
 
 use crate::{
-    caller, calls, driver, effect, error, inbox, metric, operator, peer, ready, server, settings,
+    caller, calls, driver, effect, error, inbox, metric, operator, peer, ready, relay::access,
+    server, settings,
 };
 
 /// Idle time after which TCP keepalive probes an accepted connection, and the
 /// interval between probes.
 const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(20);
+/// Maximum number of open connections from other VMs.
+const MAX_PEER_CONNECTIONS: usize = 4_096;
 
 /// The JSON line that is printed once to announce the listening addresses.
 #[derive(Debug)]
@@ -223,7 +226,9 @@
     let _context = runtime.enter();
     let listener = tokio::net::TcpListener::from_std(listener)
         .map_err(|cause| error::Error::system("start", &"peer listener", &cause))?;
-    runtime.spawn(peer::accept::run(listener, settings.peer.credential.clone(), inbox.clone()));
+    let gate = access::Gate::new("peer", MAX_PEER_CONNECTIONS);
+    let credential = settings.peer.credential.clone();
+    runtime.spawn(peer::accept::run(listener, credential, inbox.clone(), gate));
     Ok(())
 }
 
--- a/crates/daemon/src/relay/machine.rs
+++ b/crates/daemon/src/relay/machine.rs
@@ -13,6 +13,8 @@
 const FILE_DESCRIPTORS: usize = 200;
 /// Connections of callers as a fraction of the other descriptors: one in this many.
 const DESCRIPTOR_PARTS: usize = 2;
+/// Connections of other VMs as a fraction of the other descriptors: one in this many.
+const PEER_PARTS: usize = 4;
 /// Memory for connections of callers as a fraction of the memory: one part in this many.
 const MEMORY_PARTS: usize = 3;
 /// Size of the receive buffer of a connection of a caller, in bytes.
@@ -24,6 +26,9 @@
 /// Least number of connections of callers.
 const MIN_CONNECTIONS: usize = 16;
 
+/// Largest number of connections of other VMs.
+const MAX_PEERS: usize = 4_096;
+
 /// What the process may use of its machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Machine {
@@ -52,6 +57,13 @@
         }
     }
 
+    /// Returns how many connections other VMs may have.
+    #[must_use]
+    pub fn peers(&self) -> usize {
+        let by_descriptors = self.descriptors.saturating_sub(FILE_DESCRIPTORS) / PEER_PARTS;
+        by_descriptors.clamp(MIN_CONNECTIONS, MAX_PEERS)
+    }
+
     /// Returns how many connections callers may have.
     #[must_use]
     pub fn connections(&self) -> usize {
--- a/crates/daemon/src/relay/process.rs
+++ b/crates/daemon/src/relay/process.rs
@@ -114,7 +114,7 @@
         None => "none".to_owned(),
     });
     tokio::spawn(side::run(balancer_listener, "balancer", side::Endpoint::Ready(is_ready)));
-    tokio::spawn(peer::accept::run(peer_listener, settings.peer.credential.clone(), inbox.clone()));
+    accept_peers(peer_listener, settings, &machine, &inbox);
     tokio::spawn(front::run(caller_listener, sync::Arc::new(state)));
     publish(buffers, gate, log_lines);
     tracing::info!(
@@ -153,6 +153,19 @@
     Ok(())
 }
 
+/// Accepts connections of other VMs.
+fn accept_peers(
+    listener: tokio::net::TcpListener,
+    settings: &settings::Settings,
+    machine: &machine::Machine,
+    inbox: &inbox::Inbox,
+) {
+    let gate = access::Gate::new("peer", machine.peers());
+    tokio::spawn(gate.clone().publish(MEMORY_INTERVAL));
+    let credential = settings.peer.credential.clone();
+    tokio::spawn(peer::accept::run(listener, credential, inbox.clone(), gate));
+}
+
 /// Publishes the state of what is bounded.
 fn publish(buffers: buffer::Pool, gate: access::Gate, log_lines: &log::Writer) {
     tokio::spawn(buffers.publish(MEMORY_INTERVAL));
--- a/crates/daemon/tests/peer.rs
+++ b/crates/daemon/tests/peer.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use daemon::{inbox, peer, settings};
+use daemon::{inbox, peer, relay::access, settings};
 
 const DEADLINE: time::Duration = time::Duration::from_secs(20);
 
@@ -32,6 +32,9 @@
     node::peer::Message::Member(member::Message::Query { query_id, version })
 }
 
+/// Maximum number of connections of a receiver.
+const MAX_CONNECTIONS: usize = 8;
+
 /// A VM that receives messages until its task is aborted.
 struct Receiver {
     address: std::net::SocketAddr,
@@ -43,7 +46,12 @@
     let listener = tokio::net::TcpListener::bind(address).await.expect("a port");
     let address = listener.local_addr().expect("an address");
     let (inbox, outlet) = inbox::channel();
-    let accepting = peer::accept::run(listener, credential("vm-credential-0001"), inbox);
+    let accepting = peer::accept::run(
+        listener,
+        credential("vm-credential-0001"),
+        inbox,
+        access::Gate::new("peer", MAX_CONNECTIONS),
+    );
     Receiver { address, outlet, task: tokio::spawn(accepting) }
 }
 
@@ -99,6 +107,21 @@
     assert!(send_until_received(&right, &mut receiver).await.is_some());
 }
 
+#[tokio::test]
+async fn connections_without_a_handshake_do_not_end_those_of_vms() {
+    let mut receiver = start_receiver("127.0.0.1:0").await;
+    let mut crowd = Vec::new();
+    let mut links = links("vm-credential-0001");
+    links.set_members(vec![member(receiver.address)]);
+    for _ in 0..2 {
+        for _ in 0..2 * MAX_CONNECTIONS {
+            let stream = tokio::net::TcpStream::connect(receiver.address).await;
+            crowd.push(stream.expect("a connection"));
+        }
+        send_until_received(&links, &mut receiver).await.expect("a message");
+    }
+}
+
 #[tokio::test]
 async fn lost_connection_is_reopened_automatically() {
     let mut first = start_receiver("127.0.0.1:0").await;
