--- a/crates/daemon/src/relay/handler.rs
+++ b/crates/daemon/src/relay/handler.rs
@@ -7,37 +7,47 @@
 
 use crate::{
     clock,
-    relay::{body, calls, exchange, front, pump},
+    relay::{access, body, calls, exchange, front, pump},
 };
 
 /// Longest time for receiving the body of a request; a shorter timeout of the caller wins.
 const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(15);
+/// Delay after which a caller may retry whose body found no memory.
+const FULL_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
 
 /// An HTTP response to a caller.
 pub type Answer = http::Response<body::Body>;
 
-/// Receives a call, passes it to the core and returns the answer.
+/// Receives a call on the connection with this pass, passes it to the core and returns the answer.
 ///
 /// # Errors
 ///
 /// [`front::Abort`] if the connection is to be closed without an answer.
 pub async fn handle(
     state: sync::Arc<front::State>,
+    pass: &access::Pass,
     request: http::Request<hyper::body::Incoming>,
 ) -> Result<Answer, front::Abort> {
     let arrived = clock::now();
-    let (head, incoming) = request.into_parts();
+    let (head, mut incoming) = request.into_parts();
     let envelope = platform::call::decode(&head);
     let timeout = envelope.timeout.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
     let max_bytes = state.limits().body_bytes;
     let id = sync::Arc::clone(&envelope.id);
-    let read = tokio::time::timeout(timeout, body::read(incoming, max_bytes)).await;
-    let body = match read {
+    let buffer = state.buffers.open(max_bytes);
+    let reading = body::read(&mut incoming, buffer, max_bytes);
+    let body = match tokio::time::timeout(timeout, reading).await {
         Ok(Ok(body)) => body,
-        Ok(Err(body::Error::TooLarge)) => return Ok(unread_answer(413, &id)),
+        Ok(Err(body::Error::TooLarge)) => return Ok(unread_answer(413, &id, None, incoming)),
+        Ok(Err(body::Error::Full)) => {
+            return Ok(unread_answer(503, &id, Some(FULL_RETRY_AFTER), incoming));
+        }
         Ok(Err(body::Error::Broken)) => return Err(front::Abort),
-        Err(_elapsed) => return Ok(unread_answer(408, &id)),
+        Err(_elapsed) => return Ok(unread_answer(408, &id, None, incoming)),
     };
+    if !pass.begin() {
+        return Err(front::Abort);
+    }
     let request = exchange::Request::new(head, body, id);
     let call = state.calls.open(&state.inbox);
     state.inbox.send(relay::Input::Arrival { call: call.id, envelope, arrived });
@@ -46,8 +56,14 @@
 
 /// Answers a request whose body was not read completely. The connection is
 /// closed, because the unread rest cannot be told from the next request.
-fn unread_answer(status: u16, id: &str) -> Answer {
-    let mut answer = local_answer(status, id, None);
+fn unread_answer(
+    status: u16,
+    id: &str,
+    retry_after: Option<time::Duration>,
+    rest: hyper::body::Incoming,
+) -> Answer {
+    tokio::spawn(body::discard(rest));
+    let mut answer = local_answer(status, id, retry_after);
     answer.headers_mut().insert(http::header::CONNECTION, front::CONNECTION_CLOSE);
     answer
 }
--- a/crates/daemon/src/relay/process.rs
+++ b/crates/daemon/src/relay/process.rs
@@ -8,7 +8,10 @@
 use crate::{
     error, log, peer,
     process::{incarnation, listen},
-    relay::{calls, connection, driver, effect, front, inbox, metric, pool, rows, settings, side},
+    relay::{
+        access, buffer, calls, connection, driver, effect, front, inbox, machine, metric, pool,
+        rows, settings, side,
+    },
 };
 
 /// Longest time for which a caller may read nothing of its answer, in ms: longer
@@ -16,6 +19,8 @@
 const WRITE_STALL_MS: u64 = 15_000;
 /// Interval at which the count of dropped log lines is published.
 const DROPPED_LINES_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Interval at which the memory of request bodies and the connections are published.
+const MEMORY_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
 /// Runs a relay VM with the settings in `file` until SIGTERM or SIGINT stops it and
 /// every open call has ended.
@@ -47,6 +52,7 @@
 ) -> error::Result<()> {
     let metrics = metric::start()?;
     let caller_listener = bind(settings.caller.address)?;
+    bound_unread_bytes(&caller_listener);
     let balancer_listener = bind(settings.balancer.address)?;
     let peer_listener = bind(settings.peer.address)?;
     let peer_address = peer_listener
@@ -64,6 +70,9 @@
     let era = connection::Era::new(&inbox);
     let calls = calls::Table::default();
     let pool = pool::Pool::default();
+    let machine = machine::Machine::detect(&settings.limits);
+    let buffers = buffer::Pool::new(machine.memory);
+    let gate = access::Gate::new("caller", machine.connections());
     let connections = front::Connections::default();
     let identity = peer::link::Identity {
         vm: settings.vm.as_str().into(),
@@ -87,6 +96,8 @@
         calls,
         inbox: inbox.clone(),
         pool,
+        gate: gate.clone(),
+        buffers: buffers.clone(),
         limits: current_limits,
         stop: stop_stage,
         connections: connections.clone(),
@@ -97,15 +108,15 @@
         Some(endpoint) => {
             let listener = bind(endpoint.address)?;
             let address = address_of(&listener)?;
-            tokio::spawn(side::run(listener, side::Endpoint::Metrics(metrics)));
+            tokio::spawn(side::run(listener, "metrics", side::Endpoint::Metrics(metrics)));
             address
         }
         None => "none".to_owned(),
     });
-    tokio::spawn(side::run(balancer_listener, side::Endpoint::Ready(is_ready)));
-    tokio::spawn(peer::accept::run(peer_listener, settings.peer.credential.clone(), inbox.clone()));
+    tokio::spawn(side::run(balancer_listener, "balancer", side::Endpoint::Ready(is_ready)));
+    accept_peers(peer_listener, settings, &machine, &inbox);
     tokio::spawn(front::run(caller_listener, sync::Arc::new(state)));
-    tokio::spawn(log_lines.clone().publish_dropped_lines(DROPPED_LINES_INTERVAL));
+    publish(buffers, gate, log_lines);
     tracing::info!(
         step = "start",
         peer = settings.vm.as_str(),
@@ -142,6 +153,26 @@
     Ok(())
 }
 
+/// Accepts connections of other VMs.
+fn accept_peers(
+    listener: tokio::net::TcpListener,
+    settings: &settings::Settings,
+    machine: &machine::Machine,
+    inbox: &inbox::Inbox,
+) {
+    let gate = access::Gate::new("peer", machine.peers());
+    tokio::spawn(gate.clone().publish(MEMORY_INTERVAL));
+    let credential = settings.peer.credential.clone();
+    tokio::spawn(peer::accept::run(listener, credential, inbox.clone(), gate));
+}
+
+/// Publishes the state of what is bounded.
+fn publish(buffers: buffer::Pool, gate: access::Gate, log_lines: &log::Writer) {
+    tokio::spawn(buffers.publish(MEMORY_INTERVAL));
+    tokio::spawn(gate.publish(MEMORY_INTERVAL));
+    tokio::spawn(log_lines.clone().publish_dropped_lines(DROPPED_LINES_INTERVAL));
+}
+
 /// Returns the address of a listener, whose port the settings may leave to the system.
 fn address_of(listener: &tokio::net::TcpListener) -> error::Result<String> {
     let address = listener.local_addr();
@@ -149,6 +180,20 @@
     Ok(address.to_string())
 }
 
+/// Bounds what the system receives for each connection that a listener accepts. Bytes that the
+/// process has not read count as its memory.
+fn bound_unread_bytes(listener: &tokio::net::TcpListener) {
+    let bytes = machine::RECEIVE_BUFFER_BYTES;
+    if let Err(cause) = rustix::net::sockopt::set_socket_recv_buffer_size(listener, bytes) {
+        tracing::warn!(
+            step = "start",
+            outcome = "receive buffer not bounded",
+            reason = "the system decides how much it receives for a connection",
+            %cause,
+        );
+    }
+}
+
 fn bind(address: net::SocketAddr) -> error::Result<tokio::net::TcpListener> {
     tokio::net::TcpListener::from_std(listen(address, WRITE_STALL_MS)?)
         .map_err(|cause| error::Error::system("listen", &address, &cause))
