relay: say which lost renewal a lease bears

A renewal that is not answered for a second ends the order period; one that fails at once does not. A comment alone.

--- a/crates/relay/src/lease.rs
+++ b/crates/relay/src/lease.rs
@@ -30,7 +30,7 @@
 /// Time without a change of the row after which other VMs may take the lease:
 /// `ORDER_PERIOD` plus half a second for propagation.
 const TAKEOVER_AFTER: time::Duration = time::Duration::from_secs(2);
-/// Renewal interval; allows for one lost renewal within `ORDER_PERIOD`.
+/// Renewal interval; allows for one renewal that fails at once within `ORDER_PERIOD`.
 const RENEWAL_INTERVAL: time::Duration = time::Duration::from_millis(700);
 /// Timeout of a write to the store, after which it is retried.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
